Workspace skeleton with the interfaces of each layer

Cause: nothing existed. The interfaces come first so that decisions, transport, stand-ins and operator tools can be built side by side. Ruled out: a string view shared with the packaged Abseil (its view is a type of its own, so messages are built with fmt); an INI reader without line numbers. Before: no code.

--- /dev/null
+++ b/cmake/package.cmake
@@ -0,0 +1,24 @@
+# Helpers that declare one package (library, tests) in a line each.
+
+# Adds the library dandelionstall_NAME from src/*.cpp with its public headers under include/.
+function(add_package name)
+  cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.cpp)
+  add_library(dandelionstall_${name} STATIC ${sources})
+  target_include_directories(dandelionstall_${name} PUBLIC ${CMAKE_CURRENT_SOURCE_DIR}/include)
+  target_link_libraries(dandelionstall_${name} PUBLIC ${ARG_LINK})
+endfunction()
+
+# Adds one Criterion test program per tests/test_*.cpp of the current package.
+function(add_package_tests)
+  cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+  file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/test_*.cpp)
+  foreach(source ${tests})
+    get_filename_component(target ${source} NAME_WE)
+    add_executable(${target} ${source})
+    target_link_libraries(${target} PRIVATE ${ARG_LINK} PkgConfig::CRITERION rapidcheck)
+    add_test(NAME ${target} COMMAND ${target} --verbose=0 -j4)
+    # Property tests draw from this seed; RapidCheck prints it again with any failure.
+    set_tests_properties(${target} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261203" TIMEOUT 240)
+  endforeach()
+endfunction()
--- /dev/null
+++ b/coordination/include/dandelionstall/coordination/ejector.h
@@ -0,0 +1,60 @@
+// Ejection and re-admission of workers: one pure function from a node's view of a pool to the state of each worker.
+//
+// What holds for every policy but the baseline: the usable workers never fall below ceil(floor * size) through ejection;
+// the worst go first; a node that doubts its own view ejects nobody.
+#pragma once
+
+#include <dandelionstall/coordination/pool_view.h>
+
+#include <map>
+#include <memory>
+
+namespace dandelionstall::coordination {
+
+// What a node knows about the path to a worker's node, beside the worker's own report.
+struct path_evidence {
+    bool iHearIt = true;               // messages from it arrive
+    bool itHearsMe = true;             // it says that mine arrive there
+    std::uint32_t recentFailures = 0;  // attempts that broke on the path lately
+    std::uint32_t recentSuccesses = 0; // attempts that came back lately
+};
+
+// The node's trust in itself.
+struct self_condition {
+    state::time_point trustedFrom; // verdicts made before this time point are held back, e.g. after a pause
+    bool isolated = false;         // hears almost nobody
+};
+
+// Memory of ejection, one per worker, carried from one judgement to the next.
+struct ejection_record {
+    worker_state state = worker_state::unknown; // last verdict
+    state::time_point holdUntil;                // no re-admission before this
+    state::time_point probationFrom;            // start of the growing share
+    std::uint32_t timesEjected = 0;             // lately; makes the hold longer
+    state::time_point lastEjectedAt;            // for forgetting timesEjected
+    double weight = 1.0;                        // share given by the last verdict
+};
+
+struct ejection_input {
+    const pool_view *view = nullptr;                         // reports of the workers; never null
+    std::map<std::string, path_evidence, std::less<>> paths; // by worker id; absent means nothing special
+    self_condition self;                                     // trust in the own view
+    state::time_point now;
+};
+
+using ejection_memory = std::map<std::string, ejection_record, std::less<>>; // by worker id
+
+class ejector
+{
+public:
+    virtual ~ejector() = default;
+
+    virtual ejection_memory judge(const ejection_input &input, const ejection_memory &before) const = 0; // the next memory; one entry per worker
+};
+
+// Names: "peer_outlier" (chosen), "consecutive_failures" (baseline without floor).
+absl::StatusOr<std::unique_ptr<ejector>> makeEjector(std::string_view name);
+
+void applyVerdicts(const ejection_memory &memory, pool_view &view); // writes state and weight into the view
+
+} // namespace dandelionstall::coordination
--- /dev/null
+++ b/coordination/include/dandelionstall/coordination/evidence.h
@@ -0,0 +1,40 @@
+// Collects the outcomes of real work at one worker and sums them up for its report. Pure; used from one thread.
+#pragma once
+
+#include <dandelionstall/coordination/pool_view.h>
+
+#include <memory>
+#include <string>
+
+namespace dandelionstall::coordination {
+
+enum class work_outcome {
+    answered,  // whole answer, no server error
+    failed,    // server error, broken or missing answer
+    timed_out, // deadline passed while it ran
+    refused,   // the worker's documented refusal; no fault
+};
+
+struct outcome_sample {
+    std::string route; // route name
+    work_outcome outcome = work_outcome::answered;
+    state::time_point startedAt;           // handed to the worker
+    state::time_point endedAt;             // last byte or failure
+    std::chrono::microseconds costHint{0}; // from the table; zero when unknown
+};
+
+class worker_evidence
+{
+public:
+    virtual ~worker_evidence() = default;
+
+    virtual void noteStart(const state::attempt_id &id, std::string_view route, state::time_point now) = 0; // for progress of running work
+    virtual void noteEnd(const state::attempt_id &id, const outcome_sample &sample) = 0;
+    virtual void noteProbe(bool ok, state::time_point now) = 0;                // recorded; neither ejects nor re-admits by itself
+    virtual void notePause(state::time_point now) = 0;                         // the process slept: what was measured across the gap is dropped
+    virtual void fill(worker_report &report, state::time_point now) const = 0; // sets the evidence fields
+};
+
+std::unique_ptr<worker_evidence> makeWorkerEvidence();
+
+} // namespace dandelionstall::coordination
--- /dev/null
+++ b/coordination/include/dandelionstall/coordination/retry.h
@@ -0,0 +1,43 @@
+// Decides whether a request gets another attempt. Pure; used from one thread.
+//
+// The rule that no policy may break: non-idempotent work is tried again only when the failed attempt is proven not run.
+#pragma once
+
+#include <dandelionstall/coordination/reasons.h>
+
+#include <memory>
+
+namespace dandelionstall::coordination {
+
+// What is known when an attempt has ended without an answer for the caller.
+struct failed_attempt {
+    retry_reason kind = retry_reason::none;        // what happened
+    refusal_reason refusal = refusal_reason::none; // the sidecar's reason, when it refused
+    run_state run = run_state::unknown;            // whether the work was started
+    bool idempotent = false;                       // of the route
+    bool answerStarted = false;                    // bytes of an answer have gone to the caller
+    std::uint32_t attempts = 1;                    // attempts made so far, this one included
+    state::time_point deadline;                    // of the request
+    state::time_point retryAt;                     // when the refuser said to come back; epoch when it did not
+    std::chrono::microseconds expectedCost{0};     // of one more attempt
+};
+
+struct retry_verdict {
+    bool again = false;                            // true: make another attempt at once, at another worker
+    refusal_reason refusal = refusal_reason::none; // otherwise: what the caller is told
+    state::time_point retryAt;                     // otherwise: when the caller should come back
+};
+
+class retry_policy
+{
+public:
+    virtual ~retry_policy() = default;
+
+    virtual void noteRequest(state::time_point now) = 0;                                    // a request from a caller, first attempt
+    virtual retry_verdict decide(const failed_attempt &failure, state::time_point now) = 0; // spends budget when it says again
+};
+
+// Names: "budgeted" (chosen), "fixed_count" (baseline, three attempts).
+absl::StatusOr<std::unique_ptr<retry_policy>> makeRetryPolicy(std::string_view name, std::uint64_t seed);
+
+} // namespace dandelionstall::coordination
--- /dev/null
+++ b/coordination/src/pool_view.cpp
@@ -0,0 +1,58 @@
+#include <dandelionstall/coordination/pool_view.h>
+
+namespace dandelionstall::coordination {
+
+bool isUsable(const worker_view &worker)
+{
+    return worker.state == worker_state::unknown || worker.state == worker_state::healthy || worker.state == worker_state::probation;
+}
+
+std::string_view stateName(worker_state state)
+{
+    switch (state) {
+    case worker_state::unknown:
+        return "unknown";
+    case worker_state::healthy:
+        return "healthy";
+    case worker_state::probation:
+        return "probation";
+    case worker_state::ejected:
+        return "ejected";
+    case worker_state::leaving:
+        return "leaving";
+    case worker_state::unreachable:
+        return "unreachable";
+    }
+    return "unknown";
+}
+
+bool isNewer(const worker_report &candidate, const worker_report &current)
+{
+    if (candidate.incarnation != current.incarnation) {
+        return candidate.incarnation > current.incarnation;
+    }
+    return candidate.version > current.version;
+}
+
+pool_view makePoolView(const state::pool &pool)
+{
+    pool_view view;
+    view.name = pool.name;
+    view.floor = pool.floor;
+    view.balancer = pool.balancer;
+    view.ejector = pool.ejector;
+    view.admission = pool.admission;
+    view.retry = pool.retry;
+    view.workers.reserve(pool.workers.size());
+    for (const state::pool_worker &worker : pool.workers) {
+        worker_view row;
+        row.id = worker.id;
+        row.dataCentre = worker.dataCentre;
+        row.node = worker.node;
+        row.slots = worker.slots != 0 ? worker.slots : pool.slots;
+        view.workers.push_back(std::move(row));
+    }
+    return view;
+}
+
+} // namespace dandelionstall::coordination
--- /dev/null
+++ b/state/include/dandelionstall/state/settings.h
@@ -0,0 +1,62 @@
+// Settings of one node process, read once at start from an INI file.
+//
+// Usage:
+//   auto settings = parseSettings(text, "node.ini");   // error: "<source>:<line>: <reason>"
+//
+// docs/SETTINGS.md is the reference of every key. Unknown sections and keys are refused.
+#pragma once
+
+#include <dandelionstall/state/types.h>
+
+#include <string>
+#include <vector>
+
+namespace dandelionstall::state {
+
+// A worker on this VM: [worker.<id>]
+struct local_worker {
+    std::string id;                      // as in the pool table
+    std::string pool;                    // as in the pool table
+    node_address address;                // where the worker listens, on this VM
+    std::string healthPath = "/healthz"; // its health and load endpoint; empty disables probes
+};
+
+// The one settings aggregate of a node.
+struct settings {
+    // [node]
+    std::string name;                 // shown in logs and the admin API; the advertised address when empty
+    std::string dataCentre;           // data centre of this VM
+    std::string region;               // region of the data centre
+    node_address listen;              // streams (TCP) and gossip (UDP) between nodes
+    node_address advertise;           // what other nodes use to reach this one; the listen address when absent
+    node_address callers;             // HTTP/1.1 from callers
+    node_address admin;               // admin API and /metrics; loopback by default
+    std::uint32_t ingressThreads = 1; // threads that serve callers, 1..16
+
+    // [platform]
+    node_address configService;                      // key-value service holding the two tables
+    std::string routesKey = "dandelionstall/routes"; // key of the route table
+    std::string poolsKey = "dandelionstall/pools";   // key of the pool table
+    node_address vmList;                             // list of VMs; same service when absent
+    std::vector<node_address> seeds;                 // nodes to ask first when this one starts
+
+    // [limits]
+    std::size_t maxHeaderBytes = 16 * 1024;           // of one request or answer
+    std::size_t maxBodyBytes = 1024 * 1024;           // of one request; it is held until the attempt ends
+    std::size_t maxKeptAnswerBytes = 256 * 1024;      // of one non-idempotent answer kept for later delivery
+    std::uint32_t maxCallers = 2000;                  // caller connections
+    std::uint32_t maxQueuedPerWorker = 64;            // requests waiting at one worker's slots
+    std::uint32_t maxOrganisations = 8192;            // organisations tracked for limits
+    std::chrono::milliseconds headerTimeout{5000};    // a caller must send a request header within this
+    std::chrono::milliseconds idleTimeout{60000};     // idle caller connection is closed after this
+    std::chrono::milliseconds ticketLifetime{600000}; // tickets and kept outcomes expire after this
+
+    // [log]
+    std::string logLevel = "info"; // trace, debug, info, warn, error
+
+    std::vector<local_worker> workers; // [worker.<id>] sections
+};
+
+absl::StatusOr<settings> parseSettings(std::string_view text, std::string_view source); // error names line and reason
+
+} // namespace dandelionstall::state
--- /dev/null
+++ b/state/include/dandelionstall/state/tables.h
@@ -0,0 +1,97 @@
+// The two tables that operators edit: routes and pools, joined by pool name.
+//
+// Both are INI text. Parsing fills plain aggregates and reports the first fault as "<source>:<line>: <reason>".
+// docs/TABLES.md is the reference of every key.
+//
+// Usage:
+//   auto pools = parsePoolTable(text, "pools.ini");
+//   auto routes = parseRouteTable(text, "routes.ini");
+//   absl::Status joined = checkJoin(*routes, *pools);   // each route's pool exists
+//
+// Index:
+//   [SECTION] Routes
+//   [SECTION] Pools
+//   [SECTION] Parsing
+#pragma once
+
+#include <dandelionstall/state/types.h>
+
+#include <string>
+#include <vector>
+
+namespace dandelionstall::state {
+
+using table_revision = std::uint64_t; // written by the operator; only grows
+
+// [SECTION] Routes
+
+// One row of the route table: which requests it takes, and how they are handled.
+struct route {
+    std::string name;                        // unique in the table
+    std::string host;                        // exact host name, lower case; empty takes any host
+    std::string pathPrefix = "/";            // whole path segments: "/tags" takes "/tags/7", not "/tagsale"
+    std::vector<std::string> methods;        // empty takes any method
+    std::string pool;                        // name of the pool that serves it
+    bool idempotent = false;                 // true: may run more than once
+    double worth = 1.0;                      // value of one answer before its deadline, > 0
+    std::chrono::milliseconds timeout{2000}; // the deadline is arrival time plus this
+    std::chrono::milliseconds costHint{0};   // expected run time; zero when unknown
+    double organisationRate = 0.0;           // requests a second allowed to one organisation over the fleet; 0 is unlimited
+    std::uint32_t line = 0;                  // line of the section in the table
+
+    friend bool operator==(const route &, const route &) = default;
+};
+
+struct route_table {
+    table_revision revision = 0; // highest accepted revision wins
+    std::uint64_t digest = 0;    // hash of the text; tells other content with the same revision
+    std::vector<route> routes;   // in table order
+};
+
+// [SECTION] Pools
+
+// One worker of a pool and the node beside it.
+struct pool_worker {
+    std::string id;          // unique in the table
+    std::string dataCentre;  // where it runs
+    node_address node;       // the node process on the worker's VM
+    std::uint32_t slots = 0; // requests it runs at a time; 0 means the pool's value
+
+    friend bool operator==(const pool_worker &, const pool_worker &) = default;
+};
+
+// One row of the pool table: the workers of a service and the policies used for them.
+struct pool {
+    std::string name;                           // unique in the table
+    std::uint32_t slots = 1;                    // default slots of a worker
+    double floor = 0.5;                         // share of the pool's workers that ejection leaves in use, 0..1
+    std::string balancer = "least_wait";        // see coordination/balancer.h
+    std::string ejector = "peer_outlier";       // see coordination/ejector.h
+    std::string admission = "worth_density";    // see coordination/admission.h
+    std::string retry = "budgeted";             // see coordination/retry.h
+    std::chrono::milliseconds drainTime{30000}; // time that a leaving worker gets for running work
+    std::vector<pool_worker> workers;           // in table order
+    std::uint32_t line = 0;                     // line of the section in the table
+
+    friend bool operator==(const pool &, const pool &) = default;
+};
+
+struct pool_table {
+    table_revision revision = 0; // highest accepted revision wins
+    std::uint64_t digest = 0;    // hash of the text
+    std::vector<pool> pools;     // in table order
+};
+
+// [SECTION] Parsing
+
+inline constexpr std::size_t MaxTableBytes = 1'048'576; // a value of the configuration service
+
+absl::StatusOr<route_table> parseRouteTable(std::string_view text, std::string_view source); // error names line and reason
+absl::StatusOr<pool_table> parsePoolTable(std::string_view text, std::string_view source);   // error names line and reason
+absl::Status checkJoin(const route_table &routes, const pool_table &pools);                  // error when a route names no pool
+const pool *findPool(const pool_table &table, std::string_view name);                        // nullptr when absent
+
+// Finds the route of a request: exact host before any host, then the longest path prefix, then table order.
+const route *matchRoute(const route_table &table, std::string_view host, std::string_view path, std::string_view method); // nullptr when none
+
+} // namespace dandelionstall::state
