--- /dev/null
+++ b/coordination/include/dandelionstall/coordination/fleet_snapshot.h
@@ -0,0 +1,23 @@
+// What the control thread publishes to the traffic threads: immutable, replaced as a whole.
+#pragma once
+
+#include <dandelionstall/coordination/pool_view.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace dandelionstall::coordination {
+
+struct fleet_snapshot {
+    std::uint64_t generation = 0;                                               // grows with every publication
+    std::shared_ptr<const state::route_table> routes;                           // in force; null before the first configuration
+    std::shared_ptr<const state::pool_table> pools;                             // in force; null before the first configuration
+    std::map<std::string, std::shared_ptr<const pool_view>, std::less<>> views; // pools of interest; others: makePoolView()
+    std::uint32_t liveNodes = 1;                                                // nodes believed to take callers, this one included
+    bool leaving = false;                                                       // this node takes no new work
+};
+
+using snapshot_ptr = std::shared_ptr<const fleet_snapshot>;
+
+} // namespace dandelionstall::coordination
