--- /dev/null
+++ b/programs/dandelionstall/attempt_stream.cpp
@@ -0,0 +1,270 @@
+#include "attempt_stream.h"
+
+#include "sidecar.h"
+
+#include <boost/asio.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace dandelionstall {
+
+namespace asio = boost::asio;
+using protocol::frame_type;
+
+namespace {
+
+constexpr std::size_t MaxPendingBytes = 262'144; // of one answer on one stream
+constexpr std::size_t BodyFrameBytes = 131'072;  // of one body frame
+
+} // namespace
+
+// [SECTION] Answers
+
+answer_writer::answer_writer(std::weak_ptr<transport::node_session> session, transport::stream_id stream)
+    : m_session(std::move(session))
+    , m_stream(stream)
+{ }
+
+void answer_writer::sendHead(const protocol::answer_head &head)
+{
+    if (const auto session = m_session.lock(); session && m_open) {
+        session->write(m_stream, protocol::makeFrame(frame_type::answer_head, protocol::encode(head)), false);
+    }
+}
+
+asio::awaitable<void> answer_writer::sendBody(std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        const auto session = m_session.lock();
+        if (!session || !m_open) {
+            co_return;
+        }
+        const std::string_view part = bytes.substr(0, BodyFrameBytes);
+        session->write(m_stream, protocol::makeFrame(frame_type::body, part), false);
+        bytes.remove_prefix(part.size());
+        while (m_open && session->isOpen() && session->pendingBytes(m_stream) > MaxPendingBytes) {
+            m_waiter = std::make_shared<asio::steady_timer>(co_await asio::this_coro::executor, asio::steady_timer::time_point::max());
+            const std::shared_ptr<asio::steady_timer> waiter = m_waiter;
+            co_await waiter->async_wait(asio::as_tuple(asio::use_awaitable));
+        }
+    }
+}
+
+void answer_writer::sendWhole(const protocol::answer_head &head, std::string_view body)
+{
+    const auto session = m_session.lock();
+    if (!session || !m_open) {
+        return;
+    }
+    std::string out = protocol::makeFrame(frame_type::answer_head, protocol::encode(head));
+    const protocol::answer_end end{head.id, body.size(), XXH3_64bits(body.data(), body.size()), std::chrono::microseconds(0)};
+    while (!body.empty()) {
+        const std::string_view part = body.substr(0, BodyFrameBytes);
+        protocol::appendFrame(out, frame_type::body, part);
+        body.remove_prefix(part.size());
+    }
+    protocol::appendFrame(out, frame_type::answer_end, protocol::encode(end));
+    session->write(m_stream, out, true);
+}
+
+void answer_writer::sendEnd(const protocol::answer_end &end)
+{
+    if (const auto session = m_session.lock(); session && m_open) {
+        session->write(m_stream, protocol::makeFrame(frame_type::answer_end, protocol::encode(end)), true);
+    }
+}
+
+void answer_writer::breakOff()
+{
+    if (const auto session = m_session.lock(); session && m_open) {
+        session->reset(m_stream);
+    }
+}
+
+void answer_writer::noteWritable()
+{
+    if (m_waiter) {
+        m_waiter->cancel();
+    }
+}
+
+void answer_writer::noteClosed()
+{
+    m_open = false;
+    noteWritable();
+}
+
+bool answer_writer::isOpen() const
+{
+    return m_open;
+}
+
+// [SECTION] Streams
+
+attempt_stream::attempt_stream(sidecar &owner, std::weak_ptr<transport::node_session> session, transport::stream_id stream, std::size_t maxBodyBytes)
+    : m_owner(owner)
+    , m_session(session)
+    , m_stream(stream)
+    , m_maxBodyBytes(maxBodyBytes)
+    , m_writer(std::move(session), stream)
+{ }
+
+void attempt_stream::onData(std::string_view bytes)
+{
+    m_decoder.feed(bytes);
+    if (const auto session = m_session.lock()) {
+        session->consume(m_stream, bytes.size());
+    }
+    while (!m_complete) {
+        const auto frame = m_decoder.next();
+        if (!frame.ok()) {
+            breakOff();
+            return;
+        }
+        if (!frame->has_value()) {
+            return;
+        }
+        if (!takeFrame(**frame)) {
+            breakOff();
+            return;
+        }
+    }
+}
+
+bool attempt_stream::takeFrame(const protocol::frame &frame)
+{
+    if (frame.type == frame_type::attempt_head && !m_head) {
+        auto head = protocol::decodeAttemptHead(frame.payload);
+        if (!head.ok() || head->bodyBytes > m_maxBodyBytes) {
+            return false;
+        }
+        m_head = *std::move(head);
+        return true;
+    }
+    if (frame.type == frame_type::body && m_head) {
+        m_body.append(frame.payload);
+        return m_body.size() <= m_head->bodyBytes;
+    }
+    if (frame.type == frame_type::attempt_end && m_head && m_body.size() == m_head->bodyBytes) {
+        m_complete = true;
+        m_owner.takeAttempt(shared_from_this());
+        return true;
+    }
+    return false;
+}
+
+void attempt_stream::breakOff()
+{
+    m_complete = true;
+    m_writer.breakOff();
+}
+
+void attempt_stream::onPeerEnd()
+{
+    if (!m_complete) {
+        breakOff(); // the attempt was cut: nothing of it is run
+    }
+}
+
+void attempt_stream::onWritable()
+{
+    m_writer.noteWritable();
+}
+
+void attempt_stream::onClosed(transport::stream_end end)
+{
+    m_writer.noteClosed();
+    if (m_complete && m_head && end != transport::stream_end::finished) {
+        m_owner.noteStreamLost(m_head->id, end);
+    }
+}
+
+const protocol::attempt_head &attempt_stream::head() const
+{
+    return *m_head;
+}
+
+std::string attempt_stream::takeBody()
+{
+    return std::move(m_body);
+}
+
+answer_writer &attempt_stream::writer()
+{
+    return m_writer;
+}
+
+control_stream::control_stream(sidecar &owner, std::weak_ptr<transport::node_session> session, transport::stream_id stream)
+    : m_owner(owner)
+    , m_session(session)
+    , m_stream(stream)
+    , m_writer(std::move(session), stream)
+{ }
+
+void control_stream::onData(std::string_view bytes)
+{
+    m_decoder.feed(bytes);
+    if (const auto session = m_session.lock()) {
+        session->consume(m_stream, bytes.size());
+    }
+    const auto frame = m_decoder.next();
+    if (!frame.ok() || (frame->has_value() && !takeFrame(**frame))) {
+        m_writer.breakOff();
+    }
+}
+
+bool control_stream::takeFrame(const protocol::frame &frame)
+{
+    if (frame.type == frame_type::query) {
+        const auto query = protocol::decodeAttemptQuery(frame.payload);
+        if (query.ok()) {
+            m_owner.takeQuery(*query, shared_from_this());
+        }
+        return query.ok();
+    }
+    if (frame.type == frame_type::acknowledge) {
+        const auto acknowledge = protocol::decodeAttemptAcknowledge(frame.payload);
+        if (acknowledge.ok()) {
+            m_owner.takeAcknowledge(*acknowledge);
+            sendRaw(frame_type::acknowledge, frame.payload);
+        }
+        return acknowledge.ok();
+    }
+    if (frame.type == frame_type::clock_request) {
+        const auto request = protocol::decodeClockRequest(frame.payload);
+        if (request.ok()) {
+            const protocol::clock_reply reply{request->sentAt, state::clock::now(), m_owner.life()};
+            sendRaw(frame_type::clock_reply, protocol::encode(reply));
+        }
+        return request.ok();
+    }
+    return false;
+}
+
+void control_stream::sendRaw(frame_type type, std::string_view payload)
+{
+    if (const auto session = m_session.lock()) {
+        session->write(m_stream, protocol::makeFrame(type, payload), true);
+    }
+}
+
+void control_stream::onPeerEnd()
+{ }
+
+void control_stream::onWritable()
+{
+    m_writer.noteWritable();
+}
+
+void control_stream::onClosed(transport::stream_end)
+{
+    m_writer.noteClosed();
+}
+
+answer_writer &control_stream::writer()
+{
+    return m_writer;
+}
+
+} // namespace dandelionstall
--- /dev/null
+++ b/programs/dandelionstall/caller_connection.cpp
@@ -0,0 +1,289 @@
+#include "caller_connection.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace dandelionstall {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr auto Token = asio::as_tuple(asio::use_awaitable);
+constexpr auto WriteTimeout = std::chrono::seconds(30); // a caller must take each part of an answer within this
+
+std::string lowerCase(std::string_view text)
+{
+    std::string out(text);
+    std::transform(out.begin(), out.end(), out.begin(), [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return out;
+}
+
+void fillRequest(const http::request<http::string_body> &in, caller_request &out)
+{
+    out.method = std::string(in.method_string());
+    out.target = std::string(in.target());
+    out.host = lowerCase(protocol::hostWithoutPort(in[http::field::host]));
+    out.headers.clear();
+    for (const auto &field : in) {
+        out.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    out.headers = protocol::endToEnd(out.headers);
+    out.keepAlive = in.keep_alive();
+    out.chunkedAllowed = in.version() >= 11;
+}
+
+// RFC 9112: a request needs exactly one Host from HTTP/1.1 on, and must not repeat its length.
+bool isUnambiguous(const http::request<http::string_body> &request)
+{
+    if (request.version() >= 11 && request.count(http::field::host) != 1) {
+        return false;
+    }
+    return request.count(http::field::content_length) <= 1 && request.count(http::field::transfer_encoding) <= 1;
+}
+
+read_end endOf(const beast::error_code &error)
+{
+    if (error == beast::error::timeout) {
+        return read_end::too_slow;
+    }
+    if (error == http::error::body_limit) {
+        return read_end::too_large;
+    }
+    const bool parserError = error.category() == make_error_code(http::error::bad_method).category();
+    if (parserError && error != http::error::end_of_stream && error != http::error::partial_message) {
+        return read_end::malformed;
+    }
+    return read_end::gone;
+}
+
+} // namespace
+
+struct caller_connection::streamed_answer {
+    http::response<http::buffer_body> message;
+    std::unique_ptr<http::response_serializer<http::buffer_body>> serializer;
+};
+
+caller_connection::caller_connection(beast::tcp_stream stream)
+    : m_stream(std::move(stream))
+{
+    beast::error_code ignored;
+    m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+// [SECTION] Requests
+
+asio::awaitable<read_end> caller_connection::read(const read_limits &limits, caller_request &request)
+{
+    const auto self = shared_from_this();
+    m_started = false;
+    m_answer.reset();
+    if (m_buffer.size() == 0) {
+        m_idle = true;
+        m_stream.expires_after(limits.idleTimeout);
+        std::array<char, 1> byte{};
+        const auto [error, bytes] = co_await m_stream.async_read_some(asio::buffer(byte), Token);
+        m_idle = false;
+        if (error) {
+            co_return read_end::gone;
+        }
+        asio::buffer_copy(m_buffer.prepare(1), asio::buffer(byte));
+        m_buffer.commit(1);
+    }
+    m_stream.expires_after(limits.headerTimeout);
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
+    parser.body_limit(limits.maxBodyBytes);
+    const auto [headError, headBytes] = co_await http::async_read_header(m_stream, m_buffer, parser, Token);
+    if (headError) {
+        co_return endOf(headError);
+    }
+    request.arrivedAt = state::clock::now();
+    if (!isUnambiguous(parser.get())) {
+        co_return read_end::malformed;
+    }
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        const http::response<http::empty_body> proceed(http::status::continue_, 11);
+        const auto [error, bytes] = co_await http::async_write(m_stream, proceed, Token);
+        if (error) {
+            co_return read_end::gone;
+        }
+    }
+    const auto [bodyError, bodyBytes] = co_await http::async_read(m_stream, m_buffer, parser, Token);
+    if (bodyError) {
+        co_return endOf(bodyError);
+    }
+    m_stream.expires_never();
+    fillRequest(parser.get(), request);
+    request.body = std::move(parser.get().body());
+    m_headRequest = request.method == "HEAD";
+    m_closing = m_closing || !request.keepAlive;
+    co_return read_end::request;
+}
+
+void caller_connection::watchForClose(std::function<void()> onGone)
+{
+    if (m_buffer.size() > 0) {
+        return; // the next request is already here
+    }
+    const auto watching = std::make_shared<bool>(true);
+    m_watching = watching;
+    auto handler = [self = shared_from_this(), watching, gone = std::move(onGone)](const beast::error_code &error) {
+        if (error || !*watching) {
+            return;
+        }
+        std::array<char, 1> byte{};
+        beast::error_code peek;
+        self->m_stream.socket().non_blocking(true, peek);
+        self->m_stream.socket().receive(asio::buffer(byte), asio::socket_base::message_peek, peek);
+        if (peek && peek != asio::error::would_block) {
+            gone();
+        }
+    };
+    m_stream.socket().async_wait(asio::socket_base::wait_read, asio::bind_cancellation_slot(m_watchSignal.slot(), std::move(handler)));
+}
+
+void caller_connection::stopWatching()
+{
+    if (m_watching) {
+        *m_watching = false;
+        m_watching.reset();
+        m_watchSignal.emit(asio::cancellation_type::terminal);
+    }
+}
+
+// [SECTION] Answers
+
+asio::awaitable<bool> caller_connection::sendRefusal(const protocol::caller_refusal &refusal)
+{
+    protocol::http_headers headers;
+    headers.push_back({"Content-Type", "application/json"});
+    headers.push_back({std::string(protocol::ReasonHeader), std::string(coordination::reasonName(refusal.reason))});
+    headers.push_back({std::string(protocol::RunHeader), std::string(coordination::runStateName(refusal.run))});
+    if (refusal.retryAfter.count() > 0) {
+        headers.push_back({"Retry-After", std::to_string(protocol::retryAfterSeconds(refusal))});
+    }
+    co_return co_await sendWhole(protocol::statusOf(refusal), headers, protocol::bodyOf(refusal));
+}
+
+asio::awaitable<bool> caller_connection::sendWhole(std::uint32_t status, const protocol::http_headers &headers, std::string body)
+{
+    const auto self = shared_from_this();
+    http::response<http::string_body> message;
+    message.version(11);
+    message.result(status);
+    for (const protocol::http_header &header : headers) {
+        message.insert(header.name, header.value);
+    }
+    const bool bodiless = m_headRequest || status == 204 || status == 304;
+    if (!bodiless) {
+        message.erase(http::field::content_length);
+        message.body() = std::move(body);
+        message.prepare_payload();
+    }
+    message.keep_alive(!m_closing);
+    m_started = true;
+    m_stream.expires_after(WriteTimeout);
+    const auto [error, bytes] = co_await http::async_write(m_stream, message, Token);
+    m_stream.expires_never();
+    co_return !error;
+}
+
+asio::awaitable<bool> caller_connection::sendHead(std::uint32_t status, const protocol::http_headers &headers)
+{
+    const auto self = shared_from_this();
+    m_answer = std::make_shared<streamed_answer>();
+    auto &message = m_answer->message;
+    message.version(11);
+    message.result(status);
+    for (const protocol::http_header &header : headers) {
+        message.insert(header.name, header.value);
+    }
+    if (message.find(http::field::content_length) == message.end()) {
+        message.chunked(true);
+    }
+    message.keep_alive(!m_closing);
+    message.body().data = nullptr;
+    message.body().more = true;
+    m_answer->serializer = std::make_unique<http::response_serializer<http::buffer_body>>(message);
+    m_started = true;
+    m_stream.expires_after(WriteTimeout);
+    const auto [error, bytes] = co_await http::async_write_header(m_stream, *m_answer->serializer, Token);
+    co_return !error;
+}
+
+asio::awaitable<bool> caller_connection::sendChunk(std::string_view bytes)
+{
+    const auto self = shared_from_this();
+    const auto answer = m_answer;
+    auto &body = answer->message.body();
+    body.data = const_cast<char *>(bytes.data());
+    body.size = bytes.size();
+    body.more = true;
+    m_stream.expires_after(WriteTimeout);
+    const auto [error, written] = co_await http::async_write(m_stream, *answer->serializer, Token);
+    co_return !error || error == http::error::need_buffer;
+}
+
+asio::awaitable<bool> caller_connection::sendLast(std::string_view bytes)
+{
+    const auto self = shared_from_this();
+    const auto answer = m_answer;
+    auto &body = answer->message.body();
+    body.data = bytes.empty() ? nullptr : const_cast<char *>(bytes.data());
+    body.size = bytes.size();
+    body.more = false;
+    m_stream.expires_after(WriteTimeout);
+    const auto [error, written] = co_await http::async_write(m_stream, *answer->serializer, Token);
+    m_stream.expires_never();
+    co_return !error;
+}
+
+bool caller_connection::hasStarted() const
+{
+    return m_started;
+}
+
+void caller_connection::closeAfterAnswer()
+{
+    m_closing = true;
+}
+
+bool caller_connection::closesAfterAnswer() const
+{
+    return m_closing;
+}
+
+void caller_connection::shutdown()
+{
+    beast::error_code ignored;
+    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
+void caller_connection::breakOff()
+{
+    beast::error_code ignored;
+    m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    m_stream.close();
+}
+
+void caller_connection::wakeIdle()
+{
+    if (m_idle) {
+        m_stream.cancel();
+    }
+}
+
+bool caller_connection::isIdle() const
+{
+    return m_idle;
+}
+
+} // namespace dandelionstall
--- /dev/null
+++ b/programs/dandelionstall/ingress.cpp
@@ -0,0 +1,268 @@
+// Connections and policies of the ingress. One request: request_run.cpp.
+#include "ingress.h"
+
+#include "request_run.h"
+
+#include <dandelionstall/transport/errors.h>
+#include <dandelionstall/transport/events.h>
+
+#include <boost/asio.hpp>
+
+#include <algorithm>
+
+namespace dandelionstall {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using coordination::refusal_reason;
+using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+namespace {
+
+constexpr auto SweepPeriod = std::chrono::seconds(1);
+constexpr auto InterestPeriod = std::chrono::seconds(1);                // a pool in use is named at most this often
+constexpr auto CallerLimitRetryAfter = std::chrono::milliseconds(1000); // for callers over the connection limit
+
+} // namespace
+
+ingress::ingress(asio::io_context &io, const state::settings &settings, std::uint64_t seed, transport::metrics &counters, ingress_events events)
+    : m_io(io)
+    , m_settings(settings)
+    , m_counters(counters)
+    , m_events(std::move(events))
+    , m_acceptor(io)
+    , m_sweeper(io)
+    , m_random(seed)
+    , m_origin(m_random())
+    , m_limiter(coordination::makeOrganisationLimiter(settings.maxOrganisations, seed))
+    , m_peers(io, settings)
+{ }
+
+// [SECTION] Connections
+
+absl::Status ingress::listen()
+{
+    const tcp::endpoint endpoint(asio::ip::make_address(m_settings.callers.ip), m_settings.callers.port);
+    boost::system::error_code error;
+    m_acceptor.open(endpoint.protocol(), error);
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (m_settings.ingressThreads > 1) {
+        m_acceptor.set_option(reuse_port(true), error);
+    }
+    m_acceptor.bind(endpoint, error);
+    if (!error) {
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return transport::fromSocket(transport::transport_error::connect, error);
+    }
+    acceptLoop();
+    sweep();
+    return absl::OkStatus();
+}
+
+void ingress::acceptLoop()
+{
+    m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted || !m_acceptor.is_open()) {
+            return;
+        }
+        if (!error) {
+            auto connection = std::make_shared<caller_connection>(boost::beast::tcp_stream(std::move(socket)));
+            m_connections.insert(connection);
+            asio::co_spawn(m_io, serve(connection), asio::detached);
+        }
+        acceptLoop();
+    });
+}
+
+void ingress::sweep()
+{
+    m_peers.closeIdle(state::clock::now());
+    m_counters.setGauge("caller_connections", static_cast<double>(m_connections.size()));
+    m_counters.setGauge("peer_links", static_cast<double>(m_peers.size()));
+    m_sweeper.expires_after(SweepPeriod);
+    m_sweeper.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            sweep();
+        }
+    });
+}
+
+asio::awaitable<void> ingress::serve(std::shared_ptr<caller_connection> connection)
+{
+    if (m_connections.size() > m_settings.maxCallers) {
+        connection->closeAfterAnswer();
+        m_counters.countRefusal(refusal_reason::caller_limit);
+        co_await connection->sendRefusal({refusal_reason::caller_limit, coordination::run_state::not_run, CallerLimitRetryAfter});
+        connection->shutdown();
+        m_connections.erase(connection);
+        co_return;
+    }
+    const read_limits limits{m_settings.maxHeaderBytes, m_settings.maxBodyBytes, m_settings.idleTimeout, m_settings.headerTimeout};
+    bool proceed = true;
+    while (proceed) {
+        caller_request request;
+        const read_end end = co_await connection->read(limits, request);
+        if (end != read_end::request) {
+            co_await refuseInput(*connection, end);
+            break;
+        }
+        if (m_stopping) {
+            connection->closeAfterAnswer();
+        }
+        proceed = co_await handle(*connection, request) && !connection->closesAfterAnswer();
+    }
+    connection->shutdown();
+    m_connections.erase(connection);
+}
+
+asio::awaitable<bool> ingress::refuseInput(caller_connection &connection, read_end end)
+{
+    if (end == read_end::gone) {
+        co_return false;
+    }
+    const refusal_reason reason = end == read_end::too_large ? refusal_reason::body_too_large : refusal_reason::bad_request;
+    m_counters.countRefusal(reason);
+    connection.closeAfterAnswer();
+    co_return co_await connection.sendRefusal({reason, coordination::run_state::not_run, std::chrono::milliseconds(0)});
+}
+
+asio::awaitable<bool> ingress::handle(caller_connection &connection, caller_request &request)
+{
+    request_run run(*this, connection, request);
+    co_return co_await run.run();
+}
+
+// [SECTION] Configuration
+
+void ingress::applySnapshot(coordination::snapshot_ptr snapshot)
+{
+    m_snapshot = std::move(snapshot);
+    if (m_snapshot->pools && m_snapshot->pools->revision != m_ownViewsRevision) {
+        m_ownViews.clear();
+        m_ownViewsRevision = m_snapshot->pools->revision;
+    }
+}
+
+coordination::snapshot_ptr ingress::snapshot() const
+{
+    return m_snapshot && m_snapshot->routes && m_snapshot->pools ? m_snapshot : nullptr;
+}
+
+std::shared_ptr<const coordination::pool_view> ingress::viewOf(const state::pool &pool)
+{
+    const state::time_point now = state::clock::now();
+    state::time_point &dueAt = m_interestDueAt[pool.name];
+    if (now >= dueAt) {
+        dueAt = now + InterestPeriod;
+        m_events.interest(pool.name);
+    }
+    const auto published = m_snapshot->views.find(pool.name);
+    if (published != m_snapshot->views.end()) {
+        return published->second;
+    }
+    std::shared_ptr<const coordination::pool_view> &own = m_ownViews[pool.name];
+    if (!own) {
+        own = std::make_shared<const coordination::pool_view>(coordination::makePoolView(pool));
+    }
+    return own;
+}
+
+coordination::balancer &ingress::balancerOf(const coordination::pool_view &view)
+{
+    std::unique_ptr<coordination::balancer> &entry = m_balancers[view.balancer];
+    if (!entry) {
+        auto made = coordination::makeBalancer(view.balancer);
+        entry = made.ok() ? *std::move(made) : *coordination::makeBalancer("least_wait");
+    }
+    return *entry;
+}
+
+coordination::retry_policy &ingress::retryOf(const coordination::pool_view &view)
+{
+    std::unique_ptr<coordination::retry_policy> &entry = m_retries[view.name + "/" + view.retry];
+    if (!entry) {
+        auto made = coordination::makeRetryPolicy(view.retry, m_random());
+        entry = made.ok() ? *std::move(made) : *coordination::makeRetryPolicy("budgeted", m_random());
+    }
+    return *entry;
+}
+
+// [SECTION] Stopping
+
+void ingress::beginShutdown()
+{
+    m_stopping = true;
+    for (const auto &connection : m_connections) {
+        connection->closeAfterAnswer();
+    }
+}
+
+void ingress::stopListening()
+{
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    for (const auto &connection : m_connections) {
+        connection->wakeIdle();
+    }
+}
+
+bool ingress::isIdle() const
+{
+    return m_connections.empty();
+}
+
+std::size_t ingress::busyConnections() const
+{
+    return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto &connection) { return !connection->isIdle(); }));
+}
+
+// [SECTION] Access for request_run
+
+const state::settings &ingress::settings() const
+{
+    return m_settings;
+}
+
+coordination::organisation_limiter &ingress::limiter()
+{
+    return *m_limiter;
+}
+
+peer_directory &ingress::peers()
+{
+    return m_peers;
+}
+
+transport::metrics &ingress::counters()
+{
+    return m_counters;
+}
+
+const ingress_events &ingress::events() const
+{
+    return m_events;
+}
+
+std::uint64_t ingress::random()
+{
+    return m_random();
+}
+
+state::attempt_id ingress::nextAttempt()
+{
+    return {m_origin, ++m_sequence};
+}
+
+std::uint32_t &ingress::inFlight(const std::string &worker)
+{
+    return m_inFlight[worker];
+}
+
+asio::io_context &ingress::io()
+{
+    return m_io;
+}
+
+} // namespace dandelionstall
--- /dev/null
+++ b/programs/dandelionstall/ingress.h
@@ -0,0 +1,94 @@
+// The ingress: takes requests of callers, chooses workers, makes attempts, retries where that is safe, and answers.
+// All methods but the constructor run on the thread of its io_context.
+//
+// Index:
+//   [SECTION] Events to the control thread
+//   [SECTION] Ingress
+#pragma once
+
+#include "caller_connection.h"
+#include "peer_directory.h"
+
+#include <dandelionstall/coordination/balancer.h>
+#include <dandelionstall/coordination/fleet_snapshot.h>
+#include <dandelionstall/coordination/limits.h>
+#include <dandelionstall/coordination/retry.h>
+#include <dandelionstall/state/settings.h>
+#include <dandelionstall/transport/metrics.h>
+
+#include <pcg_random.hpp>
+
+#include <functional>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace dandelionstall {
+
+// [SECTION] Events to the control thread
+
+struct ingress_events {
+    std::function<void(std::vector<coordination::worker_report>)> reports; // came with answers
+    std::function<void(state::node_address, bool)> path;                   // an attempt reached the node, or did not
+    std::function<void(std::string)> interest;                             // a pool is being routed to
+};
+
+// [SECTION] Ingress
+
+class ingress
+{
+public:
+    ingress(boost::asio::io_context &io, const state::settings &settings, std::uint64_t seed, transport::metrics &counters, ingress_events events);
+
+    absl::Status listen();                                   // binds the callers' address
+    void applySnapshot(coordination::snapshot_ptr snapshot); // configuration and views in force
+    void beginShutdown();                                    // answers say Connection: close; new connections are still served
+    void stopListening();                                    // no further connections; idle ones are closed
+    bool isIdle() const;                                     // no connection is open
+    std::size_t busyConnections() const;                     // connections with a request in flight
+
+    // For request_run.
+    const state::settings &settings() const;
+    coordination::snapshot_ptr snapshot() const; // null before the first configuration
+    std::shared_ptr<const coordination::pool_view> viewOf(const state::pool &pool);
+    coordination::balancer &balancerOf(const coordination::pool_view &view);
+    coordination::retry_policy &retryOf(const coordination::pool_view &view);
+    coordination::organisation_limiter &limiter();
+    peer_directory &peers();
+    transport::metrics &counters();
+    const ingress_events &events() const;
+    std::uint64_t random();
+    state::attempt_id nextAttempt();
+    std::uint32_t &inFlight(const std::string &worker); // own running attempts at a worker
+    boost::asio::io_context &io();
+
+private:
+    void acceptLoop();
+    void sweep();
+    boost::asio::awaitable<void> serve(std::shared_ptr<caller_connection> connection);
+    boost::asio::awaitable<bool> handle(caller_connection &connection, caller_request &request);
+    boost::asio::awaitable<bool> refuseInput(caller_connection &connection, read_end end);
+
+    boost::asio::io_context &m_io;
+    const state::settings &m_settings;
+    transport::metrics &m_counters;
+    ingress_events m_events;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_sweeper;
+    pcg64 m_random;
+    std::uint64_t m_origin;
+    std::uint64_t m_sequence = 0;
+    coordination::snapshot_ptr m_snapshot;
+    std::map<std::string, std::shared_ptr<const coordination::pool_view>, std::less<>> m_ownViews; // pools without a published view
+    state::table_revision m_ownViewsRevision = 0;
+    std::map<std::string, state::time_point, std::less<>> m_interestDueAt;
+    std::map<std::string, std::unique_ptr<coordination::balancer>, std::less<>> m_balancers;   // by policy name
+    std::map<std::string, std::unique_ptr<coordination::retry_policy>, std::less<>> m_retries; // by pool and policy name
+    std::unique_ptr<coordination::organisation_limiter> m_limiter;
+    peer_directory m_peers;
+    std::unordered_map<std::string, std::uint32_t> m_inFlight;
+    std::set<std::shared_ptr<caller_connection>> m_connections;
+    bool m_stopping = false;
+};
+
+} // namespace dandelionstall
--- a/programs/dandelionstall/main.cpp
+++ b/programs/dandelionstall/main.cpp
@@ -1,8 +1,126 @@
 // The node process: ingress for callers and sidecar of the workers on its VM.
+#include "node.h"
+
+#include <dandelionstall/state/text.h>
+#include <dandelionstall/transport/events.h>
+
+#include <boost/program_options.hpp>
+
+#include <exception>
+#include <fstream>
 #include <iostream>
+#include <iterator>
+#include <optional>
+
+namespace options = boost::program_options;
+using namespace dandelionstall;
+
+namespace {
+
+constexpr std::string_view Version = "0.1.0";
+
+// Exit codes, also in docs/SETTINGS.md.
+constexpr int ExitOk = 0;       // graceful stop, or the check passed
+constexpr int ExitUsage = 2;    // the command line is wrong
+constexpr int ExitSettings = 3; // the settings file cannot be used
+constexpr int ExitStart = 4;    // an address cannot be bound
+
+struct command_line {
+    std::string config;        // path of the settings file
+    bool checkOnly = false;    // check the settings and exit
+    bool wantsHelp = false;    // print the usage and exit
+    bool wantsVersion = false; // print the version and exit
+};
+
+options::options_description describeOptions()
+{
+    options::options_description described("Usage: dandelionstall --config FILE\n\nOptions");
+    auto add = described.add_options();
+    add("config,c", options::value<std::string>()->value_name("FILE"), "settings of this node (INI, see docs/SETTINGS.md)");
+    add("check", "check the settings and exit");
+    add("help,h", "print this text and exit");
+    add("version,v", "print the version and exit");
+    return described;
+}
+
+std::optional<command_line> parseCommandLine(int argc, const char *const *argv, const options::options_description &described)
+{
+    try {
+        options::variables_map values;
+        options::store(options::parse_command_line(argc, argv, described), values);
+        command_line line;
+        line.config = values.count("config") != 0 ? values["config"].as<std::string>() : std::string();
+        line.checkOnly = values.count("check") != 0;
+        line.wantsHelp = values.count("help") != 0;
+        line.wantsVersion = values.count("version") != 0;
+        if (line.config.empty() && !line.wantsHelp && !line.wantsVersion) {
+            std::cerr << "dandelionstall: --config FILE is required; see --help\n";
+            return std::nullopt;
+        }
+        return line;
+    } catch (const options::error &error) {
+        std::cerr << "dandelionstall: " << error.what() << "; see --help\n";
+        return std::nullopt;
+    }
+}
+
+absl::StatusOr<state::settings> loadSettings(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        return state::makeError(state::state_error::malformed, path + ": cannot be read");
+    }
+    const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    return state::parseSettings(text, path);
+}
+
+int serve(const state::settings &settings)
+{
+    transport::configureLog(settings.logLevel, settings.name);
+    node process(settings);
+    if (const absl::Status status = process.start(); !status.ok()) {
+        transport::logEvent(transport::event::listen_failed, {{"reason", std::string(state::messageOf(status))}});
+        return ExitStart;
+    }
+    process.run();
+    return ExitOk;
+}
+
+int runProgram(int argc, const char *const *argv)
+{
+    const options::options_description described = describeOptions();
+    const std::optional<command_line> line = parseCommandLine(argc, argv, described);
+    if (!line) {
+        return ExitUsage;
+    }
+    if (line->wantsHelp) {
+        std::cout << described << "\nExit codes: 0 stopped or checked, 2 usage, 3 settings, 4 an address cannot be bound.\n";
+        return ExitOk;
+    }
+    if (line->wantsVersion) {
+        std::cout << "dandelionstall " << Version << '\n';
+        return ExitOk;
+    }
+    const absl::StatusOr<state::settings> settings = loadSettings(line->config);
+    if (!settings.ok()) {
+        std::cerr << "dandelionstall: " << state::messageOf(settings.status()) << '\n';
+        return ExitSettings;
+    }
+    if (line->checkOnly) {
+        std::cout << line->config << ": ok\n";
+        return ExitOk;
+    }
+    return serve(*settings);
+}
+
+} // namespace
 
-int main()
+int main(int argc, char **argv)
 {
-    std::cout << "dandelionstall 0.1.0\n";
-    return 0;
+    try {
+        return runProgram(argc, argv);
+    } catch (const std::exception &error) {
+        std::cerr << "dandelionstall: " << error.what() << '\n';
+        return ExitStart;
+    }
 }
--- /dev/null
+++ b/programs/dandelionstall/node.cpp
@@ -0,0 +1,182 @@
+#include "node.h"
+
+#include <dandelionstall/transport/events.h>
+
+#include <boost/asio.hpp>
+
+#include <csignal>
+#include <random>
+
+namespace dandelionstall {
+
+namespace asio = boost::asio;
+using transport::event;
+using transport::logEvent;
+
+namespace {
+
+constexpr auto LeaveGrace = std::chrono::milliseconds(3000);    // other nodes and callers learn of the leaving in this time
+constexpr auto IdlePoll = std::chrono::milliseconds(20);        // between checks for work in flight
+constexpr auto OutcomeLinger = std::chrono::milliseconds(1500); // outcomes can still be asked for after the last attempt
+
+state::incarnation makeIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<state::incarnation>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+std::uint64_t drawSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+} // namespace
+
+node::node(state::settings settings)
+    : m_settings(std::move(settings))
+    , m_life(makeIncarnation())
+    , m_signals(m_controlIo, SIGTERM, SIGINT)
+{ }
+
+// [SECTION] Start
+
+absl::Status node::start()
+{
+    m_control = std::make_unique<control>(m_controlIo, m_settings, m_life, m_counters);
+    m_sidecar = std::make_unique<sidecar>(
+        m_sidecarIo, m_settings, m_life, m_counters, [this](std::vector<coordination::worker_report> reports) { m_control->noteReports(std::move(reports)); });
+    if (absl::Status status = m_sidecar->listen(); !status.ok()) {
+        return status;
+    }
+    for (std::uint32_t i = 0; i < m_settings.ingressThreads; ++i) {
+        ingress_events events;
+        events.reports = [this](std::vector<coordination::worker_report> reports) {
+            m_control->noteReports(std::move(reports));
+        };
+        events.path = [this](state::node_address address, bool ok) {
+            m_control->notePath(std::move(address), ok);
+        };
+        events.interest = [this](std::string pool) {
+            m_control->noteInterest(std::move(pool));
+        };
+        auto entry = std::make_unique<ingress_thread>();
+        entry->server = std::make_unique<ingress>(entry->io, m_settings, drawSeed(), m_counters, std::move(events));
+        if (absl::Status status = entry->server->listen(); !status.ok()) {
+            return status;
+        }
+        m_ingresses.push_back(std::move(entry));
+    }
+    m_control->subscribe([this](coordination::snapshot_ptr snapshot) { publish(snapshot); });
+    m_control->start();
+    waitForSignal();
+    logEvent(event::node_started,
+             {{"listen", state::formatNodeAddress(m_settings.listen)},
+              {"callers", state::formatNodeAddress(m_settings.callers)},
+              {"data_centre", m_settings.dataCentre},
+              {"incarnation", std::to_string(m_life)}});
+    return absl::OkStatus();
+}
+
+void node::publish(const coordination::snapshot_ptr &snapshot)
+{
+    asio::post(m_sidecarIo, [this, snapshot] { m_sidecar->applySnapshot(snapshot); });
+    for (const auto &entry : m_ingresses) {
+        asio::post(entry->io, [server = entry->server.get(), snapshot] { server->applySnapshot(snapshot); });
+    }
+}
+
+void node::run()
+{
+    m_sidecarThread = std::thread([this] {
+        const auto guard = asio::make_work_guard(m_sidecarIo);
+        m_sidecarIo.run();
+    });
+    for (const auto &entry : m_ingresses) {
+        entry->thread = std::thread([io = &entry->io] {
+            const auto guard = asio::make_work_guard(*io);
+            io->run();
+        });
+    }
+    const auto guard = asio::make_work_guard(m_controlIo);
+    m_controlIo.run();
+    m_sidecarThread.join();
+    for (const auto &entry : m_ingresses) {
+        entry->thread.join();
+    }
+    logEvent(event::node_stopped, {});
+}
+
+// [SECTION] Graceful stop
+
+void node::waitForSignal()
+{
+    m_signals.async_wait([this](const boost::system::error_code &error, int) {
+        if (error) {
+            return;
+        }
+        if (!m_stopping) { // a further signal changes nothing: work in flight is never cut
+            m_stopping = true;
+            asio::co_spawn(m_controlIo, shutdown(), asio::detached);
+        }
+        waitForSignal();
+    });
+}
+
+void node::beginShutdown()
+{
+    m_control->beginShutdown();
+    asio::post(m_sidecarIo, [this] { m_sidecar->beginShutdown(); });
+    for (const auto &entry : m_ingresses) {
+        asio::post(entry->io, [server = entry->server.get()] { server->beginShutdown(); });
+    }
+}
+
+void node::closeCallers()
+{
+    for (const auto &entry : m_ingresses) {
+        asio::post(entry->io, [server = entry->server.get()] { server->stopListening(); });
+    }
+}
+
+asio::awaitable<void> node::waitUntilIdle()
+{
+    asio::steady_timer pause(m_controlIo);
+    while (true) {
+        for (const auto &entry : m_ingresses) {
+            entry->busy = 1;
+            asio::post(entry->io, [raw = entry.get()] { raw->busy = raw->server->isIdle() ? 0 : 1; });
+        }
+        m_sidecarIdle = false;
+        asio::post(m_sidecarIo, [this] { m_sidecarIdle = m_sidecar->isIdle(); });
+        pause.expires_after(IdlePoll);
+        co_await pause.async_wait(asio::use_awaitable);
+        bool idle = m_sidecarIdle;
+        for (const auto &entry : m_ingresses) {
+            idle = idle && entry->busy == 0;
+        }
+        if (idle) {
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<void> node::shutdown()
+{
+    logEvent(event::node_stopping, {});
+    beginShutdown();
+    asio::steady_timer pause(m_controlIo, LeaveGrace);
+    co_await pause.async_wait(asio::use_awaitable);
+    closeCallers();
+    co_await waitUntilIdle();
+    pause.expires_after(OutcomeLinger);
+    co_await pause.async_wait(asio::use_awaitable);
+    co_await waitUntilIdle();
+    m_sidecarIo.stop();
+    for (const auto &entry : m_ingresses) {
+        entry->io.stop();
+    }
+    m_controlIo.stop();
+}
+
+} // namespace dandelionstall
--- /dev/null
+++ b/programs/dandelionstall/node.h
@@ -0,0 +1,64 @@
+// One node process: the control thread, the sidecar's thread and the ingress' threads, and their graceful stop.
+//
+// Usage:
+//   node process(settings);
+//   if (absl::Status status = process.start(); !status.ok()) ...
+//   process.run();   // returns after SIGTERM or SIGINT, when nothing is in flight any more
+#pragma once
+
+#include "control.h"
+#include "ingress.h"
+#include "sidecar.h"
+
+#include <dandelionstall/state/settings.h>
+#include <dandelionstall/transport/metrics.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <atomic>
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace dandelionstall {
+
+class node
+{
+public:
+    explicit node(state::settings settings);
+
+    absl::Status start(); // binds all addresses and starts the threads
+    void run();           // serves until a graceful stop has ended
+
+private:
+    // An ingress with its own thread.
+    struct ingress_thread {
+        boost::asio::io_context io{1};
+        std::unique_ptr<ingress> server;
+        std::thread thread;
+        std::atomic<std::size_t> busy{0}; // connections with a request in flight, as of the last poll
+    };
+
+    void publish(const coordination::snapshot_ptr &snapshot);
+    void waitForSignal();
+    void beginShutdown();
+    void closeCallers();
+    boost::asio::awaitable<void> shutdown();
+    boost::asio::awaitable<void> waitUntilIdle();
+
+    state::settings m_settings;
+    state::incarnation m_life;
+    transport::metrics m_counters;
+    boost::asio::io_context m_controlIo{1};
+    boost::asio::io_context m_sidecarIo{1};
+    boost::asio::signal_set m_signals;
+    std::unique_ptr<control> m_control;
+    std::unique_ptr<sidecar> m_sidecar;
+    std::thread m_sidecarThread;
+    std::vector<std::unique_ptr<ingress_thread>> m_ingresses;
+    std::atomic<bool> m_sidecarIdle{true};
+    bool m_stopping = false;
+};
+
+} // namespace dandelionstall
--- /dev/null
+++ b/programs/dandelionstall/peer_directory.cpp
@@ -0,0 +1,145 @@
+#include "peer_directory.h"
+
+#include <dandelionstall/protocol/messages.h>
+#include <dandelionstall/transport/errors.h>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <algorithm>
+
+namespace dandelionstall {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using transport::transport_error;
+
+namespace {
+
+constexpr auto DialTimeout = std::chrono::milliseconds(600); // TCP connection and first exchange of clocks
+constexpr auto ClockPeriod = std::chrono::seconds(5);        // between exchanges on a link in use
+constexpr auto IdleLinkLife = std::chrono::seconds(60);      // an unused link is closed after this
+
+using link_result = absl::StatusOr<std::shared_ptr<peer_link>>;
+
+} // namespace
+
+peer_directory::peer_directory(asio::io_context &io, const state::settings &settings)
+    : m_io(io)
+    , m_settings(settings)
+{ }
+
+asio::awaitable<link_result> peer_directory::connect(state::node_address node, state::time_point deadline)
+{
+    while (true) {
+        const auto found = m_links.find(node);
+        if (found != m_links.end() && found->second->session->isOpen()) {
+            const std::shared_ptr<peer_link> link = found->second;
+            if (state::clock::now() >= link->clockDueAt) {
+                link->clockDueAt = state::clock::now() + ClockPeriod;
+                asio::co_spawn(m_io, exchangeClock(link, link->clockDueAt), asio::detached);
+            }
+            co_return link;
+        }
+        const auto dialing = m_dialing.find(node);
+        if (dialing == m_dialing.end()) {
+            break;
+        }
+        if (state::clock::now() >= deadline) {
+            co_return transport::makeError(transport_error::connect, "deadline passed while connecting");
+        }
+        const std::shared_ptr<asio::steady_timer> signal = dialing->second;
+        co_await signal->async_wait(asio::as_tuple(asio::use_awaitable));
+        if (!m_links.contains(node) && !m_dialing.contains(node)) {
+            co_return transport::makeError(transport_error::connect, "no connection to the node");
+        }
+    }
+    const auto signal = std::make_shared<asio::steady_timer>(m_io, asio::steady_timer::time_point::max());
+    m_dialing[node] = signal;
+    link_result link = co_await dial(node, std::min(deadline, state::clock::now() + DialTimeout));
+    m_dialing.erase(node);
+    if (link.ok()) {
+        m_links[node] = *link;
+    }
+    signal->cancel();
+    co_return link;
+}
+
+asio::awaitable<link_result> peer_directory::dial(state::node_address node, state::time_point deadline)
+{
+    boost::beast::tcp_stream stream(m_io);
+    stream.expires_at(deadline);
+    const tcp::endpoint target(asio::ip::make_address(node.ip), node.port);
+    boost::system::error_code error;
+    stream.socket().open(target.protocol(), error);
+    stream.socket().bind(tcp::endpoint(asio::ip::make_address(m_settings.listen.ip), 0), error);
+    if (error) {
+        co_return transport::fromSocket(transport_error::connect, error);
+    }
+    const auto [connectError] = co_await stream.async_connect(target, asio::as_tuple(asio::use_awaitable));
+    if (connectError) {
+        co_return transport::fromSocket(transport_error::connect, connectError);
+    }
+    const auto link = std::make_shared<peer_link>();
+    link->node = node;
+    link->session = transport::node_session::create(stream.release_socket(), transport::session_role::client);
+    link->session->start();
+    const absl::Status status = co_await exchangeClock(link, deadline);
+    if (!status.ok()) {
+        link->session->close(transport::stream_end::silent);
+        co_return transport::makeError(transport_error::connect, "the node accepted a connection and did not answer on it");
+    }
+    link->clockDueAt = state::clock::now() + ClockPeriod;
+    co_return link;
+}
+
+asio::awaitable<absl::Status> peer_directory::exchangeClock(std::shared_ptr<peer_link> link, state::time_point deadline)
+{
+    const auto reader = std::make_shared<stream_reader>(m_io.get_executor());
+    const transport::stream_id stream = link->session->open("/control", reader);
+    if (stream < 0) {
+        co_return transport::makeError(transport_error::refused, "no stream for the exchange of clocks");
+    }
+    reader->attach(link->session, stream);
+    const state::time_point sentAt = state::clock::now();
+    const std::string request = protocol::encode(protocol::clock_request{sentAt.time_since_epoch().count()});
+    link->session->write(stream, protocol::makeFrame(protocol::frame_type::clock_request, request), true);
+    const read_event event = co_await reader->next(deadline);
+    if (event.kind != read_kind::frame || event.frame.type != protocol::frame_type::clock_reply) {
+        co_return transport::makeError(transport_error::silent, "no reply to the exchange of clocks");
+    }
+    const auto reply = protocol::decodeClockReply(event.frame.payload);
+    if (!reply.ok()) {
+        co_return transport::fromProtocol(reply.status());
+    }
+    link->clock.noteExchange(sentAt, reply->clock, state::clock::now());
+    link->incarnation = reply->incarnation;
+    co_return absl::OkStatus();
+}
+
+void peer_directory::drop(const state::node_address &node, const std::shared_ptr<peer_link> &link)
+{
+    const auto found = m_links.find(node);
+    if (found != m_links.end() && found->second == link) {
+        m_links.erase(found);
+    }
+}
+
+void peer_directory::closeIdle(state::time_point now)
+{
+    for (auto entry = m_links.begin(); entry != m_links.end();) {
+        transport::node_session &session = *entry->second->session;
+        const bool idle = session.openStreams() == 0 && now - session.idleSince() > IdleLinkLife;
+        if (idle) {
+            session.close(transport::stream_end::finished);
+        }
+        entry = session.isOpen() ? std::next(entry) : m_links.erase(entry);
+    }
+}
+
+std::size_t peer_directory::size() const
+{
+    return m_links.size();
+}
+
+} // namespace dandelionstall
--- /dev/null
+++ b/programs/dandelionstall/request_attempt.cpp
@@ -0,0 +1,383 @@
+// One attempt of a request: sends it to a sidecar, reads the answer, asks for the outcome when the path fails.
+#include "request_run.h"
+
+#include <dandelionstall/protocol/caller_http.h>
+
+#include <boost/asio.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace dandelionstall {
+
+namespace asio = boost::asio;
+using coordination::refusal_reason;
+using coordination::retry_reason;
+using coordination::run_state;
+using protocol::frame_type;
+
+namespace {
+
+constexpr auto AnswerGrace = std::chrono::milliseconds(150);   // the sidecar's own refusal may arrive this late
+constexpr auto QueryPause = std::chrono::milliseconds(50);     // between tries to ask for an outcome
+constexpr auto QueryTimeout = std::chrono::milliseconds(1200); // for one try, dial included, beyond the deadline
+constexpr std::size_t HoldBytes = 65'536;                      // answers up to this are checked before anything is sent
+constexpr std::size_t BodyFrameBytes = 131'072;                // of one body frame
+
+bool isServerError(std::uint32_t status)
+{
+    return status == 500 || status == 502 || status == 503 || status == 504;
+}
+
+// Takes the reply to an acknowledgement; nobody waits for it.
+class discard_handler : public transport::stream_handler
+{
+public:
+    void onData(std::string_view) override
+    { }
+    void onPeerEnd() override
+    { }
+    void onWritable() override
+    { }
+    void onClosed(transport::stream_end) override
+    { }
+};
+
+} // namespace
+
+// The part of an answer that has arrived.
+struct request_run::answer_state {
+    protocol::answer_head head;                // status 0 until it came
+    std::string held;                          // body not yet sent to the caller
+    std::uint64_t bodyBytes = 0;               // arrived on the present stream
+    std::uint64_t skipBytes = 0;               // of it, already sent to the caller from an earlier stream
+    std::uint64_t sentBytes = 0;               // sent to the caller
+    bool streaming = false;                    // the head has gone to the caller
+    XXH3_state_t *digest = XXH3_createState(); // of the body on the present stream
+
+    answer_state()
+    {
+        XXH3_64bits_reset(digest);
+    }
+    ~answer_state()
+    {
+        XXH3_freeState(digest);
+    }
+    answer_state(const answer_state &) = delete;
+    answer_state &operator=(const answer_state &) = delete;
+
+    void restart() // the same answer begins again on another stream
+    {
+        head = {};
+        skipBytes = sentBytes;
+        bodyBytes = 0;
+        held.clear();
+        XXH3_64bits_reset(digest);
+    }
+};
+
+struct request_run::sent_attempt {
+    state::attempt_id id;             // of the attempt
+    state::node_address node;         // where it went
+    std::shared_ptr<peer_link> link;  // on which connection
+    transport::stream_id stream = -1; // on which stream
+    state::incarnation home = 0;      // which life of the sidecar
+    bool tracked = false;             // the sidecar keeps its outcome
+    bool headArrived = false;         // an answer head has come
+    answer_state answer;              // what has arrived
+};
+
+// [SECTION] Sending
+
+protocol::attempt_head request_run::makeHead(const coordination::worker_view &worker, const peer_link &link)
+{
+    protocol::attempt_head head;
+    head.id = m_owner.nextAttempt();
+    head.worker = worker.id;
+    head.pool = m_pool->name;
+    head.route = m_route->name;
+    head.home = link.incarnation;
+    head.deadline = link.clock.toPeer(m_deadline, state::clock::now());
+    head.worth = m_route->worth;
+    head.idempotent = m_route->idempotent;
+    head.costHint = m_route->costHint;
+    head.method = m_request.method;
+    head.target = m_request.target;
+    head.headers = m_request.headers;
+    head.ticket = m_ticket;
+    head.bodyBytes = m_request.body.size();
+    return head;
+}
+
+asio::awaitable<attempt_outcome> request_run::attempt(const coordination::worker_view &worker)
+{
+    const auto link = co_await m_owner.peers().connect(worker.node, m_deadline);
+    if (m_callerGone) {
+        co_return attempt_outcome{attempt_end::caller_gone, {}, {}, false};
+    }
+    if (!link.ok()) {
+        m_owner.events().path(worker.node, false);
+        const bool noProof = !m_ticket.empty(); // an earlier request with this ticket may have run
+        co_return failedBy(retry_reason::connect_failed, refusal_reason::path_down, noProof ? run_state::unknown : run_state::not_run);
+    }
+    if (!m_ticket.empty() && m_ticketFields.home != (*link)->incarnation) {
+        co_return failedBy(retry_reason::none, refusal_reason::stale_incarnation, run_state::unknown);
+    }
+    const protocol::attempt_head head = makeHead(worker, **link);
+    sent_attempt sent;
+    sent.id = head.id;
+    sent.node = worker.node;
+    sent.link = *link;
+    sent.home = head.home;
+    sent.tracked = !head.idempotent || !m_ticket.empty();
+    m_reader = std::make_shared<stream_reader>(m_owner.io().get_executor());
+    sent.stream = sent.link->session->open("/attempt", m_reader);
+    if (sent.stream < 0) {
+        m_owner.peers().drop(worker.node, *link);
+        co_return failedBy(retry_reason::stream_refused, refusal_reason::path_down, run_state::not_run);
+    }
+    m_reader->attach(sent.link->session, sent.stream);
+
+    std::string out = protocol::makeFrame(frame_type::attempt_head, protocol::encode(head));
+    for (std::string_view body = m_request.body; !body.empty(); body.remove_prefix(std::min(body.size(), BodyFrameBytes))) {
+        protocol::appendFrame(out, frame_type::body, body.substr(0, BodyFrameBytes));
+    }
+    protocol::appendFrame(out, frame_type::attempt_end, {});
+    sent.link->session->write(sent.stream, out, true);
+    co_return co_await readAnswer(sent);
+}
+
+// [SECTION] Reading
+
+asio::awaitable<attempt_outcome> request_run::readAnswer(sent_attempt &sent)
+{
+    while (true) {
+        const read_event event = co_await m_reader->next(m_deadline + AnswerGrace);
+        if (event.kind == read_kind::cancelled) {
+            sent.link->session->reset(sent.stream);
+            m_owner.counters().countNamed("attempts_cancelled");
+            co_return attempt_outcome{attempt_end::caller_gone, {}, {}, false};
+        }
+        if (event.kind == read_kind::timed_out) {
+            sent.link->session->reset(sent.stream);
+            co_return sent.answer.streaming ? cutAnswer(sent) : failedBy(retry_reason::path_silent, refusal_reason::unknown_outcome, run_state::unknown);
+        }
+        if (event.kind == read_kind::closed && event.end == transport::stream_end::refused) {
+            co_return failedBy(retry_reason::stream_refused, refusal_reason::path_down, run_state::not_run);
+        }
+        if (event.kind != read_kind::frame) {
+            const bool pathLost = event.end == transport::stream_end::silent || event.end == transport::stream_end::connection_lost;
+            if (pathLost) {
+                m_owner.events().path(sent.node, false);
+                m_owner.peers().drop(sent.node, sent.link);
+            }
+            if (sent.tracked) {
+                co_return co_await recover(sent);
+            }
+            const retry_reason kind = pathLost && !sent.headArrived ? retry_reason::path_silent : retry_reason::cut_answer;
+            co_return sent.answer.streaming ? cutAnswer(sent) : failedBy(kind, refusal_reason::unknown_outcome, run_state::unknown);
+        }
+        if (event.frame.type == frame_type::answer_head) {
+            if (auto outcome = co_await takeHead(sent, event.frame)) {
+                co_return *std::move(outcome);
+            }
+        } else if (event.frame.type == frame_type::body && sent.headArrived) {
+            if (!co_await takeBody(sent, event.frame.payload)) {
+                sent.link->session->reset(sent.stream);
+                co_return attempt_outcome{attempt_end::caller_gone, {}, {}, false};
+            }
+        } else if (event.frame.type == frame_type::answer_end && sent.headArrived) {
+            const auto end = protocol::decodeAnswerEnd(event.frame.payload);
+            co_return end.ok() ? co_await takeEnd(sent, *end) : cutAnswer(sent);
+        } else {
+            sent.link->session->reset(sent.stream);
+            co_return cutAnswer(sent);
+        }
+    }
+}
+
+asio::awaitable<std::optional<attempt_outcome>> request_run::takeHead(sent_attempt &sent, const protocol::frame &frame)
+{
+    auto head = protocol::decodeAnswerHead(frame.payload);
+    if (!head.ok() || head->id != sent.id) {
+        m_owner.counters().countNamed("foreign_answers_dropped");
+        sent.link->session->reset(sent.stream);
+        co_return cutAnswer(sent);
+    }
+    sent.headArrived = true;
+    m_owner.events().path(sent.node, true);
+    if (!head->reports.empty()) {
+        m_owner.events().reports(head->reports);
+    }
+    if (head->status == 0) {
+        co_return sent.answer.streaming ? cutAnswer(sent) : refusedBy(*head);
+    }
+    const bool mayRetry = m_route->idempotent && m_ticket.empty() && !sent.answer.streaming;
+    if (mayRetry && isServerError(head->status)) {
+        attempt_outcome failure = failedBy(retry_reason::worker_failed, refusal_reason::none, run_state::ran);
+        const auto view = m_owner.viewOf(*m_pool);
+        const bool alternatives = m_tried.size() + 1 < view->workers.size();
+        if (alternatives && m_owner.retryOf(*view).decide(failure.failure, state::clock::now()).again) {
+            failure.retryDecided = true;
+            sent.link->session->reset(sent.stream);
+            co_return failure;
+        }
+    }
+    sent.answer.head = *std::move(head);
+    co_return std::nullopt;
+}
+
+asio::awaitable<bool> request_run::takeBody(sent_attempt &sent, std::string_view bytes)
+{
+    answer_state &answer = sent.answer;
+    XXH3_64bits_update(answer.digest, bytes.data(), bytes.size());
+    answer.bodyBytes += bytes.size();
+    if (answer.skipBytes > 0) {
+        const std::uint64_t skip = std::min<std::uint64_t>(answer.skipBytes, bytes.size());
+        answer.skipBytes -= skip;
+        bytes.remove_prefix(skip);
+    }
+    if (!answer.streaming && answer.held.size() + bytes.size() <= HoldBytes) {
+        answer.held.append(bytes);
+        co_return true;
+    }
+    if (!answer.streaming) {
+        if (!m_request.chunkedAllowed && protocol::findHeader(answer.head.headers, "Content-Length").empty()) {
+            answer.held.append(bytes); // HTTP/1.0 without a length: held until it is whole
+            co_return true;
+        }
+        answer.streaming = true;
+        if (!co_await m_connection.sendHead(answer.head.status, answer.head.headers)) {
+            co_return false;
+        }
+    }
+    // The last part stays back until the end of the answer has been checked.
+    std::string ready = std::move(answer.held);
+    answer.held = std::string(bytes);
+    if (!ready.empty()) {
+        answer.sentBytes += ready.size();
+        co_return co_await m_connection.sendChunk(ready);
+    }
+    co_return true;
+}
+
+asio::awaitable<attempt_outcome> request_run::takeEnd(sent_attempt &sent, const protocol::answer_end &end)
+{
+    answer_state &answer = sent.answer;
+    const bool whole = end.id == sent.id && end.bodyBytes == answer.bodyBytes && end.digest == XXH3_64bits_digest(answer.digest);
+    std::uint64_t stated = answer.bodyBytes;
+    const std::string_view length = protocol::findHeader(answer.head.headers, "Content-Length");
+    const bool bodiless = m_request.method == "HEAD" || answer.head.status == 204 || answer.head.status == 304;
+    if (!length.empty() && !bodiless) {
+        std::from_chars(length.data(), length.data() + length.size(), stated);
+    }
+    if (!whole || stated != answer.bodyBytes) {
+        m_owner.counters().countNamed("answers_not_whole");
+        co_return cutAnswer(sent);
+    }
+    if (m_callerGone) {
+        co_return attempt_outcome{attempt_end::caller_gone, {}, {}, false};
+    }
+    const std::uint32_t status = answer.head.status;
+    answer.sentBytes += answer.held.size();
+    const bool sentAll
+        = answer.streaming ? co_await m_connection.sendLast(answer.held) : co_await m_connection.sendWhole(status, answer.head.headers, std::move(answer.held));
+    if (sent.tracked && m_ticket.empty()) {
+        acknowledge(sent);
+    }
+    m_owner.counters().countRequest(m_route->name, status);
+    const auto total = std::chrono::duration_cast<std::chrono::microseconds>(state::clock::now() - m_request.arrivedAt);
+    m_owner.counters().observeAddedTime(std::max(total - end.runTime, std::chrono::microseconds(0)));
+    co_return attempt_outcome{sentAll ? attempt_end::delivered : attempt_end::caller_gone, {}, {}, false};
+}
+
+void request_run::acknowledge(const sent_attempt &sent)
+{
+    const transport::stream_id stream = sent.link->session->open("/control", std::make_shared<discard_handler>());
+    if (stream >= 0) {
+        sent.link->session->write(stream, protocol::makeFrame(frame_type::acknowledge, protocol::encode(protocol::attempt_acknowledge{sent.id})), true);
+    }
+}
+
+// [SECTION] Recovery
+
+asio::awaitable<attempt_outcome> request_run::recover(sent_attempt &sent)
+{
+    const state::time_point giveUpAt = m_deadline + AnswerGrace;
+    while (state::clock::now() < giveUpAt && !m_callerGone) {
+        m_owner.counters().countNamed("outcomes_asked_for");
+        const auto link = co_await m_owner.peers().connect(sent.node, std::min(giveUpAt, state::clock::now() + QueryTimeout));
+        if (!link.ok()) {
+            asio::steady_timer pause(m_owner.io(), QueryPause);
+            co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+            continue;
+        }
+        if ((*link)->incarnation != sent.home) {
+            co_return sent.answer.streaming ? cutAnswer(sent) : failedBy(retry_reason::path_silent, refusal_reason::stale_incarnation, run_state::unknown);
+        }
+        m_reader = std::make_shared<stream_reader>(m_owner.io().get_executor());
+        sent.link = *link;
+        sent.headArrived = false;
+        sent.answer.restart();
+        sent.stream = sent.link->session->open("/control", m_reader);
+        if (sent.stream < 0) {
+            m_owner.peers().drop(sent.node, *link);
+            continue;
+        }
+        m_reader->attach(sent.link->session, sent.stream);
+        const protocol::attempt_query query{sent.id, sent.link->clock.toPeer(m_deadline, state::clock::now()), sent.home};
+        sent.link->session->write(sent.stream, protocol::makeFrame(frame_type::query, protocol::encode(query)), true);
+        co_return co_await readAnswer(sent);
+    }
+    if (m_callerGone) {
+        co_return attempt_outcome{attempt_end::caller_gone, {}, {}, false};
+    }
+    co_return sent.answer.streaming ? cutAnswer(sent) : failedBy(retry_reason::path_silent, refusal_reason::unknown_outcome, run_state::unknown);
+}
+
+// [SECTION] Failures
+
+attempt_outcome request_run::refusedBy(const protocol::answer_head &head)
+{
+    retry_reason kind = retry_reason::refused;
+    refusal_reason reason = head.refusal;
+    if (reason == refusal_reason::worker_shed) {
+        kind = retry_reason::worker_refused;
+    } else if (head.run != run_state::not_run) {
+        kind = retry_reason::worker_failed;
+        reason = reason == refusal_reason::none ? refusal_reason::unknown_outcome : reason;
+    }
+    attempt_outcome outcome = failedBy(kind, reason, head.run);
+    if (head.retryAfter.count() > 0) {
+        outcome.failure.retryAt = state::clock::now() + head.retryAfter;
+    }
+    outcome.betterSibling = head.betterSibling;
+    return outcome;
+}
+
+attempt_outcome request_run::failedBy(retry_reason kind, refusal_reason reason, run_state run) const
+{
+    attempt_outcome outcome;
+    outcome.end = attempt_end::failed;
+    outcome.failure.kind = kind;
+    outcome.failure.refusal = reason;
+    outcome.failure.run = run;
+    outcome.failure.idempotent = m_route->idempotent && m_ticket.empty();
+    outcome.failure.attempts = m_attempts;
+    outcome.failure.deadline = m_deadline;
+    outcome.failure.expectedCost = m_route->costHint;
+    return outcome;
+}
+
+attempt_outcome request_run::cutAnswer(const sent_attempt &sent)
+{
+    if (sent.answer.streaming) {
+        m_owner.counters().countNamed("answers_broken_off");
+        m_connection.breakOff();
+        return attempt_outcome{attempt_end::broken_off, {}, {}, false};
+    }
+    return failedBy(retry_reason::cut_answer, refusal_reason::unknown_outcome, run_state::unknown);
+}
+
+} // namespace dandelionstall
--- /dev/null
+++ b/programs/dandelionstall/request_run.cpp
@@ -0,0 +1,229 @@
+// Routing, limits, tickets and the loop over attempts. One attempt: request_attempt.cpp.
+#include "request_run.h"
+
+#include <dandelionstall/protocol/caller_http.h>
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace dandelionstall {
+
+namespace asio = boost::asio;
+using coordination::refusal_reason;
+using coordination::run_state;
+
+namespace {
+
+constexpr auto NotReadyRetryAfter = std::chrono::milliseconds(1000);   // before the first configuration
+constexpr auto NoCapacityRetryAfter = std::chrono::milliseconds(1000); // no worker is in use
+constexpr auto OutcomeRetryAfter = std::chrono::milliseconds(1000);    // a ticket can be asked about again
+
+std::int64_t systemNowMs()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+std::chrono::milliseconds statedDeadline(const protocol::http_headers &headers, std::chrono::milliseconds routeTimeout)
+{
+    const std::string_view text = protocol::findHeader(headers, protocol::DeadlineHeader);
+    std::int64_t value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (parsed.ec != std::errc() || value <= 0) {
+        return routeTimeout;
+    }
+    return std::min(std::chrono::milliseconds(value), routeTimeout);
+}
+
+} // namespace
+
+request_run::request_run(ingress &owner, caller_connection &connection, caller_request &request)
+    : m_owner(owner)
+    , m_connection(connection)
+    , m_request(request)
+{ }
+
+// [SECTION] Routing
+
+asio::awaitable<bool> request_run::run()
+{
+    m_connection.watchForClose([this] {
+        m_callerGone = true;
+        if (m_reader) {
+            m_reader->cancel();
+        }
+    });
+    const bool proceed = co_await runRoute();
+    m_connection.stopWatching();
+    co_return proceed && !m_callerGone;
+}
+
+asio::awaitable<bool> request_run::runRoute()
+{
+    m_hold = m_owner.snapshot();
+    const state::time_point now = state::clock::now();
+    if (!m_hold) {
+        co_return co_await refuse(refusal_reason::not_ready, run_state::not_run, now + NotReadyRetryAfter);
+    }
+    const std::string_view path = protocol::pathOf(m_request.target);
+    if (path == protocol::TicketTarget) {
+        co_return co_await giveTicket();
+    }
+    if (const absl::Status found = findRoute(*m_hold->routes, path, m_request.method); !found.ok()) {
+        co_return co_await refuse(refusal_reason::no_route, run_state::not_run, now);
+    }
+    m_deadline = m_request.arrivedAt + statedDeadline(m_request.headers, m_route->timeout);
+    if (const refusal_reason reason = readTicket(); reason != refusal_reason::none) {
+        co_return co_await refuse(reason, reason == refusal_reason::bad_request ? run_state::not_run : run_state::unknown, now);
+    }
+    const std::string_view organisation = protocol::findHeader(m_request.headers, protocol::OrganisationHeader);
+    const coordination::limit_request limit{organisation, m_route->name, m_route->organisationRate, m_hold->liveNodes};
+    if (const coordination::limit_verdict verdict = m_owner.limiter().admit(limit, now); !verdict.admitted) {
+        co_return co_await refuse(refusal_reason::organisation_limit, run_state::not_run, verdict.retryAt);
+    }
+    co_return co_await runAttempts();
+}
+
+absl::Status request_run::findRoute(const state::route_table &routes, std::string_view path, std::string_view method)
+{
+    m_route = state::matchRoute(routes, m_request.host, path, method);
+    m_pool = m_route == nullptr ? nullptr : state::findPool(*m_hold->pools, m_route->pool);
+    return m_pool != nullptr ? absl::OkStatus() : state::makeError(state::state_error::unresolved, "no route takes the request");
+}
+
+// [SECTION] Tickets
+
+refusal_reason request_run::readTicket()
+{
+    const std::string_view text = protocol::findHeader(m_request.headers, protocol::TicketHeader);
+    if (!text.starts_with("dst1.")) {
+        return refusal_reason::none; // a key of the caller's own, passed on to the worker
+    }
+    const absl::StatusOr<state::ticket> ticket = state::parseTicket(text);
+    if (!ticket.ok()) {
+        return refusal_reason::bad_request;
+    }
+    m_ticket = std::string(text);
+    m_ticketFields = *ticket;
+    return refusal_reason::none;
+}
+
+asio::awaitable<bool> request_run::giveTicket()
+{
+    const std::string path(protocol::findHeader(m_request.headers, protocol::TicketPathHeader));
+    const std::string method(protocol::findHeader(m_request.headers, protocol::TicketMethodHeader));
+    const state::time_point now = state::clock::now();
+    if (m_request.method != "POST" || path.empty()) {
+        co_return co_await refuse(refusal_reason::bad_request, run_state::not_run, now);
+    }
+    if (const absl::Status found = findRoute(*m_hold->routes, protocol::pathOf(path), method.empty() ? "POST" : method); !found.ok()) {
+        co_return co_await refuse(refusal_reason::no_route, run_state::not_run, now);
+    }
+    m_deadline = m_request.arrivedAt + m_route->timeout;
+    const auto view = m_owner.viewOf(*m_pool);
+    while (state::clock::now() < m_deadline) {
+        const std::size_t index = chooseWorker(*view, {});
+        if (index == coordination::NoWorker) {
+            break;
+        }
+        const coordination::worker_view &worker = view->workers[index];
+        const auto link = co_await m_owner.peers().connect(worker.node, m_deadline);
+        if (!link.ok()) {
+            m_owner.events().path(worker.node, false);
+            m_tried.push_back(worker.id);
+            continue;
+        }
+        const std::int64_t expiresAtMs = systemNowMs() + m_owner.settings().ticketLifetime.count() / 2;
+        const state::ticket ticket{worker.id, (*link)->incarnation, m_owner.nextAttempt(), expiresAtMs};
+        boost::json::object body;
+        body["ticket"] = state::formatTicket(ticket);
+        body["expires_at_ms"] = expiresAtMs;
+        co_return co_await m_connection.sendWhole(201, {{"Content-Type", "application/json"}}, boost::json::serialize(body) + "\n");
+    }
+    co_return co_await refuse(refusal_reason::no_capacity, run_state::not_run, state::clock::now() + NoCapacityRetryAfter);
+}
+
+// [SECTION] Attempts
+
+std::size_t request_run::chooseWorker(const coordination::pool_view &view, const std::string &preferred)
+{
+    if (!m_ticket.empty()) {
+        const auto found = std::find_if(view.workers.begin(), view.workers.end(), [&](const auto &worker) { return worker.id == m_ticketFields.worker; });
+        return found == view.workers.end() ? coordination::NoWorker : static_cast<std::size_t>(found - view.workers.begin());
+    }
+    std::vector<std::uint32_t> inFlight;
+    inFlight.reserve(view.workers.size());
+    for (const coordination::worker_view &worker : view.workers) {
+        inFlight.push_back(m_owner.inFlight(worker.id));
+    }
+    coordination::pick_request pick;
+    pick.dataCentre = m_owner.settings().dataCentre;
+    pick.route = m_route->name;
+    pick.exclude = m_tried;
+    pick.preferred = preferred;
+    pick.inFlight = inFlight;
+    pick.random = m_owner.random();
+    pick.now = state::clock::now();
+    return m_owner.balancerOf(view).pick(view, pick);
+}
+
+asio::awaitable<bool> request_run::runAttempts()
+{
+    const auto view = m_owner.viewOf(*m_pool);
+    coordination::retry_policy &retry = m_owner.retryOf(*view);
+    retry.noteRequest(state::clock::now());
+    coordination::failed_attempt last;
+    std::string preferred;
+    while (true) {
+        const std::size_t index = chooseWorker(*view, preferred);
+        if (index == coordination::NoWorker) {
+            const bool tried = m_attempts > 0;
+            const refusal_reason reason = !m_ticket.empty() ? refusal_reason::unknown_outcome : (tried ? last.refusal : refusal_reason::no_capacity);
+            const run_state run = !m_ticket.empty() ? run_state::unknown : (tried ? last.run : run_state::not_run);
+            co_return co_await refuse(reason, run, state::clock::now() + NoCapacityRetryAfter);
+        }
+        const coordination::worker_view &worker = view->workers[index];
+        ++m_attempts;
+        ++m_owner.inFlight(worker.id);
+        const attempt_outcome outcome = co_await attempt(worker);
+        --m_owner.inFlight(worker.id);
+        if (outcome.end != attempt_end::failed) {
+            co_return outcome.end == attempt_end::delivered;
+        }
+        last = outcome.failure;
+        if (!m_ticket.empty()) {
+            co_return co_await refuse(last.refusal, last.run, std::max(last.retryAt, state::clock::now() + OutcomeRetryAfter));
+        }
+        if (!outcome.retryDecided) {
+            const coordination::retry_verdict verdict = retry.decide(last, state::clock::now());
+            if (!verdict.again) {
+                co_return co_await refuse(verdict.refusal, last.run, verdict.retryAt);
+            }
+        }
+        m_owner.counters().countRetry(last.kind);
+        m_tried.push_back(worker.id);
+        preferred = outcome.betterSibling;
+    }
+}
+
+// [SECTION] Refusals
+
+asio::awaitable<bool> request_run::refuse(refusal_reason reason, run_state run, state::time_point retryAt)
+{
+    if (m_callerGone) {
+        co_return false;
+    }
+    const state::time_point now = state::clock::now();
+    protocol::caller_refusal refusal;
+    refusal.reason = reason == refusal_reason::none ? refusal_reason::unknown_outcome : reason;
+    refusal.run = run;
+    refusal.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(std::max(retryAt - now, state::duration::zero()));
+    m_owner.counters().countRefusal(refusal.reason);
+    m_owner.counters().countRequest(m_route != nullptr ? m_route->name : "none", protocol::statusOf(refusal));
+    co_return co_await m_connection.sendRefusal(refusal);
+}
+
+} // namespace dandelionstall
--- /dev/null
+++ b/programs/dandelionstall/request_run.h
@@ -0,0 +1,82 @@
+// One request of a caller at the ingress: route, limits, attempts, retries, answer. Used from the ingress' thread.
+//
+// Rules that the code keeps:
+//   - the caller is told "not run" only with proof from the sidecar, or when nothing was sent;
+//   - non-idempotent work gets another attempt only after such a proof; otherwise its outcome is asked for;
+//   - an answer is passed on as whole only after its length and digest have been checked.
+#pragma once
+
+#include "ingress.h"
+
+#include <dandelionstall/coordination/retry.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dandelionstall {
+
+// How one attempt ended.
+enum class attempt_end {
+    delivered,   // the caller has a whole answer
+    caller_gone, // the caller left
+    broken_off,  // the answer broke after its first byte had gone out
+    failed,      // no answer; see attempt_outcome::failure
+};
+
+struct attempt_outcome {
+    attempt_end end = attempt_end::failed; // how it ended
+    coordination::failed_attempt failure;  // when failed
+    std::string betterSibling;             // named by a refusal
+    bool retryDecided = false;             // the retry policy has already granted another attempt
+};
+
+class request_run
+{
+public:
+    request_run(ingress &owner, caller_connection &connection, caller_request &request);
+
+    boost::asio::awaitable<bool> run(); // true when the connection can serve another request
+
+private:
+    struct answer_state;
+    struct sent_attempt;
+
+    boost::asio::awaitable<bool> runRoute();
+    boost::asio::awaitable<bool> runAttempts();
+    boost::asio::awaitable<bool> giveTicket();
+    boost::asio::awaitable<bool> refuse(coordination::refusal_reason reason, coordination::run_state run, state::time_point retryAt);
+
+    absl::Status findRoute(const state::route_table &routes, std::string_view path, std::string_view method); // sets m_route and m_pool
+    coordination::refusal_reason readTicket();
+    std::size_t chooseWorker(const coordination::pool_view &view, const std::string &preferred);
+    protocol::attempt_head makeHead(const coordination::worker_view &worker, const peer_link &link);
+
+    boost::asio::awaitable<attempt_outcome> attempt(const coordination::worker_view &worker);
+    boost::asio::awaitable<attempt_outcome> readAnswer(sent_attempt &sent);
+    boost::asio::awaitable<attempt_outcome> recover(sent_attempt &sent); // asks for the outcome over another connection
+    boost::asio::awaitable<std::optional<attempt_outcome>> takeHead(sent_attempt &sent, const protocol::frame &frame);
+    boost::asio::awaitable<bool> takeBody(sent_attempt &sent, std::string_view bytes);
+    boost::asio::awaitable<attempt_outcome> takeEnd(sent_attempt &sent, const protocol::answer_end &end);
+    attempt_outcome refusedBy(const protocol::answer_head &head);
+    attempt_outcome failedBy(coordination::retry_reason kind, coordination::refusal_reason reason, coordination::run_state run) const;
+    attempt_outcome cutAnswer(const sent_attempt &sent);
+    void acknowledge(const sent_attempt &sent);
+
+    ingress &m_owner;
+    caller_connection &m_connection;
+    caller_request &m_request;
+    const state::route *m_route = nullptr;
+    const state::pool *m_pool = nullptr;
+    coordination::snapshot_ptr m_hold;       // keeps the tables of this request
+    state::time_point m_deadline;            // of the request
+    std::string m_ticket;                    // as given by the caller; empty when none
+    state::ticket m_ticketFields;            // parsed ticket
+    std::vector<std::string> m_tried;        // workers tried
+    std::uint32_t m_attempts = 0;            // attempts made
+    std::shared_ptr<stream_reader> m_reader; // of the running attempt
+    bool m_callerGone = false;               // the caller closed its connection
+};
+
+} // namespace dandelionstall
--- /dev/null
+++ b/programs/dandelionstall/sidecar.cpp
@@ -0,0 +1,284 @@
+// Life of the sidecar: listening, configuration of its workers, probes and reports. Attempts: sidecar_attempts.cpp.
+#include "sidecar.h"
+
+#include <dandelionstall/protocol/caller_http.h>
+#include <dandelionstall/transport/errors.h>
+#include <dandelionstall/transport/events.h>
+
+#include <boost/asio.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace dandelionstall {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using coordination::worker_report;
+
+namespace {
+
+constexpr auto TickPeriod = std::chrono::milliseconds(100);
+constexpr auto PauseTolerance = std::chrono::milliseconds(500); // a tick later than this means that the process slept
+constexpr auto ProbePeriod = std::chrono::milliseconds(500);
+constexpr auto ProbeTimeout = std::chrono::milliseconds(1000);
+
+// Drops the body of a health answer and keeps its status.
+class probe_sink : public transport::worker_answer_sink
+{
+public:
+    void onHead(std::uint32_t status, protocol::http_headers headers) override
+    {
+        ok = status < 400;
+        draining = protocol::findHeader(headers, protocol::WorkerStateHeader) == protocol::WorkerDraining;
+    }
+
+    asio::awaitable<void> onBody(std::string_view) override
+    {
+        co_return;
+    }
+
+    bool ok = false;
+    bool draining = false;
+};
+
+} // namespace
+
+// [SECTION] Listening
+
+sidecar::sidecar(asio::io_context &io, const state::settings &settings, state::incarnation life, transport::metrics &counters, report_sink reports)
+    : m_io(io)
+    , m_settings(settings)
+    , m_life(life)
+    , m_counters(counters)
+    , m_reports(std::move(reports))
+    , m_acceptor(io)
+    , m_ticker(io)
+    , m_registry(state::attempt_limits{})
+{
+    for (const state::local_worker &worker : settings.workers) {
+        served_worker &entry = m_workers[worker.id];
+        entry.settings = worker;
+        entry.evidence = coordination::makeWorkerEvidence();
+        entry.client = std::make_unique<transport::worker_client>(worker.address);
+        entry.timer = std::make_shared<asio::steady_timer>(io);
+    }
+}
+
+absl::Status sidecar::listen()
+{
+    const tcp::endpoint endpoint(asio::ip::make_address(m_settings.listen.ip), m_settings.listen.port);
+    boost::system::error_code error;
+    m_acceptor.open(endpoint.protocol(), error);
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    m_acceptor.bind(endpoint, error);
+    if (!error) {
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return transport::fromSocket(transport::transport_error::connect, error);
+    }
+    acceptLoop();
+    m_nextTick = state::clock::now();
+    tick();
+    return absl::OkStatus();
+}
+
+void sidecar::acceptLoop()
+{
+    m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            auto session = transport::node_session::create(std::move(socket), transport::session_role::server);
+            session->start([this](const std::shared_ptr<transport::node_session> &from, transport::stream_id stream, std::string_view path) {
+                std::shared_ptr<transport::stream_handler> handler;
+                if (path == "/attempt") {
+                    handler = std::make_shared<attempt_stream>(*this, from, stream, m_settings.maxBodyBytes);
+                } else if (path == "/control") {
+                    handler = std::make_shared<control_stream>(*this, from, stream);
+                }
+                return handler;
+            });
+            std::erase_if(m_sessions, [](const auto &entry) { return entry.expired(); });
+            m_sessions.push_back(session);
+        }
+        acceptLoop();
+    });
+}
+
+void sidecar::tick()
+{
+    const state::time_point now = state::clock::now();
+    if (now - m_nextTick > PauseTolerance) {
+        for (auto &[id, worker] : m_workers) {
+            worker.evidence->notePause(now);
+        }
+        m_counters.countNamed("pauses_noticed");
+    }
+    m_registry.expire(now);
+    m_counters.setGauge("kept_answer_bytes", static_cast<double>(m_registry.keptBytes()));
+    m_counters.setGauge("attempt_records", static_cast<double>(m_registry.size()));
+    if (now >= m_nextProbe) {
+        m_nextProbe = now + ProbePeriod;
+        probeWorkers();
+    }
+    for (auto &[id, worker] : m_workers) {
+        configureWorker(worker);
+    }
+    publishReports();
+    m_nextTick = now + TickPeriod;
+    m_ticker.expires_at(m_nextTick);
+    m_ticker.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+// [SECTION] Workers
+
+void sidecar::applySnapshot(coordination::snapshot_ptr snapshot)
+{
+    m_snapshot = std::move(snapshot);
+    for (auto &[id, worker] : m_workers) {
+        configureWorker(worker);
+    }
+}
+
+void sidecar::configureWorker(served_worker &worker)
+{
+    const state::pool *pool = m_snapshot && m_snapshot->pools ? state::findPool(*m_snapshot->pools, worker.settings.pool) : nullptr;
+    if (pool == nullptr) {
+        return;
+    }
+    const auto row = std::find_if(pool->workers.begin(), pool->workers.end(), [&](const state::pool_worker &entry) { return entry.id == worker.settings.id; });
+    const std::uint32_t slots = row != pool->workers.end() && row->slots != 0 ? row->slots : pool->slots;
+    const state::time_point now = state::clock::now();
+    const coordination::admission_load load = worker.admission ? worker.admission->load(now) : coordination::admission_load{};
+    const bool idle = load.busy == 0 && load.queued == 0;
+    const bool shouldRestart = worker.admission && idle && !worker.draining && load.slots == 0;
+    if (!worker.admission || (worker.admissionName != pool->admission && idle) || shouldRestart) {
+        const std::uint64_t seed = XXH3_64bits_withSeed(worker.settings.id.data(), worker.settings.id.size(), m_life);
+        auto policy = coordination::makeAdmissionPolicy(pool->admission, {slots, m_settings.maxQueuedPerWorker}, seed);
+        if (!policy.ok()) {
+            return; // the table check knows all policies; a name refused here keeps the policy in use
+        }
+        worker.admission = *std::move(policy);
+        worker.admissionName = pool->admission;
+        worker.slots = slots;
+        if (worker.draining || m_stopping) {
+            applyActions(worker, worker.admission->drain(now));
+        }
+    } else if (worker.slots != slots) {
+        worker.slots = slots;
+        applyActions(worker, worker.admission->setSlots(slots, now));
+    }
+}
+
+void sidecar::setDraining(served_worker &worker, bool draining)
+{
+    if (worker.draining == draining) {
+        return;
+    }
+    worker.draining = draining;
+    transport::logEvent(transport::event::worker_draining, {{"worker", worker.settings.id}, {"draining", draining ? "yes" : "no"}});
+    if (draining && worker.admission) {
+        applyActions(worker, worker.admission->drain(state::clock::now()));
+    } else if (!draining) {
+        worker.admissionName.clear(); // a drained policy is replaced once it is idle
+    }
+    publishReports();
+}
+
+served_worker *sidecar::findWorker(std::string_view id)
+{
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+void sidecar::probeWorkers()
+{
+    for (auto &[id, worker] : m_workers) {
+        if (!worker.settings.healthPath.empty()) {
+            asio::co_spawn(m_io, probe(worker), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> sidecar::probe(served_worker &worker)
+{
+    transport::worker_request request;
+    request.method = "GET";
+    request.target = worker.settings.healthPath;
+    request.headers = {{"Host", state::formatNodeAddress(worker.settings.address)}};
+    request.deadline = state::clock::now() + ProbeTimeout;
+    probe_sink sink;
+    const transport::worker_result result = co_await worker.client->run(request, sink, std::make_shared<transport::worker_call>());
+    worker.evidence->noteProbe(result.end == transport::worker_end::answered && sink.ok, state::clock::now());
+    if (result.end == transport::worker_end::answered) {
+        setDraining(worker, sink.draining);
+    }
+}
+
+// [SECTION] Reports
+
+worker_report sidecar::makeReport(const served_worker &worker, state::time_point now) const
+{
+    worker_report report;
+    report.worker = worker.settings.id;
+    report.pool = worker.settings.pool;
+    report.node = m_settings.advertise;
+    report.incarnation = m_life;
+    report.version = worker.reportVersion;
+    if (worker.admission) {
+        const coordination::admission_load load = worker.admission->load(now);
+        report.slots = worker.slots;
+        report.busy = load.busy;
+        report.queued = load.queued;
+        report.expectedWait = load.expectedWait;
+    }
+    worker.evidence->fill(report, now);
+    report.leaving = worker.draining || m_stopping;
+    return report;
+}
+
+void sidecar::publishReports()
+{
+    const state::time_point now = state::clock::now();
+    std::vector<worker_report> reports;
+    reports.reserve(m_workers.size());
+    for (auto &[id, worker] : m_workers) {
+        ++worker.reportVersion;
+        reports.push_back(makeReport(worker, now));
+    }
+    if (!reports.empty()) {
+        m_reports(std::move(reports));
+    }
+}
+
+// [SECTION] Stopping
+
+void sidecar::beginShutdown()
+{
+    m_stopping = true;
+    for (auto &[id, worker] : m_workers) {
+        if (worker.admission) {
+            applyActions(worker, worker.admission->drain(state::clock::now()));
+        }
+    }
+    publishReports();
+}
+
+bool sidecar::isIdle() const
+{
+    return m_attempts.empty();
+}
+
+state::incarnation sidecar::life() const
+{
+    return m_life;
+}
+
+} // namespace dandelionstall
--- /dev/null
+++ b/programs/dandelionstall/sidecar_attempts.cpp
@@ -0,0 +1,475 @@
+// Attempts at the sidecar: checks, records, admission, execution and outcomes.
+#include "sidecar.h"
+
+#include <dandelionstall/protocol/caller_http.h>
+#include <dandelionstall/transport/events.h>
+
+#include <boost/asio.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace dandelionstall {
+
+namespace asio = boost::asio;
+using coordination::refusal_reason;
+using coordination::run_state;
+using coordination::work_outcome;
+using coordination::work_result;
+using transport::worker_end;
+
+namespace {
+
+constexpr auto RecordSlack = std::chrono::seconds(60);                // records outlive the deadline by this
+constexpr auto DuplicateRetryAfter = std::chrono::milliseconds(1000); // running elsewhere: ask again for its answer
+constexpr std::size_t MaxSiblings = 2;                                // sibling reports in one answer
+
+std::int64_t systemNowMs()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+work_outcome outcomeOf(const transport::worker_result &result)
+{
+    switch (result.end) {
+    case worker_end::answered:
+        return result.status >= 500 ? work_outcome::failed : work_outcome::answered;
+    case worker_end::refused:
+        return work_outcome::refused;
+    case worker_end::timed_out:
+        return work_outcome::timed_out;
+    default:
+        return work_outcome::failed;
+    }
+}
+
+work_result workResultOf(const transport::worker_result &result)
+{
+    if (result.end == worker_end::answered) {
+        return work_result::answered;
+    }
+    return result.end == worker_end::cancelled || result.end == worker_end::timed_out ? work_result::abandoned : work_result::failed;
+}
+
+} // namespace
+
+// Passes a worker's answer on while it arrives, and keeps a copy when the work must not run twice.
+struct sidecar::answer_sink : transport::worker_answer_sink {
+    answer_writer *writer = nullptr;           // of the attempt's stream
+    protocol::answer_head head;                // prepared but for status and headers
+    state::kept_answer kept;                   // copy of the answer
+    std::size_t maxKeptBytes = 0;              // 0 keeps nothing
+    std::uint64_t bodyBytes = 0;               // passed on so far
+    XXH3_state_t *digest = XXH3_createState(); // of the body
+
+    answer_sink()
+    {
+        XXH3_64bits_reset(digest);
+    }
+
+    ~answer_sink() override
+    {
+        XXH3_freeState(digest);
+    }
+
+    void onHead(std::uint32_t status, protocol::http_headers headers) override
+    {
+        head.status = status;
+        head.run = run_state::ran;
+        head.headers = std::move(headers);
+        kept.status = status;
+        kept.headers = protocol::encodeHeaders(head.headers);
+        writer->sendHead(head);
+    }
+
+    asio::awaitable<void> onBody(std::string_view bytes) override
+    {
+        bodyBytes += bytes.size();
+        XXH3_64bits_update(digest, bytes.data(), bytes.size());
+        if (kept.body.size() + bytes.size() <= maxKeptBytes) {
+            kept.body.append(bytes);
+        } else {
+            kept.truncated = true;
+            kept.body.clear();
+            maxKeptBytes = 0;
+        }
+        co_await writer->sendBody(bytes);
+    }
+};
+
+// [SECTION] Arrival
+
+void sidecar::takeAttempt(const std::shared_ptr<attempt_stream> &stream)
+{
+    const state::time_point now = state::clock::now();
+    const protocol::attempt_head &head = stream->head();
+    const refusal_reason reason = checkAttempt(head, now);
+    if (reason != refusal_reason::none) {
+        const bool otherLife = reason == refusal_reason::stale_incarnation && !head.ticket.empty();
+        refuseOn(stream->writer(), head, reason, otherLife ? run_state::unknown : run_state::not_run);
+        return;
+    }
+    const bool tracked = !head.idempotent || !head.ticket.empty();
+    if (tracked && !beginRecord(stream, now)) {
+        return;
+    }
+    if (m_attempts.contains(head.id)) {
+        refuseOn(stream->writer(), head, refusal_reason::duplicate_attempt, run_state::unknown);
+        return;
+    }
+    local_attempt attempt;
+    attempt.stream = stream;
+    attempt.tracked = tracked;
+    attempt.arrivedAt = now;
+    m_attempts.emplace(head.id, std::move(attempt));
+
+    coordination::work_item item;
+    item.id = head.id;
+    item.route = head.route;
+    item.worth = head.worth;
+    item.deadline = head.deadline;
+    item.costHint = head.costHint;
+    item.statedBytes = head.bodyBytes;
+    served_worker &worker = *findWorker(head.worker);
+    applyActions(worker, worker.admission->offer(item, now));
+}
+
+refusal_reason sidecar::checkAttempt(const protocol::attempt_head &head, state::time_point now)
+{
+    const served_worker *worker = findWorker(head.worker);
+    if (worker == nullptr || !worker->admission) {
+        return refusal_reason::no_capacity;
+    }
+    if (head.home != m_life) {
+        return refusal_reason::stale_incarnation;
+    }
+    if (head.deadline <= now) {
+        return refusal_reason::late_frame;
+    }
+    if (!head.ticket.empty()) {
+        const absl::StatusOr<state::ticket> ticket = state::parseTicket(head.ticket);
+        const std::int64_t nowMs = systemNowMs();
+        if (!ticket.ok() || ticket->worker != head.worker || ticket->expiresAtMs > nowMs + m_settings.ticketLifetime.count()) {
+            return refusal_reason::bad_request;
+        }
+        if (ticket->home != m_life || ticket->expiresAtMs <= nowMs) {
+            return refusal_reason::stale_incarnation;
+        }
+    }
+    if (m_stopping || worker->draining) {
+        const bool known = !head.ticket.empty() && m_registry.findTicket(head.ticket) != nullptr;
+        return known ? refusal_reason::none : refusal_reason::draining;
+    }
+    return refusal_reason::none;
+}
+
+bool sidecar::beginRecord(const std::shared_ptr<attempt_stream> &stream, state::time_point now)
+{
+    const protocol::attempt_head &head = stream->head();
+    const state::attempt_record *earlier = head.ticket.empty() ? nullptr : m_registry.findTicket(head.ticket);
+    const state::time_point expiresAt = head.ticket.empty() ? head.deadline + RecordSlack : now + m_settings.ticketLifetime + RecordSlack;
+    switch (m_registry.begin(head.id, head.ticket, expiresAt)) {
+    case state::begin_verdict::accepted:
+        return true;
+    case state::begin_verdict::full:
+        refuseOn(stream->writer(), head, refusal_reason::queue_full, run_state::not_run);
+        return false;
+    case state::begin_verdict::duplicate:
+        answerDuplicate(stream, earlier != nullptr ? earlier : m_registry.find(head.id));
+        return false;
+    }
+    return false;
+}
+
+// A caller that repeats its ticket gets the outcome of the one run.
+void sidecar::answerDuplicate(const std::shared_ptr<attempt_stream> &stream, const state::attempt_record *earlier)
+{
+    const protocol::attempt_head &head = stream->head();
+    if (earlier != nullptr && earlier->phase == state::attempt_phase::answered) {
+        sendOutcome(head.id, *earlier, stream->writer());
+        return;
+    }
+    const bool fenced = earlier != nullptr && earlier->phase == state::attempt_phase::not_run;
+    const bool queued = earlier != nullptr && earlier->phase == state::attempt_phase::queued;
+    run_state run = queued ? run_state::unknown : run_state::ran;
+    if (fenced) {
+        run = run_state::not_run;
+    }
+    refuseOn(stream->writer(), head, refusal_reason::duplicate_attempt, run);
+}
+
+// [SECTION] Admission
+
+void sidecar::applyActions(served_worker &worker, const coordination::admission_actions &actions)
+{
+    for (const coordination::admission_refusal &refusal : actions.refuse) {
+        refuseAttempt(refusal.id, refusal.reason, run_state::not_run, refusal.retryAt);
+    }
+    for (const state::attempt_id &id : actions.start) {
+        startAttempt(worker, id);
+    }
+    armTimer(worker);
+}
+
+void sidecar::armTimer(served_worker &worker)
+{
+    const state::time_point due = worker.admission->nextDeadline();
+    if (due == state::time_point::max()) {
+        worker.timer->cancel();
+        return;
+    }
+    worker.timer->expires_at(due);
+    worker.timer->async_wait([this, &worker](const boost::system::error_code &error) {
+        if (!error) {
+            applyActions(worker, worker.admission->advance(state::clock::now()));
+        }
+    });
+}
+
+void sidecar::startAttempt(served_worker &worker, const state::attempt_id &id)
+{
+    const auto found = m_attempts.find(id);
+    const state::time_point now = state::clock::now();
+    if (found == m_attempts.end()) {
+        applyActions(worker, worker.admission->finish(id, work_result::abandoned, now));
+        return;
+    }
+    local_attempt &attempt = found->second;
+    const bool late = attempt.stream->head().deadline <= now; // this process may have been paused since the decision
+    if (late || (attempt.tracked && !m_registry.start(id))) {
+        refuseAttempt(id, refusal_reason::expired_in_queue, run_state::not_run, now);
+        applyActions(worker, worker.admission->finish(id, work_result::abandoned, now));
+        return;
+    }
+    attempt.started = true;
+    attempt.call = std::make_shared<transport::worker_call>();
+    m_counters.observeQueueTime(std::chrono::duration_cast<std::chrono::microseconds>(now - attempt.arrivedAt));
+    asio::co_spawn(m_io, runAttempt(worker, id), asio::detached);
+}
+
+// [SECTION] Execution
+
+asio::awaitable<void> sidecar::runAttempt(served_worker &worker, state::attempt_id id)
+{
+    local_attempt &attempt = m_attempts.at(id);
+    const std::shared_ptr<attempt_stream> stream = attempt.stream;
+    const std::shared_ptr<transport::worker_call> call = attempt.call;
+    const state::time_point startedAt = state::clock::now();
+
+    transport::worker_request request;
+    request.method = stream->head().method;
+    request.target = stream->head().target;
+    request.headers = stream->head().headers;
+    request.body = stream->takeBody();
+    request.deadline = stream->head().deadline;
+    request.freshConnection = attempt.tracked;
+
+    answer_sink sink;
+    sink.writer = &stream->writer();
+    sink.head = makeHead(id, worker.settings.id);
+    sink.maxKeptBytes = attempt.tracked ? m_settings.maxKeptAnswerBytes : 0;
+    worker.evidence->noteStart(id, stream->head().route, startedAt);
+    const transport::worker_result result = co_await worker.client->run(request, sink, call);
+    finishAttempt(worker, id, result, sink, startedAt);
+}
+
+void sidecar::finishAttempt(
+    served_worker &worker, const state::attempt_id &id, const transport::worker_result &result, answer_sink &sink, state::time_point startedAt)
+{
+    const state::time_point now = state::clock::now();
+    local_attempt &attempt = m_attempts.at(id);
+    const protocol::attempt_head &head = attempt.stream->head();
+    if (result.end != worker_end::cancelled) {
+        worker.evidence->noteEnd(id, {head.route, outcomeOf(result), startedAt, now, head.costHint});
+    } else {
+        worker.evidence->noteEnd(id, {head.route, work_outcome::refused, startedAt, now, head.costHint});
+    }
+    const coordination::admission_actions actions = worker.admission->finish(id, workResultOf(result), now);
+
+    if (result.end == worker_end::answered) {
+        if (attempt.tracked) {
+            m_registry.answer(id, std::move(sink.kept));
+        }
+        attempt.stream->writer().sendEnd(
+            {id, sink.bodyBytes, XXH3_64bits_digest(sink.digest), std::chrono::duration_cast<std::chrono::microseconds>(now - startedAt)});
+        releaseWaiters(id, attempt);
+        m_attempts.erase(id);
+    } else if (result.end == worker_end::refused || result.end == worker_end::unreachable) {
+        const bool shed = result.end == worker_end::refused;
+        if (attempt.tracked) {
+            m_registry.revoke(id, coordination::reasonName(shed ? refusal_reason::worker_shed : refusal_reason::worker_unreachable));
+        }
+        refuseAttempt(id, shed ? refusal_reason::worker_shed : refusal_reason::worker_unreachable, run_state::not_run, now + result.retryAfter);
+    } else {
+        if (attempt.tracked) {
+            m_registry.fail(id);
+        }
+        if (result.answerStarted) {
+            attempt.stream->writer().breakOff();
+            releaseWaiters(id, attempt);
+            m_attempts.erase(id);
+        } else {
+            const bool expired = result.end == worker_end::timed_out;
+            refuseAttempt(id, expired ? refusal_reason::unknown_outcome : refusal_reason::none, run_state::ran, now);
+        }
+    }
+    applyActions(worker, actions);
+}
+
+// [SECTION] Outcomes
+
+void sidecar::refuseAttempt(const state::attempt_id &id, refusal_reason reason, run_state run, state::time_point retryAt)
+{
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    local_attempt attempt = std::move(found->second);
+    m_attempts.erase(found);
+    if (attempt.tracked && run == run_state::not_run) {
+        m_registry.refuse(id, coordination::reasonName(reason));
+    }
+    m_counters.countNamed(std::string("attempts_refused_") + std::string(coordination::reasonName(reason)));
+    protocol::answer_head head = makeHead(id, attempt.stream->head().worker);
+    head.run = run;
+    head.refusal = reason;
+    const state::time_point now = state::clock::now();
+    head.retryAfter = std::chrono::duration_cast<std::chrono::microseconds>(std::max(retryAt - now, state::duration::zero()));
+    attempt.stream->writer().sendWhole(head, {});
+    releaseWaiters(id, attempt);
+}
+
+void sidecar::refuseOn(answer_writer &writer, const protocol::attempt_head &attempt, refusal_reason reason, run_state run)
+{
+    m_counters.countNamed(std::string("attempts_refused_") + std::string(coordination::reasonName(reason)));
+    protocol::answer_head head = makeHead(attempt.id, attempt.worker);
+    head.run = run;
+    head.refusal = reason;
+    if (reason == refusal_reason::duplicate_attempt) {
+        head.retryAfter = DuplicateRetryAfter;
+    }
+    writer.sendWhole(head, {});
+}
+
+void sidecar::releaseWaiters(const state::attempt_id &id, local_attempt &attempt)
+{
+    const state::attempt_record *record = m_registry.find(id);
+    for (const std::shared_ptr<control_stream> &waiter : attempt.waiters) {
+        if (record != nullptr) {
+            sendOutcome(id, *record, waiter->writer());
+        } else {
+            waiter->writer().breakOff();
+        }
+    }
+    attempt.waiters.clear();
+}
+
+void sidecar::sendOutcome(const state::attempt_id &id, const state::attempt_record &record, answer_writer &writer)
+{
+    protocol::answer_head head = makeHead(id, {});
+    switch (record.phase) {
+    case state::attempt_phase::not_run:
+        head.run = run_state::not_run;
+        head.refusal = coordination::parseRefusalReason(record.refusal);
+        break;
+    case state::attempt_phase::answered:
+        head.run = run_state::ran;
+        if (record.answer.truncated) {
+            head.refusal = refusal_reason::unknown_outcome; // it ran; the answer was too long to keep
+            break;
+        }
+        head.status = record.answer.status;
+        if (auto headers = protocol::decodeHeaders(record.answer.headers); headers.ok()) {
+            head.headers = *std::move(headers);
+        }
+        writer.sendWhole(head, record.answer.body);
+        return;
+    default:
+        head.run = run_state::ran;
+        head.refusal = refusal_reason::unknown_outcome;
+        break;
+    }
+    writer.sendWhole(head, {});
+}
+
+void sidecar::takeQuery(const protocol::attempt_query &query, const std::shared_ptr<control_stream> &stream)
+{
+    m_counters.countNamed("attempt_queries");
+    if (query.home != m_life) {
+        protocol::answer_head head = makeHead(query.id, {});
+        head.run = run_state::unknown;
+        head.refusal = refusal_reason::stale_incarnation;
+        stream->writer().sendWhole(head, {});
+        return;
+    }
+    const state::attempt_record &record = m_registry.query(query.id, query.expiresAt + RecordSlack);
+    const auto active = m_attempts.find(query.id);
+    if (active != m_attempts.end()) {
+        active->second.waiters.push_back(stream);
+        return;
+    }
+    sendOutcome(query.id, record, stream->writer());
+}
+
+void sidecar::takeAcknowledge(const protocol::attempt_acknowledge &message)
+{
+    m_registry.acknowledge(message.id);
+}
+
+void sidecar::noteStreamLost(const state::attempt_id &id, transport::stream_end)
+{
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    local_attempt &attempt = found->second;
+    if (!attempt.started) {
+        served_worker &worker = *findWorker(attempt.stream->head().worker);
+        const coordination::admission_actions actions = worker.admission->cancel(id, state::clock::now());
+        refuseAttempt(id, refusal_reason::cancelled, run_state::not_run, state::clock::now());
+        applyActions(worker, actions);
+    } else if (!attempt.tracked) {
+        attempt.call->cancel();
+    }
+}
+
+// [SECTION] Answer heads
+
+protocol::answer_head sidecar::makeHead(const state::attempt_id &id, std::string_view worker) const
+{
+    protocol::answer_head head;
+    head.id = id;
+    head.incarnation = m_life;
+    const auto own = m_workers.find(worker);
+    if (own == m_workers.end()) {
+        return head;
+    }
+    head.reports.push_back(makeReport(own->second, state::clock::now()));
+    if (!m_snapshot) {
+        return head;
+    }
+    const auto view = m_snapshot->views.find(own->second.settings.pool);
+    if (view == m_snapshot->views.end()) {
+        return head;
+    }
+    std::vector<const coordination::worker_view *> siblings;
+    for (const coordination::worker_view &row : view->second->workers) {
+        if (row.id != worker && coordination::isUsable(row) && row.report.version != 0) {
+            siblings.push_back(&row);
+        }
+    }
+    const std::size_t count = std::min(siblings.size(), MaxSiblings);
+    std::partial_sort(siblings.begin(), siblings.begin() + static_cast<std::ptrdiff_t>(count), siblings.end(), [](const auto *a, const auto *b) {
+        return a->report.expectedWait < b->report.expectedWait;
+    });
+    for (std::size_t i = 0; i < count; ++i) {
+        head.reports.push_back(siblings[i]->report);
+    }
+    if (count > 0) {
+        head.betterSibling = siblings.front()->id;
+    }
+    return head;
+}
+
+} // namespace dandelionstall
--- /dev/null
+++ b/protocol/src/clock_estimate.cpp
@@ -0,0 +1,55 @@
+#include <dandelionstall/protocol/clock_estimate.h>
+
+#include <cassert>
+
+namespace dandelionstall::protocol {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+
+constexpr std::int64_t DriftPartsPerMillion = 200; // relative drift of two steady clocks
+constexpr std::int64_t Million = 1'000'000;
+
+} // namespace
+
+void clock_estimate::noteExchange(state::time_point sentAt, state::time_point peerClock, state::time_point receivedAt)
+{
+    const auto roundTrip = duration_cast<microseconds>(receivedAt - sentAt);
+    if (roundTrip < microseconds::zero()) {
+        return;
+    }
+    if (m_known && roundTrip / 2 > uncertainty(receivedAt)) {
+        return;
+    }
+    const state::time_point middle = sentAt + (receivedAt - sentAt) / 2;
+    m_offset = duration_cast<microseconds>(peerClock - middle);
+    m_roundTrip = roundTrip;
+    m_notedAt = receivedAt;
+    m_known = true;
+}
+
+bool clock_estimate::known() const
+{
+    return m_known;
+}
+
+state::time_point clock_estimate::toPeer(state::time_point local, state::time_point now) const
+{
+    assert(m_known && "toPeer() needs an exchange first");
+    return local + m_offset - uncertainty(now);
+}
+
+microseconds clock_estimate::uncertainty(state::time_point now) const
+{
+    const auto age = duration_cast<microseconds>(now - m_notedAt);
+    return m_roundTrip / 2 + microseconds(age.count() * DriftPartsPerMillion / Million);
+}
+
+microseconds clock_estimate::roundTrip() const
+{
+    return m_roundTrip;
+}
+
+} // namespace dandelionstall::protocol
--- /dev/null
+++ b/protocol/src/report_codec.cpp
@@ -0,0 +1,54 @@
+#include <dandelionstall/protocol/errors.h>
+#include <dandelionstall/protocol/report_codec.h>
+
+#include <algorithm>
+
+namespace dandelionstall::protocol {
+
+void writeReport(const coordination::worker_report &report, wire::WorkerReport &out)
+{
+    out.set_worker(report.worker);
+    out.set_pool(report.pool);
+    out.set_node(state::formatNodeAddress(report.node));
+    out.set_incarnation(report.incarnation);
+    out.set_version(report.version);
+    out.set_slots(report.slots);
+    out.set_busy(report.busy);
+    out.set_queued(report.queued);
+    out.set_expected_wait_us(static_cast<std::uint64_t>(report.expectedWait.count()));
+    out.set_success_share(static_cast<float>(report.successShare));
+    out.set_latency_us(static_cast<std::uint64_t>(report.latency.count()));
+    out.set_slowness(static_cast<float>(report.slowness));
+    out.set_samples(report.samples);
+    out.set_oldest_running_us(static_cast<std::uint64_t>(report.oldestRunning.count()));
+    out.set_leaving(report.leaving);
+    out.set_starting(report.starting);
+}
+
+absl::StatusOr<coordination::worker_report> readReport(const wire::WorkerReport &in)
+{
+    const absl::StatusOr<state::node_address> node = state::parseNodeAddress(in.node());
+    if (!node.ok()) {
+        return makeError(protocol_error::malformed_message, "worker report without a valid node address");
+    }
+    coordination::worker_report report;
+    report.worker = in.worker();
+    report.pool = in.pool();
+    report.node = *node;
+    report.incarnation = in.incarnation();
+    report.version = in.version();
+    report.slots = in.slots();
+    report.busy = in.busy();
+    report.queued = in.queued();
+    report.expectedWait = std::chrono::microseconds(in.expected_wait_us());
+    report.successShare = std::clamp(static_cast<double>(in.success_share()), 0.0, 1.0);
+    report.latency = std::chrono::microseconds(in.latency_us());
+    report.slowness = std::max(static_cast<double>(in.slowness()), 0.0);
+    report.samples = in.samples();
+    report.oldestRunning = std::chrono::microseconds(in.oldest_running_us());
+    report.leaving = in.leaving();
+    report.starting = in.starting();
+    return report;
+}
+
+} // namespace dandelionstall::protocol
--- a/state/include/dandelionstall/state/attempts.h
+++ b/state/include/dandelionstall/state/attempts.h
@@ -79,17 +79,20 @@
     begin_verdict begin(const attempt_id &id, const std::string &ticketId, time_point expiresAt); // makes a record in phase queued
     bool start(const attempt_id &id);                                                             // queued -> running; false when it must not start
     void refuse(const attempt_id &id, std::string_view reason);                                   // queued -> not_run
+    void revoke(const attempt_id &id, std::string_view reason);                                   // running -> not_run, on the documented refusal of the worker
     void fail(const attempt_id &id);                                                              // running -> failed
     void answer(const attempt_id &id, kept_answer answer);                                        // running -> answered
     const attempt_record &query(const attempt_id &id, time_point expiresAt); // fences an unknown attempt; the reference holds until the next call
     const attempt_record *find(const attempt_id &id) const;                  // nullptr when unknown
     const attempt_record *findTicket(const std::string &ticketId) const;     // record that used the ticket; nullptr when unused
-    void acknowledge(const attempt_id &id);                                  // drops the kept answer, keeps the record
+    void acknowledge(const attempt_id &id);                                  // drops the kept answer unless a ticket may ask for it again; keeps the record
     std::size_t expire(time_point now);                                      // forgets expired records; returns how many
     std::size_t size() const;
     std::size_t keptBytes() const;
 
 private:
+    void dropAnswer(attempt_record &record);
+
     attempt_limits m_limits;
     std::size_t m_keptBytes = 0;
     std::unordered_map<attempt_id, attempt_record> m_records;
--- a/transport/include/dandelionstall/transport/events.h
+++ b/transport/include/dandelionstall/transport/events.h
@@ -26,6 +26,7 @@
     node_stopped = 1003,     // info: nothing in flight any more
     settings_refused = 1004, // error: the settings file cannot be used
     listen_failed = 1005,    // error: an address cannot be bound
+    worker_draining = 3001,  // info: a worker has started or stopped refusing new work
 };
 
 enum class log_level { trace, debug, info, warn, error };
--- /dev/null
+++ b/transport/include/dandelionstall/transport/worker_client.h
@@ -0,0 +1,94 @@
+// HTTP/1.1 client of one worker on this VM: keep-alive connections, deadline, cancellation, streamed answers.
+// Used from one thread.
+//
+// Usage:
+//   auto call = std::make_shared<worker_call>();
+//   worker_result result = co_await client.run(request, sink, call);
+//   ... elsewhere: call->cancel() closes the connection, which frees the worker's slot ...
+//
+// Index:
+//   [SECTION] Calls
+//   [SECTION] Client
+#pragma once
+
+#include <dandelionstall/protocol/messages.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace dandelionstall::transport {
+
+// [SECTION] Calls
+
+struct worker_request {
+    std::string method;             // HTTP method
+    std::string target;             // request target
+    protocol::http_headers headers; // end-to-end headers
+    std::string body;               // whole body
+    state::time_point deadline;     // the call ends then
+    bool freshConnection = false;   // never reuse a connection: work that must not run twice
+};
+
+enum class worker_end {
+    answered,    // the whole answer came
+    refused,     // the worker's documented refusal: not run
+    unreachable, // no connection: not run
+    cut,         // the answer broke off, or none came
+    timed_out,   // the deadline passed
+    cancelled,   // cancel() was called
+};
+
+struct worker_result {
+    worker_end end = worker_end::cut;        // how it ended
+    std::uint32_t status = 0;                // HTTP status, when a header came
+    bool answerStarted = false;              // the sink has been given a header
+    std::chrono::milliseconds retryAfter{0}; // from the worker's refusal; 0 when none
+};
+
+// Receives the answer while it arrives.
+class worker_answer_sink
+{
+public:
+    virtual ~worker_answer_sink() = default;
+
+    virtual void onHead(std::uint32_t status, protocol::http_headers headers) = 0; // end-to-end headers
+    virtual boost::asio::awaitable<void> onBody(std::string_view bytes) = 0;       // returns when there is room for more
+};
+
+class worker_call
+{
+public:
+    void cancel(); // ends the call as cancelled; harmless when it has ended
+    bool isCancelled() const;
+
+private:
+    friend class worker_client;
+    std::weak_ptr<boost::beast::tcp_stream> m_stream;
+    bool m_cancelled = false;
+};
+
+// [SECTION] Client
+
+class worker_client
+{
+public:
+    explicit worker_client(const state::node_address &address);
+
+    boost::asio::awaitable<worker_result> run(const worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call);
+
+private:
+    struct idle_connection {
+        std::shared_ptr<boost::beast::tcp_stream> stream;
+        state::time_point usableUntil; // closed afterwards
+    };
+
+    std::shared_ptr<boost::beast::tcp_stream> takeIdle();
+
+    state::node_address m_address;
+    std::vector<idle_connection> m_idle;
+};
+
+} // namespace dandelionstall::transport
--- /dev/null
+++ b/transport/src/node_session.cpp
@@ -0,0 +1,458 @@
+#include <dandelionstall/transport/node_session.h>
+
+#include <boost/asio.hpp>
+#include <nghttp2/nghttp2.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <cstring>
+#include <utility>
+#include <vector>
+
+namespace dandelionstall::transport {
+
+namespace {
+
+constexpr std::size_t ReadChunkBytes = 65'536;
+constexpr std::size_t WriteBatchBytes = 131'072;
+constexpr auto WatchPeriod = std::chrono::milliseconds(100);
+constexpr auto PauseTolerance = std::chrono::milliseconds(400); // a later tick means that this process was paused
+
+nghttp2_nv makeField(std::string_view name, std::string_view value)
+{
+    nghttp2_nv field{};
+    field.name = reinterpret_cast<std::uint8_t *>(const_cast<char *>(name.data()));
+    field.namelen = name.size();
+    field.value = reinterpret_cast<std::uint8_t *>(const_cast<char *>(value.data()));
+    field.valuelen = value.size();
+    field.flags = NGHTTP2_NV_FLAG_NONE;
+    return field;
+}
+
+} // namespace
+
+// [SECTION] Callbacks of nghttp2
+
+struct node_session::callbacks {
+    static ssize_t
+    read(nghttp2_session *, std::int32_t stream, std::uint8_t *buffer, std::size_t length, std::uint32_t *flags, nghttp2_data_source *, void *self)
+    {
+        return static_cast<node_session *>(self)->fill(stream, buffer, length, flags);
+    }
+
+    static int onHeader(nghttp2_session *,
+                        const nghttp2_frame *frame,
+                        const std::uint8_t *name,
+                        std::size_t nameLength,
+                        const std::uint8_t *value,
+                        std::size_t valueLength,
+                        std::uint8_t,
+                        void *user)
+    {
+        auto *self = static_cast<node_session *>(user);
+        const std::string_view key(reinterpret_cast<const char *>(name), nameLength);
+        if (self->m_role == session_role::server && key == ":path") {
+            self->m_paths[frame->hd.stream_id] = std::string(reinterpret_cast<const char *>(value), valueLength);
+        }
+        return 0;
+    }
+
+    static int onFrame(nghttp2_session *, const nghttp2_frame *frame, void *user)
+    {
+        auto *self = static_cast<node_session *>(user);
+        const stream_id stream = frame->hd.stream_id;
+        const bool request = frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST;
+        if (request && self->m_role == session_role::server) {
+            acceptStream(*self, stream);
+        }
+        const bool carriesEnd = frame->hd.type == NGHTTP2_HEADERS || frame->hd.type == NGHTTP2_DATA;
+        if (carriesEnd && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0) {
+            const auto found = self->m_streams.find(stream);
+            if (found != self->m_streams.end()) {
+                const std::shared_ptr<stream_handler> handler = found->second.handler;
+                handler->onPeerEnd();
+            }
+        }
+        return 0;
+    }
+
+    static void acceptStream(node_session &self, stream_id stream)
+    {
+        const auto path = self.m_paths.find(stream);
+        std::shared_ptr<stream_handler> handler;
+        if (path != self.m_paths.end() && !self.m_draining) {
+            handler = self.m_acceptor(self.shared_from_this(), stream, path->second);
+        }
+        self.m_paths.erase(stream);
+        if (!handler) {
+            nghttp2_submit_rst_stream(self.m_session, NGHTTP2_FLAG_NONE, stream, NGHTTP2_REFUSED_STREAM);
+            return;
+        }
+        self.m_streams[stream].handler = std::move(handler);
+    }
+
+    static int onData(nghttp2_session *, std::uint8_t, std::int32_t stream, const std::uint8_t *data, std::size_t length, void *user)
+    {
+        auto *self = static_cast<node_session *>(user);
+        const auto found = self->m_streams.find(stream);
+        if (found == self->m_streams.end()) {
+            nghttp2_session_consume(self->m_session, stream, length);
+            return 0;
+        }
+        const std::shared_ptr<stream_handler> handler = found->second.handler;
+        handler->onData({reinterpret_cast<const char *>(data), length});
+        return 0;
+    }
+
+    static int onStreamClose(nghttp2_session *, std::int32_t stream, std::uint32_t code, void *user)
+    {
+        auto *self = static_cast<node_session *>(user);
+        self->m_paths.erase(stream);
+        stream_end end = stream_end::reset;
+        if (code == NGHTTP2_NO_ERROR) {
+            end = stream_end::finished;
+        } else if (code == NGHTTP2_REFUSED_STREAM) {
+            end = stream_end::refused;
+        }
+        self->finishStream(stream, end);
+        return 0;
+    }
+};
+
+// [SECTION] Life
+
+std::shared_ptr<node_session> node_session::create(boost::asio::ip::tcp::socket socket, session_role role, const session_options &options)
+{
+    std::shared_ptr<node_session> session(new node_session(std::move(socket), role, options));
+    session->initialize();
+    return session;
+}
+
+node_session::node_session(boost::asio::ip::tcp::socket socket, session_role role, const session_options &options)
+    : m_socket(std::move(socket))
+    , m_timer(m_socket.get_executor())
+    , m_role(role)
+    , m_options(options)
+    , m_readBuffer(ReadChunkBytes, '\0')
+    , m_lastHeardAt(state::clock::now())
+    , m_idleSince(m_lastHeardAt)
+{ }
+
+node_session::~node_session()
+{
+    nghttp2_session_del(m_session);
+}
+
+void node_session::initialize()
+{
+    boost::system::error_code ignored;
+    m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+
+    nghttp2_session_callbacks *table = nullptr;
+    nghttp2_session_callbacks_new(&table);
+    nghttp2_session_callbacks_set_on_header_callback(table, callbacks::onHeader);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(table, callbacks::onFrame);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(table, callbacks::onData);
+    nghttp2_session_callbacks_set_on_stream_close_callback(table, callbacks::onStreamClose);
+    nghttp2_option *option = nullptr;
+    nghttp2_option_new(&option);
+    nghttp2_option_set_no_auto_window_update(option, 1);
+    if (m_role == session_role::client) {
+        nghttp2_session_client_new2(&m_session, table, this, option);
+    } else {
+        nghttp2_session_server_new2(&m_session, table, this, option);
+    }
+    nghttp2_option_del(option);
+    nghttp2_session_callbacks_del(table);
+
+    const std::array<nghttp2_settings_entry, 2> entries{
+        nghttp2_settings_entry{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, m_options.maxStreams},
+        nghttp2_settings_entry{NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, static_cast<std::uint32_t>(m_options.streamWindow)},
+    };
+    nghttp2_submit_settings(m_session, NGHTTP2_FLAG_NONE, entries.data(), entries.size());
+    nghttp2_session_set_local_window_size(m_session, NGHTTP2_FLAG_NONE, 0, m_options.connectionWindow);
+}
+
+void node_session::start(stream_acceptor acceptor)
+{
+    assert((m_role == session_role::client || acceptor) && "a server session needs an acceptor");
+    m_acceptor = std::move(acceptor);
+    readMore();
+    flush();
+    watch();
+}
+
+void node_session::drain()
+{
+    m_draining = true;
+    if (m_open) {
+        nghttp2_submit_goaway(m_session, NGHTTP2_FLAG_NONE, nghttp2_session_get_last_proc_stream_id(m_session), NGHTTP2_NO_ERROR, nullptr, 0);
+        flush();
+    }
+}
+
+void node_session::close(stream_end reason)
+{
+    if (!m_open) {
+        return;
+    }
+    m_open = false;
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    m_timer.cancel();
+    std::unordered_map<stream_id, stream_state> streams;
+    streams.swap(m_streams);
+    for (auto &[id, stream] : streams) {
+        stream.handler->onClosed(reason);
+    }
+}
+
+// [SECTION] Streams
+
+stream_id node_session::open(std::string_view path, std::shared_ptr<stream_handler> handler)
+{
+    assert(m_role == session_role::client && "only the connecting side opens streams");
+    if (!m_open || nghttp2_session_check_request_allowed(m_session) == 0) {
+        return -1;
+    }
+    const std::array<nghttp2_nv, 4> fields{
+        makeField(":method", "POST"), makeField(":scheme", "http"), makeField(":authority", "node"), makeField(":path", path)};
+    if (m_streams.empty()) {
+        m_lastHeardAt = state::clock::now(); // an idle connection owes no traffic
+    }
+    nghttp2_data_provider provider{};
+    provider.read_callback = callbacks::read;
+    const stream_id stream = nghttp2_submit_request(m_session, nullptr, fields.data(), fields.size(), &provider, nullptr);
+    if (stream < 0) {
+        return -1;
+    }
+    stream_state &entry = m_streams[stream];
+    entry.handler = std::move(handler);
+    entry.submitted = true;
+    flush();
+    watch();
+    return stream;
+}
+
+void node_session::write(stream_id stream, std::string_view bytes, bool end)
+{
+    const auto found = m_streams.find(stream);
+    if (!m_open || found == m_streams.end()) {
+        return;
+    }
+    stream_state &entry = found->second;
+    if (!bytes.empty()) {
+        entry.out.emplace_back(bytes);
+        entry.outBytes += bytes.size();
+    }
+    entry.outEnd = entry.outEnd || end;
+    if (!entry.submitted) {
+        entry.submitted = true;
+        const std::array<nghttp2_nv, 1> fields{makeField(":status", "200")};
+        nghttp2_data_provider provider{};
+        provider.read_callback = callbacks::read;
+        nghttp2_submit_response(m_session, stream, fields.data(), fields.size(), &provider);
+    } else if (entry.deferred) {
+        entry.deferred = false;
+        nghttp2_session_resume_data(m_session, stream);
+    }
+    flush();
+}
+
+std::ptrdiff_t node_session::fill(stream_id stream, std::uint8_t *buffer, std::size_t length, std::uint32_t *flags)
+{
+    const auto found = m_streams.find(stream);
+    if (found == m_streams.end()) {
+        return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+    }
+    stream_state &entry = found->second;
+    std::size_t copied = 0;
+    while (copied < length && !entry.out.empty()) {
+        const std::string &front = entry.out.front();
+        const std::size_t part = std::min(length - copied, front.size() - entry.outOffset);
+        std::memcpy(buffer + copied, front.data() + entry.outOffset, part);
+        copied += part;
+        entry.outOffset += part;
+        if (entry.outOffset == front.size()) {
+            entry.out.pop_front();
+            entry.outOffset = 0;
+        }
+    }
+    entry.outBytes -= copied;
+    if (entry.out.empty() && entry.outEnd) {
+        *flags |= NGHTTP2_DATA_FLAG_EOF;
+    } else if (copied == 0) {
+        entry.deferred = true;
+        return NGHTTP2_ERR_DEFERRED;
+    }
+    return static_cast<std::ptrdiff_t>(copied);
+}
+
+void node_session::consume(stream_id stream, std::size_t bytes)
+{
+    if (m_open && bytes > 0) {
+        nghttp2_session_consume(m_session, stream, bytes);
+        flush();
+    }
+}
+
+void node_session::reset(stream_id stream)
+{
+    if (m_open && m_streams.contains(stream)) {
+        nghttp2_submit_rst_stream(m_session, NGHTTP2_FLAG_NONE, stream, NGHTTP2_CANCEL);
+        flush();
+    }
+}
+
+void node_session::finishStream(stream_id stream, stream_end end)
+{
+    const auto found = m_streams.find(stream);
+    if (found == m_streams.end()) {
+        return;
+    }
+    const std::shared_ptr<stream_handler> handler = std::move(found->second.handler);
+    m_streams.erase(found);
+    m_idleSince = state::clock::now();
+    handler->onClosed(end);
+}
+
+// [SECTION] Input and output
+
+void node_session::readMore()
+{
+    m_socket.async_read_some(boost::asio::buffer(m_readBuffer), [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
+        if (error) {
+            self->close(stream_end::connection_lost);
+            return;
+        }
+        self->m_lastHeardAt = state::clock::now();
+        self->m_inReceive = true;
+        const ssize_t used = nghttp2_session_mem_recv(self->m_session, reinterpret_cast<const std::uint8_t *>(self->m_readBuffer.data()), bytes);
+        self->m_inReceive = false;
+        if (used < 0 || !self->m_open) {
+            self->close(stream_end::connection_lost);
+            return;
+        }
+        self->flush();
+        const bool finished = nghttp2_session_want_read(self->m_session) == 0 && nghttp2_session_want_write(self->m_session) == 0;
+        if (finished && !self->m_writing) {
+            self->close(stream_end::connection_lost);
+            return;
+        }
+        if (self->m_open) {
+            self->readMore();
+        }
+    });
+}
+
+void node_session::flush()
+{
+    if (!m_open || m_writing || m_inReceive) {
+        return;
+    }
+    m_writeBuffer.clear();
+    while (m_writeBuffer.size() < WriteBatchBytes) {
+        const std::uint8_t *data = nullptr;
+        const ssize_t length = nghttp2_session_mem_send(m_session, &data);
+        if (length < 0) {
+            close(stream_end::connection_lost);
+            return;
+        }
+        if (length == 0) {
+            break;
+        }
+        m_writeBuffer.append(reinterpret_cast<const char *>(data), static_cast<std::size_t>(length));
+    }
+    if (m_writeBuffer.empty() || !m_open) {
+        return;
+    }
+    m_writing = true;
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_writeBuffer), [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+        self->m_writing = false;
+        if (error) {
+            self->close(stream_end::connection_lost);
+            return;
+        }
+        std::vector<std::shared_ptr<stream_handler>> writable;
+        for (const auto &[id, stream] : self->m_streams) {
+            if (stream.outBytes < WriteLowWater && !stream.outEnd) {
+                writable.push_back(stream.handler);
+            }
+        }
+        for (const std::shared_ptr<stream_handler> &handler : writable) {
+            handler->onWritable();
+        }
+        self->flush();
+    });
+}
+
+// [SECTION] Silence
+
+void node_session::watch()
+{
+    if (!m_open || m_watchArmedFor > state::clock::now()) {
+        return;
+    }
+    m_watchArmedFor = state::clock::now() + WatchPeriod;
+    m_timer.expires_at(m_watchArmedFor);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const std::shared_ptr<node_session> self = weak.lock();
+        if (!error && self && self->m_open) {
+            self->checkSilence();
+        }
+    });
+}
+
+void node_session::checkSilence()
+{
+    const state::time_point now = state::clock::now();
+    if (now - m_watchArmedFor > PauseTolerance) {
+        m_lastHeardAt = now; // this process slept: the peer's silence proves nothing
+    }
+    m_watchArmedFor = {};
+    if (m_streams.empty()) {
+        m_lastHeardAt = now;
+        return;
+    }
+    if (now - m_lastHeardAt > m_options.silentAfter) {
+        close(stream_end::silent);
+        return;
+    }
+    if (now - m_lastHeardAt > m_options.pingAfter && now - m_pingSentAt > m_options.pingAfter) {
+        m_pingSentAt = now;
+        nghttp2_submit_ping(m_session, NGHTTP2_FLAG_NONE, nullptr);
+        flush();
+    }
+    watch();
+}
+
+// [SECTION] Queries
+
+std::size_t node_session::pendingBytes(stream_id stream) const
+{
+    const auto found = m_streams.find(stream);
+    return found == m_streams.end() ? 0 : found->second.outBytes;
+}
+
+std::size_t node_session::openStreams() const
+{
+    return m_streams.size();
+}
+
+bool node_session::isOpen() const
+{
+    return m_open;
+}
+
+state::time_point node_session::lastHeardAt() const
+{
+    return m_lastHeardAt;
+}
+
+state::time_point node_session::idleSince() const
+{
+    return m_streams.empty() ? m_idleSince : state::clock::now();
+}
+
+} // namespace dandelionstall::transport
