--- a/coordination/include/dandelionstall/coordination/admission.h
+++ b/coordination/include/dandelionstall/coordination/admission.h
@@ -77,12 +77,13 @@
 
     virtual admission_actions offer(const work_item &item, state::time_point now) = 0;                            // a new item; its id must be new
     virtual admission_actions finish(const state::attempt_id &id, work_result result, state::time_point now) = 0; // frees the slot of a started item
-    virtual admission_actions cancel(const state::attempt_id &id, state::time_point now) = 0; // drops a waiting item; nothing when it is not waiting
-    virtual admission_actions advance(state::time_point now) = 0;                             // refuses items that have become hopeless
-    virtual admission_actions setSlots(std::uint32_t slots, state::time_point now) = 0;       // changes the number of slots; running items go on
-    virtual admission_actions drain(state::time_point now) = 0;                               // from now on refuses new and waiting items; running items go on
-    virtual state::time_point nextDeadline() const = 0;                                       // when to call advance(); time_point::max() when never
-    virtual admission_load load(state::time_point now) const = 0;                             // for reports
+    virtual admission_actions cancel(const state::attempt_id &id, state::time_point now)
+        = 0;                                                      // drops a waiting item (refused as cancelled); nothing when it is not waiting
+    virtual admission_actions advance(state::time_point now) = 0; // refuses items that have become hopeless
+    virtual admission_actions setSlots(std::uint32_t slots, state::time_point now) = 0; // changes the number of slots; running items go on
+    virtual admission_actions drain(state::time_point now) = 0;                         // from now on refuses new and waiting items; running items go on
+    virtual state::time_point nextDeadline() const = 0;                                 // when to call advance(); time_point::max() when never
+    virtual admission_load load(state::time_point now) const = 0;                       // for reports
 };
 
 // Names: "worth_density" (chosen), "fifo" (baseline). The seed spreads retry times.
--- /dev/null
+++ b/coordination/src/admission_slots.cpp
@@ -0,0 +1,127 @@
+#include "admission_slots.h"
+
+#include <algorithm>
+
+namespace dandelionstall::coordination::detail {
+
+namespace {
+
+constexpr std::chrono::seconds PlainRetryDelay{1};
+
+} // namespace
+
+slot_queue::slot_queue(const admission_limits &limits, std::uint64_t seed)
+    : m_limits(limits)
+    , m_random(seed)
+{ }
+
+admission_actions slot_queue::offer(const work_item &item, state::time_point now)
+{
+    admission_actions todo;
+    if (m_draining) {
+        refuseItem(item.id, refusal_reason::draining, now, todo);
+        return todo;
+    }
+    if (item.deadline <= now) {
+        refuseItem(item.id, refusal_reason::deadline_unreachable, now, todo);
+        return todo;
+    }
+    enqueue(item, now, todo);
+    settle(now, todo);
+    return todo;
+}
+
+admission_actions slot_queue::finish(const state::attempt_id &id, work_result result, state::time_point now)
+{
+    admission_actions todo;
+    const auto found = m_running.find(id);
+    if (found == m_running.end()) {
+        return todo;
+    }
+    const running_work ended = found->second;
+    m_running.erase(found);
+    noteEnd(ended, result, now);
+    settle(now, todo);
+    return todo;
+}
+
+admission_actions slot_queue::cancel(const state::attempt_id &id, state::time_point now)
+{
+    admission_actions todo;
+    const auto found = std::find_if(m_waiting.begin(), m_waiting.end(), [&id](const waiting_work &work) { return work.id == id; });
+    if (found == m_waiting.end()) {
+        return todo;
+    }
+    refuse(static_cast<std::size_t>(found - m_waiting.begin()), refusal_reason::cancelled, now, todo);
+    settle(now, todo);
+    return todo;
+}
+
+admission_actions slot_queue::advance(state::time_point now)
+{
+    admission_actions todo;
+    settle(now, todo);
+    return todo;
+}
+
+admission_actions slot_queue::setSlots(std::uint32_t slots, state::time_point now)
+{
+    m_limits.slots = slots;
+    return advance(now);
+}
+
+admission_actions slot_queue::drain(state::time_point now)
+{
+    admission_actions todo;
+    m_draining = true;
+    while (!m_waiting.empty()) {
+        refuse(0, refusal_reason::draining, now, todo);
+    }
+    m_nextDeadline = state::time_point::max();
+    return todo;
+}
+
+state::time_point slot_queue::nextDeadline() const
+{
+    return m_nextDeadline;
+}
+
+void slot_queue::noteEnd(const running_work &, work_result, state::time_point)
+{ }
+
+state::time_point slot_queue::retryTime(state::time_point now)
+{
+    return now + PlainRetryDelay;
+}
+
+bool slot_queue::isLong(const waiting_work &) const
+{
+    return false;
+}
+
+bool slot_queue::hasFreeSlot() const
+{
+    return m_running.size() < m_limits.slots;
+}
+
+void slot_queue::start(std::size_t index, state::time_point now, admission_actions &todo)
+{
+    const waiting_work work = m_waiting[index];
+    m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(index));
+    m_running[work.id] = {work.key, isLong(work), work.density, now, now + work.cost, work.deadline};
+    todo.start.push_back(work.id);
+}
+
+void slot_queue::refuse(std::size_t index, refusal_reason reason, state::time_point now, admission_actions &todo)
+{
+    const state::attempt_id id = m_waiting[index].id;
+    m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(index));
+    refuseItem(id, reason, now, todo);
+}
+
+void slot_queue::refuseItem(const state::attempt_id &id, refusal_reason reason, state::time_point now, admission_actions &todo)
+{
+    todo.refuse.push_back({id, reason, retryTime(now)});
+}
+
+} // namespace dandelionstall::coordination::detail
--- /dev/null
+++ b/coordination/src/retry.cpp
@@ -0,0 +1,168 @@
+#include <dandelionstall/coordination/retry.h>
+
+#include <dandelionstall/coordination/errors.h>
+
+#include <fmt/format.h>
+#include <pcg_random.hpp>
+
+#include <algorithm>
+
+namespace dandelionstall::coordination {
+
+namespace {
+
+constexpr std::uint32_t MaxAttempts = 3;
+constexpr double TokensPerRequest = 0.1;
+constexpr double TokensPerSecond = 0.5; // lets a node that sees few requests retry too
+constexpr double MaxTokens = 10.0;
+constexpr std::chrono::milliseconds MinRetryDelay{500};
+constexpr std::uint32_t RetrySpreadMs = 1000;
+
+// Refusals that another worker would repeat or must not undo.
+bool isFinal(refusal_reason reason)
+{
+    switch (reason) {
+    case refusal_reason::no_route:
+    case refusal_reason::bad_request:
+    case refusal_reason::body_too_large:
+    case refusal_reason::caller_limit:
+    case refusal_reason::organisation_limit:
+    case refusal_reason::retry_budget_empty:
+    case refusal_reason::cancelled:
+    case refusal_reason::not_ready:
+        return true;
+    default:
+        return false;
+    }
+}
+
+// An attempt that was refused as a duplicate says nothing about the first one.
+bool isProvenNotRun(const failed_attempt &failure)
+{
+    return failure.run == run_state::not_run && failure.refusal != refusal_reason::duplicate_attempt && failure.refusal != refusal_reason::unknown_outcome;
+}
+
+bool isSafe(const failed_attempt &failure)
+{
+    return !failure.answerStarted && (failure.idempotent || isProvenNotRun(failure));
+}
+
+// What to tell the caller when the refuser gave no reason.
+refusal_reason reasonOf(const failed_attempt &failure)
+{
+    if (failure.refusal != refusal_reason::none) {
+        return failure.refusal;
+    }
+    return failure.kind == retry_reason::worker_refused ? refusal_reason::worker_shed : refusal_reason::path_down;
+}
+
+retry_verdict tryAgain()
+{
+    retry_verdict verdict;
+    verdict.again = true;
+    return verdict;
+}
+
+class retry_base : public retry_policy
+{
+public:
+    explicit retry_base(std::uint64_t seed)
+        : m_random(seed)
+    { }
+
+    retry_verdict decide(const failed_attempt &failure, state::time_point now) override
+    {
+        if (!isSafe(failure) || isFinal(failure.refusal) || failure.attempts >= MaxAttempts || now >= failure.deadline) {
+            return giveUp(failure, reasonOf(failure), now);
+        }
+        return decideSafe(failure, now);
+    }
+
+protected:
+    virtual retry_verdict decideSafe(const failed_attempt &failure, state::time_point now) = 0; // another attempt would do no harm
+
+    // "Was not run" is said only with proof.
+    retry_verdict giveUp(const failed_attempt &failure, refusal_reason reason, state::time_point now)
+    {
+        const bool proven = isProvenNotRun(failure) && !failure.answerStarted;
+        return {.again = false, .refusal = proven ? reason : refusal_reason::unknown_outcome, .retryAt = retryTime(failure, now)};
+    }
+
+private:
+    state::time_point retryTime(const failed_attempt &failure, state::time_point now)
+    {
+        return failure.retryAt > now ? failure.retryAt : now + MinRetryDelay + std::chrono::milliseconds(m_random(RetrySpreadMs));
+    }
+
+    pcg32 m_random;
+};
+
+// The baseline: a fixed number of attempts, whatever the load.
+class fixed_count final : public retry_base
+{
+public:
+    using retry_base::retry_base;
+
+    void noteRequest(state::time_point) override
+    { }
+
+protected:
+    retry_verdict decideSafe(const failed_attempt &, state::time_point) override
+    {
+        return tryAgain();
+    }
+};
+
+// Attempts are paid from a token bucket that fills with the requests seen, so that retries stay a share of them.
+class budgeted final : public retry_base
+{
+public:
+    using retry_base::retry_base;
+
+    void noteRequest(state::time_point now) override
+    {
+        refill(now);
+        m_tokens = std::min(MaxTokens, m_tokens + TokensPerRequest);
+    }
+
+protected:
+    retry_verdict decideSafe(const failed_attempt &failure, state::time_point now) override
+    {
+        refill(now);
+        if (now + failure.expectedCost >= failure.deadline) {
+            return giveUp(failure, refusal_reason::deadline_unreachable, now);
+        }
+        if (m_tokens < 1.0) {
+            return giveUp(failure, refusal_reason::retry_budget_empty, now);
+        }
+        m_tokens -= 1.0;
+        return tryAgain();
+    }
+
+private:
+    void refill(state::time_point now)
+    {
+        if (m_refilledAt != state::time_point{} && now > m_refilledAt) {
+            m_tokens = std::min(MaxTokens, m_tokens + std::chrono::duration<double>(now - m_refilledAt).count() * TokensPerSecond);
+        }
+        m_refilledAt = std::max(m_refilledAt, now);
+    }
+
+    double m_tokens = MaxTokens;
+    state::time_point m_refilledAt; // epoch before the first call
+};
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<retry_policy>> makeRetryPolicy(std::string_view name, std::uint64_t seed)
+{
+    if (name == "budgeted") {
+        return std::make_unique<budgeted>(seed);
+    }
+    if (name == "fixed_count") {
+        return std::make_unique<fixed_count>(seed);
+    }
+    return makeError(coordination_error::unknown_policy, fmt::format("unknown retry policy \"{}\"", name));
+}
+
+} // namespace dandelionstall::coordination
--- /dev/null
+++ b/coordination/tests/test_retry.cpp
@@ -0,0 +1,106 @@
+// Tests of coordination/retry.h.
+#include <dandelionstall/coordination/retry.h>
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <rapidcheck.h>
+
+using namespace dandelionstall;
+using namespace dandelionstall::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+const state::time_point Start{1h};
+constexpr std::uint64_t Seed = 20'261'203;
+
+std::unique_ptr<retry_policy> makePolicy(std::string_view name)
+{
+    return *makeRetryPolicy(name, Seed);
+}
+
+failed_attempt makeRefused()
+{
+    failed_attempt failure;
+    failure.kind = retry_reason::refused;
+    failure.refusal = refusal_reason::low_worth;
+    failure.run = run_state::not_run;
+    failure.deadline = Start + 1s;
+    return failure;
+}
+
+failed_attempt anyFailure()
+{
+    failed_attempt failure;
+    failure.kind = static_cast<retry_reason>(*rc::gen::inRange(0, 8));
+    failure.refusal = static_cast<refusal_reason>(*rc::gen::inRange(0, 22));
+    failure.run = *rc::gen::element(run_state::not_run, run_state::ran, run_state::unknown);
+    failure.idempotent = *rc::gen::arbitrary<bool>();
+    failure.answerStarted = *rc::gen::arbitrary<bool>();
+    failure.attempts = *rc::gen::inRange<std::uint32_t>(1, 5);
+    failure.deadline = Start + std::chrono::milliseconds(*rc::gen::inRange(-100, 1000));
+    failure.retryAt = *rc::gen::element(state::time_point{}, Start + 3s);
+    failure.expectedCost = std::chrono::milliseconds(*rc::gen::inRange(0, 500));
+    return failure;
+}
+
+} // namespace
+
+Test(retry, unknown_names_are_refused)
+{
+    cr_assert(not(makeRetryPolicy("always", Seed).ok()));
+}
+
+Test(retry, never_repeats_work_that_may_have_run_and_never_claims_without_proof)
+{
+    for (const std::string_view name : {"fixed_count", "budgeted"}) {
+        cr_assert(rc::check(std::string(name), [name] {
+            const failed_attempt failure = anyFailure();
+            const retry_verdict verdict = makePolicy(name)->decide(failure, Start);
+            RC_ASSERT(!verdict.again || failure.idempotent || failure.run == run_state::not_run);
+            RC_ASSERT(!verdict.again || (!failure.answerStarted && failure.deadline > Start));
+            RC_ASSERT(verdict.again || verdict.refusal != refusal_reason::none);
+            RC_ASSERT(verdict.again || failure.run == run_state::not_run || verdict.refusal == refusal_reason::unknown_outcome);
+            RC_ASSERT(verdict.again || verdict.retryAt > Start);
+            RC_ASSERT(verdict.again || failure.retryAt <= Start || verdict.retryAt == failure.retryAt);
+        }));
+    }
+}
+
+Test(retry, gives_up_when_the_deadline_cannot_be_met)
+{
+    failed_attempt failure = makeRefused();
+    failure.expectedCost = 1s;
+    cr_assert(makePolicy("budgeted")->decide(failure, Start).refusal == refusal_reason::deadline_unreachable);
+}
+
+Test(retry, takes_a_duplicate_for_unknown)
+{
+    failed_attempt failure = makeRefused();
+    failure.refusal = refusal_reason::duplicate_attempt;
+    const auto verdict = makePolicy("budgeted")->decide(failure, Start);
+    cr_assert(not(verdict.again));
+    cr_assert(verdict.refusal == refusal_reason::unknown_outcome);
+}
+
+// The bound stated in docs/design/admission.md: 10 + a tenth of the requests + one per two seconds.
+Test(retry, keeps_to_its_budget_over_any_interval)
+{
+    cr_assert(rc::check("budget bound", [] {
+        const auto policy = makePolicy("budgeted");
+        state::time_point now = Start;
+        double requests = 0;
+        double retries = 0;
+        for (const int gapMs : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 50))) {
+            now += std::chrono::milliseconds(gapMs);
+            policy->noteRequest(now);
+            ++requests;
+            failed_attempt failure = makeRefused();
+            failure.deadline = now + 1s;
+            while (policy->decide(failure, now).again) {
+                ++retries;
+            }
+            RC_ASSERT(retries <= 10 + 0.1 * requests + 0.5 * std::chrono::duration<double>(now - Start).count() + 1e-6);
+        }
+    }));
+}
