Stand-in worker and stand-in configuration service

Cause: the path of a request needs workers and tables served by real processes. Ruled out: a slot held until an explicit release; when the caller closes in the moment a slot is granted, the grant is dropped and the slot would stay taken. A slot is a lease that frees itself. Before: no stand-ins.

--- /dev/null
+++ b/tests/standins/config_service.cpp
@@ -0,0 +1,147 @@
+#include "config_service.h"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include <charconv>
+
+namespace dandelionstall::standins {
+
+using namespace asio::experimental::awaitable_operators;
+
+namespace {
+
+constexpr std::string_view ValuePrefix = "/v1/kv/";
+constexpr std::string_view NodesPath = "/v1/catalog/nodes";
+constexpr std::string_view SetPrefix = "/_set/";
+constexpr std::string_view NodesKey = "_nodes";
+constexpr std::chrono::minutes DefaultWait{5};
+constexpr std::chrono::milliseconds MaxWait{600000};
+
+std::uint64_t leadingNumber(std::string_view text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+std::string parameterOf(std::string_view query, std::string_view name)
+{
+    while (!query.empty()) {
+        const std::string_view item = query.substr(0, query.find('&'));
+        query.remove_prefix(std::min(query.size(), item.size() + 1));
+        const std::size_t equals = item.find('=');
+        if (item.substr(0, equals) == name) {
+            return equals == std::string_view::npos ? "" : std::string(item.substr(equals + 1));
+        }
+    }
+    return {};
+}
+
+// "10s", "250ms", "5m"
+std::chrono::milliseconds parseWait(std::string_view text)
+{
+    const std::uint64_t number = leadingNumber(text);
+    if (text.empty() || number == 0) {
+        return DefaultWait;
+    }
+    if (text.ends_with("ms")) {
+        return std::chrono::milliseconds(number);
+    }
+    return text.ends_with('m') ? std::chrono::milliseconds(std::chrono::minutes(number)) : std::chrono::milliseconds(std::chrono::seconds(number));
+}
+
+} // namespace
+
+config_service::config_service(asio::io_context &io)
+    : m_io(io)
+    , m_changed(io, asio::steady_timer::time_point::max())
+{
+    set(std::string(NodesKey), "[]");
+}
+
+void config_service::set(const std::string &key, std::string value)
+{
+    m_values[key] = {std::move(value), ++m_index};
+    m_changed.cancel();
+}
+
+asio::awaitable<http_reply> config_service::answer(const http_request &request, tcp::socket &peer)
+{
+    const std::string target(request.target());
+    const bool put = request.method() == http::verb::put;
+    if (put && target.starts_with(SetPrefix)) {
+        set(target.substr(SetPrefix.size()), request.body());
+        co_return makeReply(http::status::ok, "true\n");
+    }
+    if (put && target == "/_nodes") {
+        set(std::string(NodesKey), request.body());
+        co_return makeReply(http::status::ok, "true\n");
+    }
+    if (target == "/_calls") {
+        co_return describeCalls();
+    }
+    if (target.starts_with(ValuePrefix) || target.starts_with(NodesPath)) {
+        co_return co_await read(parseQuery(target), peer);
+    }
+    co_return makeReply(http::status::not_found, "no such path\n");
+}
+
+asio::awaitable<http_reply> config_service::read(read_query query, tcp::socket &peer)
+{
+    ++m_calls[query.key];
+    if (query.index > 0) {
+        co_await (awaitChange(query.key, query.index) || pauseFor(query.wait) || awaitPeerClosed(peer));
+    }
+    const auto found = m_values.find(query.key);
+    const bool present = found != m_values.end();
+    http_reply reply = present ? makeReply(http::status::ok, found->second.text, query.contentType) : makeReply(http::status::not_found, "");
+    reply.message.set("X-Consul-Index", fmt::to_string(present ? found->second.index : m_index));
+    co_return reply;
+}
+
+asio::awaitable<void> config_service::awaitChange(std::string key, std::uint64_t index)
+{
+    const auto changed = [this, &key, index] {
+        const auto found = m_values.find(key);
+        return found != m_values.end() && found->second.index > index;
+    };
+    while (!changed()) {
+        boost::system::error_code ignored;
+        co_await m_changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+http_reply config_service::describeCalls() const
+{
+    boost::json::object body;
+    std::uint64_t total = 0;
+    for (const auto &[key, count] : m_calls) {
+        body[key] = count;
+        total += count;
+    }
+    body["total"] = total;
+    return makeReply(http::status::ok, boost::json::serialize(body), "application/json");
+}
+
+config_service::read_query config_service::parseQuery(std::string_view target)
+{
+    const std::size_t mark = target.find('?');
+    const std::string_view path = target.substr(0, mark);
+    const std::string_view parameters = mark == std::string_view::npos ? "" : target.substr(mark + 1);
+    read_query query;
+    query.index = leadingNumber(parameterOf(parameters, "index"));
+    query.wait = std::min(parseWait(parameterOf(parameters, "wait")), MaxWait);
+    if (path.starts_with(ValuePrefix)) {
+        query.key = path.substr(ValuePrefix.size());
+    } else {
+        query.key = NodesKey;
+        query.contentType = "application/json";
+    }
+    return query;
+}
+
+} // namespace dandelionstall::standins
--- /dev/null
+++ b/tests/standins/http_server.h
@@ -0,0 +1,62 @@
+// A small HTTP/1.1 server shared by the stand-ins: one coroutine per connection, keep-alive, answers made by a service.
+//
+// Usage:
+//   struct hello : http_service { ... };
+//   asio::io_context io;
+//   hello service;
+//   runHttpProgram(io, listenOn(io, "127.0.0.1:0"), service);   // prints "port=NNNN", runs until SIGTERM
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace dandelionstall::standins {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+using http_request = http::request<http::string_body>;
+using http_response = http::response<http::string_body>;
+
+// How an answer leaves the server; anything but whole is a fault.
+enum class delivery {
+    whole,     // all of it, keep-alive as asked
+    truncated, // half of the body, then the connection is closed
+    reset,     // no byte; the connection is reset
+    dropped,   // no byte; the connection is closed
+};
+
+struct http_reply {
+    http_response message;
+    delivery how = delivery::whole;
+};
+
+class http_service
+{
+public:
+    virtual ~http_service() = default;
+
+    virtual asio::awaitable<http_reply> answer(const http_request &request, tcp::socket &peer) = 0; // peer only for awaitPeerClosed()
+};
+
+http_reply makeReply(http::status status, std::string body, std::string_view contentType = "text/plain"); // whole delivery
+std::string headerOf(const http_request &request, std::string_view name);                                 // empty when absent
+std::uint64_t headerNumber(const http_request &request, std::string_view name, std::uint64_t otherwise);  // otherwise: absent or no number
+
+asio::awaitable<void> awaitPeerClosed(tcp::socket &peer);                 // returns when the peer has closed or reset the connection
+asio::awaitable<void> pauseFor(std::chrono::microseconds span);           // sleeps; cancellable
+tcp::acceptor listenOn(asio::io_context &io, const std::string &address); // "127.0.0.1:0"; throws when it cannot be bound
+
+asio::awaitable<void> serveHttp(tcp::acceptor acceptor, http_service &service);          // until the acceptor fails
+int runHttpProgram(asio::io_context &io, tcp::acceptor acceptor, http_service &service); // exit code of the program
+
+} // namespace dandelionstall::standins
--- /dev/null
+++ b/tests/standins/worker_service.h
@@ -0,0 +1,43 @@
+// The stand-in worker: runs requests in a fixed number of slots and answers with a verifiable body.
+//
+// A test steers it by request headers:
+//   X-Request-Id       names the request; the answer body is made from it
+//   X-Test-Cost-Ms     run time in the slot
+//   X-Test-Bytes       size of the answer
+//   X-Test-Idempotent  "yes" or "no"; only for the log
+//   X-Deadline-Ms      milliseconds left; work that would end later is broken off then, with status 504
+// Each run is logged to standard output: "start <request id> <idempotent> <steady us>" and "end <request id> <outcome>
+// <steady us>". Closing the connection stops the work and frees its slot.
+#pragma once
+
+#include "http_server.h"
+#include "slot_gate.h"
+
+#include <cstdint>
+#include <string>
+
+namespace dandelionstall::standins {
+
+struct worker_options {
+    std::string name = "worker"; // sent as X-Worker
+    std::uint32_t slots = 3;
+    std::size_t defaultBytes = 64; // answer size without X-Test-Bytes
+};
+
+class worker_service : public http_service
+{
+public:
+    worker_service(asio::io_context &io, const worker_options &options);
+
+    asio::awaitable<http_reply> answer(const http_request &request, tcp::socket &peer) override;
+
+private:
+    asio::awaitable<http_reply> work(const http_request &request, tcp::socket &peer);
+    http_reply describeHealth() const;
+    http_reply describeLoad() const;
+
+    worker_options m_options;
+    slot_gate m_slots;
+};
+
+} // namespace dandelionstall::standins
