--- a/programs/dandelionstall/request_run.h
+++ b/programs/dandelionstall/request_run.h
@@ -9,6 +9,7 @@
 #include "ingress.h"
 
 #include <dandelionstall/coordination/retry.h>
+#include <dandelionstall/state/attempts.h>
 
 #include <memory>
 #include <optional>
