--- a/programs/dandelionstall/request_run.cpp
+++ b/programs/dandelionstall/request_run.cpp
@@ -141,7 +141,9 @@
         boost::json::object body;
         body["ticket"] = state::formatTicket(ticket);
         body["expires_at_ms"] = expiresAtMs;
-        co_return co_await m_connection.sendWhole(201, {{"Content-Type", "application/json"}}, boost::json::serialize(body) + "\n");
+        protocol::http_headers headers;
+        headers.push_back({"Content-Type", "application/json"});
+        co_return co_await m_connection.sendWhole(201, headers, boost::json::serialize(body) + "\n");
     }
     co_return co_await refuse(refusal_reason::no_capacity, run_state::not_run, state::clock::now() + NoCapacityRetryAfter);
 }
