--- a/coordination/include/dandelionstall/coordination/ejector.h
+++ b/coordination/include/dandelionstall/coordination/ejector.h
@@ -11,6 +11,18 @@
 
 namespace dandelionstall::coordination {
 
+// Why a worker is left out or has less than its full share.
+enum class ejection_reason {
+    none,       // nothing speaks against it
+    failures,   // its real work fails more often than its peers'
+    slow,       // its real work runs longer than its peers'
+    stalled,    // its running work makes no progress
+    path,       // one direction of the path to its node is cut
+    cold_start, // it has just started; its share grows
+    trial,      // back after an ejection; its share grows with successful work
+    floor,      // looks sick, but is kept in use by the pool's floor
+};
+
 // What a node knows about the path to a worker's node, beside the worker's own report.
 struct path_evidence {
     bool iHearIt = true;               // messages from it arrive
@@ -27,18 +39,23 @@
 
 // Memory of ejection, one per worker, carried from one judgement to the next.
 struct ejection_record {
-    worker_state state = worker_state::unknown; // last verdict
-    state::time_point holdUntil;                // no re-admission before this
-    state::time_point probationFrom;            // start of the growing share
-    std::uint32_t timesEjected = 0;             // lately; makes the hold longer
-    state::time_point lastEjectedAt;            // for forgetting timesEjected
-    double weight = 1.0;                        // share given by the last verdict
+    worker_state state = worker_state::unknown;     // last verdict
+    state::time_point holdUntil;                    // no re-admission before this
+    state::time_point probationFrom;                // start of the growing share
+    state::time_point grownAt;                      // last change of the growing share
+    std::uint32_t timesEjected = 0;                 // lately; makes the hold longer
+    state::time_point lastEjectedAt;                // for forgetting timesEjected
+    double weight = 1.0;                            // share given by the last verdict
+    double severity = 0.0;                          // how bad it looked when it was ejected; the worst are ejected first
+    state::incarnation incarnation = 0;             // of the sidecar that the record is about; a new one starts cold
+    ejection_reason reason = ejection_reason::none; // behind the last verdict
 };
 
 struct ejection_input {
     const pool_view *view = nullptr;                         // reports of the workers; never null
     std::map<std::string, path_evidence, std::less<>> paths; // by worker id; absent means nothing special
     self_condition self;                                     // trust in the own view
+    std::uint64_t seed = 0;                                  // of the node; spreads the end of holds over the nodes
     state::time_point now;
 };
 
@@ -55,6 +72,7 @@
 // Names: "peer_outlier" (chosen), "consecutive_failures" (baseline without floor).
 absl::StatusOr<std::unique_ptr<ejector>> makeEjector(std::string_view name);
 
+std::string_view reasonName(ejection_reason reason);                // "failures", ...
 void applyVerdicts(const ejection_memory &memory, pool_view &view); // writes state and weight into the view
 
 } // namespace dandelionstall::coordination
--- /dev/null
+++ b/coordination/include/dandelionstall/coordination/pool_tracker.h
@@ -0,0 +1,111 @@
+// What one node knows of the pools it needs: folds worker reports, observations of paths and membership into pool
+// views. Pure; used from the control thread. Time comes in with each call.
+//
+// Only pools of the node's own workers and pools it lately routed to are kept; for all others use makePoolView().
+//
+// Usage:
+//   pool_tracker tracker(seed, "kiambu");
+//   tracker.setTable(table, now);
+//   tracker.noteOwnPool("catalogue");
+//   tracker.noteInterest("dressing-order", now);  // again with each use
+//   if (tracker.noteReport(report, now)) { ... pass it on ... }
+//   for (const std::string &pool : tracker.judge(now)) { ... publish tracker.views() ... }
+//
+// Index:
+//   [SECTION] Observations
+//   [SECTION] Tracker
+#pragma once
+
+#include <dandelionstall/coordination/ejector.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dandelionstall::coordination {
+
+// [SECTION] Observations
+
+// One observation of the path to a node.
+enum class path_event {
+    success,      // an attempt came back over it
+    failure,      // an attempt broke on it
+    silent,       // messages are expected from the node and none arrive
+    heard,        // a message from the node has arrived
+    hears_me,     // the node says that this node's messages arrive
+    hears_me_not, // the node says that they do not
+};
+
+// What membership says about a node.
+enum class node_condition {
+    live,    // in service
+    leaving, // takes no new work
+    dead,    // does not answer this node nor others asked to try
+};
+
+// State of one worker for the admin API.
+struct worker_explanation {
+    std::string worker;                             // worker id
+    worker_state state = worker_state::unknown;     // in the current view
+    ejection_reason reason = ejection_reason::none; // of the ejector
+    double weight = 1.0;                            // share of work
+    std::uint32_t timesEjected = 0;                 // lately
+    std::string text;                               // one line for people
+};
+
+// [SECTION] Tracker
+
+class pool_tracker
+{
+public:
+    using pool_views = std::map<std::string, std::shared_ptr<const pool_view>, std::less<>>;
+
+    pool_tracker(std::uint64_t seed, std::string dataCentre);
+
+    void setTable(std::shared_ptr<const state::pool_table> table, state::time_point now);    // keeps what is known of workers that stay
+    void noteOwnPool(std::string_view pool);                                                 // tracked without expiry
+    void noteInterest(std::string_view pool, state::time_point now);                         // tracked until it has not been noted for a while
+    bool noteReport(const worker_report &report, state::time_point now);                     // true when newer than what was known; false too when untracked
+    void notePath(const state::node_address &node, path_event event, state::time_point now); // ignored for nodes without a tracked worker
+    void noteNode(const state::node_address &node, node_condition condition, state::time_point now);
+    void notePause(state::time_point now);                 // the process slept: judges nobody anew until fresh reports had time to come
+    void setIsolated(bool isolated);                       // this node hears almost nobody
+    std::vector<std::string> judge(state::time_point now); // names of the pools whose view has changed
+    pool_views views() const;                              // of all tracked pools, immutable
+    std::vector<worker_explanation> explain(std::string_view pool, state::time_point now) const; // in table order; empty when untracked
+
+private:
+    struct path_record {
+        bool iHearIt = true;
+        bool itHearsMe = true;
+        std::vector<state::time_point> failures; // since the last success
+        state::time_point lastSuccess;
+    };
+
+    struct tracked_pool {
+        pool_view view;         // latest, changed in place
+        ejection_memory memory; // of the ejector
+        std::unique_ptr<ejector> policy;
+        std::shared_ptr<const pool_view> published;
+        state::time_point expiresAt; // time_point::max() for own pools
+        bool changed = true;         // since it was published
+    };
+
+    tracked_pool *track(std::string_view pool, state::time_point expiresAt);
+    void untrackExpired(state::time_point now);
+    ejection_input makeInput(const tracked_pool &pool, state::time_point now) const;
+    void markNodes(tracked_pool &pool) const;
+    bool judgePool(tracked_pool &pool, state::time_point now);
+
+    std::uint64_t m_seed;
+    std::string m_dataCentre;
+    std::shared_ptr<const state::pool_table> m_table;
+    std::map<std::string, tracked_pool, std::less<>> m_pools;
+    std::map<std::string, bool, std::less<>> m_ownPools;
+    std::map<state::node_address, path_record> m_paths;         // only nodes that something is known of
+    std::map<state::node_address, node_condition> m_conditions; // leaving and dead nodes only
+    self_condition m_self;
+};
+
+} // namespace dandelionstall::coordination
--- a/coordination/include/dandelionstall/coordination/pool_view.h
+++ b/coordination/include/dandelionstall/coordination/pool_view.h
@@ -35,6 +35,8 @@
     double slowness = 1.0;                      // run time against the cost expected for its routes; 1 is normal
     std::uint32_t samples = 0;                  // recent outcomes behind the two values above
     std::chrono::microseconds oldestRunning{0}; // age of the oldest running item beyond its expected cost
+    std::uint32_t overdue = 0;                  // running items beyond their expected cost that no later item has overtaken
+    bool probeFailing = false;                  // the latest probe failed; strengthens other evidence, decides nothing alone
     bool leaving = false;                       // takes no new work
     bool starting = false;                      // cold: not yet ready for its full share
 };
--- /dev/null
+++ b/coordination/src/ejector.cpp
@@ -0,0 +1,105 @@
+#include <dandelionstall/coordination/ejector.h>
+
+#include <dandelionstall/coordination/errors.h>
+
+#include "ejector_policies.h"
+
+#include <fmt/format.h>
+
+namespace dandelionstall::coordination {
+
+namespace {
+
+constexpr double BaselineFailureShare = 0.5;                // of recent work
+constexpr std::uint32_t BaselineSamples = 5;                // outcomes before it judges
+constexpr std::uint32_t BaselinePathFailures = 3;           // attempts broken in a row
+constexpr std::chrono::milliseconds BaselineHoldMs{30'000}; // fixed hold
+
+// Baseline: ejects whoever fails, for a fixed time, whatever that leaves in use.
+class consecutive_failures_ejector final : public ejector
+{
+public:
+    ejection_memory judge(const ejection_input &input, const ejection_memory &before) const override
+    {
+        ejection_memory after;
+        for (const worker_view &worker : input.view->workers) {
+            const auto known = before.find(worker.id);
+            ejection_record record = known == before.end() ? ejection_record{} : known->second;
+            const auto path = input.paths.find(worker.id);
+            judgeWorker(worker, path == input.paths.end() ? path_evidence{} : path->second, input.now, record);
+            after.emplace(worker.id, record);
+        }
+        return after;
+    }
+
+private:
+    static void judgeWorker(const worker_view &worker, const path_evidence &path, state::time_point now, ejection_record &record)
+    {
+        if (record.state == worker_state::ejected && now < record.holdUntil) {
+            return;
+        }
+        const bool workFails = worker.report.samples >= BaselineSamples && 1.0 - worker.report.successShare >= BaselineFailureShare;
+        const bool pathFails = path.recentFailures >= BaselinePathFailures && path.recentSuccesses == 0;
+        if (workFails || pathFails) {
+            record.state = worker_state::ejected;
+            record.reason = workFails ? ejection_reason::failures : ejection_reason::path;
+            record.holdUntil = now + BaselineHoldMs;
+            record.lastEjectedAt = now;
+            ++record.timesEjected;
+            return;
+        }
+        record.state = worker.report.version != 0 ? worker_state::healthy : worker_state::unknown;
+        record.reason = ejection_reason::none;
+    }
+};
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<ejector>> makeEjector(std::string_view name)
+{
+    if (name == "peer_outlier") {
+        return detail::makePeerOutlierEjector();
+    }
+    if (name == "consecutive_failures") {
+        return std::make_unique<consecutive_failures_ejector>();
+    }
+    return makeError(coordination_error::unknown_policy, fmt::format("no ejector is called \"{}\"", name));
+}
+
+std::string_view reasonName(ejection_reason reason)
+{
+    switch (reason) {
+    case ejection_reason::none:
+        return "none";
+    case ejection_reason::failures:
+        return "failures";
+    case ejection_reason::slow:
+        return "slow";
+    case ejection_reason::stalled:
+        return "stalled";
+    case ejection_reason::path:
+        return "path";
+    case ejection_reason::cold_start:
+        return "cold_start";
+    case ejection_reason::trial:
+        return "trial";
+    case ejection_reason::floor:
+        return "floor";
+    }
+    return "none";
+}
+
+void applyVerdicts(const ejection_memory &memory, pool_view &view)
+{
+    for (worker_view &worker : view.workers) {
+        const auto found = memory.find(worker.id);
+        if (found == memory.end()) {
+            continue;
+        }
+        const bool marked = worker.state == worker_state::leaving || worker.state == worker_state::unreachable;
+        worker.state = marked ? worker.state : found->second.state;
+        worker.weight = found->second.weight;
+    }
+}
+
+} // namespace dandelionstall::coordination
--- /dev/null
+++ b/coordination/src/pool_tracker.cpp
@@ -0,0 +1,303 @@
+#include <dandelionstall/coordination/pool_tracker.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace dandelionstall::coordination {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::chrono::minutes InterestTime{5}; // a pool is forgotten when it has not been used for this long
+constexpr milliseconds PauseDistrustMs{1500};   // after a pause, until fresh reports of all nodes had time to come
+constexpr milliseconds PathWindowMs{3000};      // path outcomes older than this are forgotten
+constexpr std::size_t MaxPathFailures = 8;      // remembered per node
+constexpr std::string_view DefaultEjector = "peer_outlier";
+
+const worker_view *findWorker(const pool_view &view, const std::string &id)
+{
+    const auto found = std::find_if(view.workers.begin(), view.workers.end(), [&id](const worker_view &worker) { return worker.id == id; });
+    return found == view.workers.end() ? nullptr : &*found;
+}
+
+const state::pool *findRow(const state::pool_table &table, std::string_view name)
+{
+    const auto found = std::find_if(table.pools.begin(), table.pools.end(), [name](const state::pool &row) { return row.name == name; });
+    return found == table.pools.end() ? nullptr : &*found;
+}
+
+// Takes over what is known of workers that are still at the same place.
+void carryOver(const pool_view &before, pool_view &after)
+{
+    for (worker_view &worker : after.workers) {
+        const worker_view *known = findWorker(before, worker.id);
+        if (known == nullptr || known->node != worker.node) {
+            continue;
+        }
+        worker.state = known->state;
+        worker.weight = known->weight;
+        worker.report = known->report;
+        worker.heardAt = known->heardAt;
+        worker.incarnation = known->incarnation;
+    }
+}
+
+std::unique_ptr<ejector> makePolicy(const std::string &name)
+{
+    auto policy = makeEjector(name);
+    return policy.ok() ? std::move(*policy) : std::move(*makeEjector(DefaultEjector));
+}
+
+std::string describe(const worker_view &worker, const ejection_record &record, state::time_point now)
+{
+    const auto heardAgo = std::chrono::duration_cast<milliseconds>(now - worker.heardAt).count();
+    const std::string report = worker.report.version == 0 ? "no report yet"
+                                                          : fmt::format("success {:.0f} % of {}, slowness {:.1f}, report {} ms old",
+                                                                        worker.report.successShare * 100.0,
+                                                                        worker.report.samples,
+                                                                        worker.report.slowness,
+                                                                        heardAgo);
+    if (worker.state == worker_state::ejected) {
+        const auto holdLeft = std::chrono::duration_cast<milliseconds>(record.holdUntil - now).count();
+        return fmt::format("ejected for {}, hold ends in {} ms, ejected {} times lately; {}",
+                           reasonName(record.reason),
+                           std::max<milliseconds::rep>(holdLeft, 0),
+                           record.timesEjected,
+                           report);
+    }
+    if (worker.state == worker_state::probation) {
+        return fmt::format("share {:.0f} % ({}); {}", record.weight * 100.0, reasonName(record.reason), report);
+    }
+    return fmt::format("{}; {}", stateName(worker.state), report);
+}
+
+} // namespace
+
+pool_tracker::pool_tracker(std::uint64_t seed, std::string dataCentre)
+    : m_seed(seed)
+    , m_dataCentre(std::move(dataCentre))
+{ }
+
+void pool_tracker::setTable(std::shared_ptr<const state::pool_table> table, state::time_point now)
+{
+    m_table = std::move(table);
+    std::map<std::string, tracked_pool, std::less<>> before;
+    before.swap(m_pools);
+    for (auto &[name, old] : before) {
+        tracked_pool *pool = track(name, old.expiresAt);
+        if (pool == nullptr) {
+            continue;
+        }
+        carryOver(old.view, pool->view);
+        pool->memory = std::move(old.memory);
+        std::erase_if(pool->memory, [pool](const auto &entry) { return findWorker(pool->view, entry.first) == nullptr; });
+        pool->published = std::make_shared<const pool_view>(pool->view);
+    }
+    for (const auto &[name, own] : m_ownPools) {
+        track(name, state::time_point::max());
+    }
+    untrackExpired(now);
+}
+
+void pool_tracker::noteOwnPool(std::string_view pool)
+{
+    m_ownPools.emplace(pool, true);
+    track(pool, state::time_point::max());
+}
+
+void pool_tracker::noteInterest(std::string_view pool, state::time_point now)
+{
+    track(pool, now + InterestTime);
+}
+
+bool pool_tracker::noteReport(const worker_report &report, state::time_point now)
+{
+    const auto pool = m_pools.find(report.pool);
+    if (pool == m_pools.end()) {
+        return false;
+    }
+    std::vector<worker_view> &workers = pool->second.view.workers;
+    const auto worker = std::find_if(workers.begin(), workers.end(), [&report](const worker_view &row) { return row.id == report.worker; });
+    if (worker == workers.end() || !isNewer(report, worker->report)) {
+        return false;
+    }
+    worker->report = report;
+    worker->heardAt = now;
+    worker->incarnation = report.incarnation;
+    worker->slots = report.slots != 0 ? report.slots : worker->slots;
+    pool->second.changed = true;
+    return true;
+}
+
+void pool_tracker::notePath(const state::node_address &node, path_event event, state::time_point now)
+{
+    const bool good = event == path_event::success || event == path_event::heard || event == path_event::hears_me;
+    const auto known = m_paths.find(node);
+    if (known == m_paths.end() && good) {
+        return;
+    }
+    path_record &path = known == m_paths.end() ? m_paths[node] : known->second;
+    switch (event) {
+    case path_event::success:
+        path.iHearIt = true;
+        path.itHearsMe = true;
+        path.failures.clear();
+        path.lastSuccess = now;
+        break;
+    case path_event::failure:
+        path.failures.push_back(now);
+        if (path.failures.size() > MaxPathFailures) {
+            path.failures.erase(path.failures.begin());
+        }
+        break;
+    case path_event::silent:
+        path.iHearIt = false;
+        break;
+    case path_event::heard:
+        path.iHearIt = true;
+        break;
+    case path_event::hears_me:
+        path.itHearsMe = true;
+        break;
+    case path_event::hears_me_not:
+        path.itHearsMe = false;
+        break;
+    }
+}
+
+void pool_tracker::noteNode(const state::node_address &node, node_condition condition, state::time_point)
+{
+    if (condition == node_condition::live) {
+        m_conditions.erase(node);
+    } else {
+        m_conditions[node] = condition;
+    }
+}
+
+void pool_tracker::notePause(state::time_point now)
+{
+    m_self.trustedFrom = now + PauseDistrustMs;
+    m_paths.clear();
+}
+
+void pool_tracker::setIsolated(bool isolated)
+{
+    m_self.isolated = isolated;
+}
+
+std::vector<std::string> pool_tracker::judge(state::time_point now)
+{
+    untrackExpired(now);
+    std::vector<std::string> changed;
+    for (auto &[name, pool] : m_pools) {
+        if (judgePool(pool, now)) {
+            changed.push_back(name);
+        }
+    }
+    return changed;
+}
+
+pool_tracker::pool_views pool_tracker::views() const
+{
+    pool_views result;
+    for (const auto &[name, pool] : m_pools) {
+        result.emplace(name, pool.published);
+    }
+    return result;
+}
+
+std::vector<worker_explanation> pool_tracker::explain(std::string_view pool, state::time_point now) const
+{
+    std::vector<worker_explanation> result;
+    const auto found = m_pools.find(pool);
+    if (found == m_pools.end()) {
+        return result;
+    }
+    for (const worker_view &worker : found->second.view.workers) {
+        const auto known = found->second.memory.find(worker.id);
+        const ejection_record record = known == found->second.memory.end() ? ejection_record{} : known->second;
+        result.push_back({worker.id, worker.state, record.reason, worker.weight, record.timesEjected, describe(worker, record, now)});
+    }
+    return result;
+}
+
+pool_tracker::tracked_pool *pool_tracker::track(std::string_view pool, state::time_point expiresAt)
+{
+    if (const auto known = m_pools.find(pool); known != m_pools.end()) {
+        known->second.expiresAt = std::max(known->second.expiresAt, expiresAt);
+        return &known->second;
+    }
+    const state::pool *row = m_table == nullptr ? nullptr : findRow(*m_table, pool);
+    if (row == nullptr) {
+        return nullptr;
+    }
+    tracked_pool &tracked = m_pools[std::string(pool)];
+    tracked.view = makePoolView(*row);
+    tracked.policy = makePolicy(row->ejector);
+    tracked.expiresAt = expiresAt;
+    tracked.published = std::make_shared<const pool_view>(tracked.view);
+    return &tracked;
+}
+
+void pool_tracker::untrackExpired(state::time_point now)
+{
+    std::erase_if(m_pools, [now](const auto &entry) { return entry.second.expiresAt <= now; });
+}
+
+// Leaving and dead nodes are facts, not verdicts: they override the ejector.
+void pool_tracker::markNodes(tracked_pool &pool) const
+{
+    for (worker_view &worker : pool.view.workers) {
+        const auto known = m_conditions.find(worker.node);
+        const bool dead = known != m_conditions.end() && known->second == node_condition::dead;
+        const bool leaving = worker.report.leaving || (known != m_conditions.end() && known->second == node_condition::leaving);
+        if (dead) {
+            worker.state = worker_state::unreachable;
+        } else if (leaving) {
+            worker.state = worker_state::leaving;
+        } else if (worker.state == worker_state::unreachable || worker.state == worker_state::leaving) {
+            worker.state = worker_state::unknown;
+        }
+    }
+}
+
+ejection_input pool_tracker::makeInput(const tracked_pool &pool, state::time_point now) const
+{
+    ejection_input input;
+    input.view = &pool.view;
+    input.self = m_self;
+    input.seed = m_seed;
+    input.now = now;
+    for (const worker_view &worker : pool.view.workers) {
+        const auto known = m_paths.find(worker.node);
+        if (known == m_paths.end()) {
+            continue;
+        }
+        const path_record &path = known->second;
+        const auto recent = std::count_if(path.failures.begin(), path.failures.end(), [now](state::time_point at) { return now - at <= PathWindowMs; });
+        const std::uint32_t successes = now - path.lastSuccess <= PathWindowMs ? 1 : 0;
+        input.paths.emplace(worker.id, path_evidence{path.iHearIt, path.itHearsMe, static_cast<std::uint32_t>(recent), successes});
+    }
+    return input;
+}
+
+bool pool_tracker::judgePool(tracked_pool &pool, state::time_point now)
+{
+    markNodes(pool);
+    pool.memory = pool.policy->judge(makeInput(pool, now), pool.memory);
+    applyVerdicts(pool.memory, pool.view);
+    const auto same = [](const worker_view &a, const worker_view &b) {
+        return a.state == b.state && a.weight == b.weight;
+    };
+    const std::vector<worker_view> &current = pool.view.workers;
+    const std::vector<worker_view> &shown = pool.published->workers;
+    if (!pool.changed && std::equal(current.begin(), current.end(), shown.begin(), shown.end(), same)) {
+        return false;
+    }
+    pool.published = std::make_shared<const pool_view>(pool.view);
+    pool.changed = false;
+    return true;
+}
+
+} // namespace dandelionstall::coordination
