Watch the platform's service and publish the configuration in force

Cause: a node needs the two tables before it can route.

Ruled out: one connection kept for all calls. A connection that goes silent would hold up both watches; a call of its own with a deadline costs one connect in 20 s.

Revisions never go back: older ones, other content under a known revision, broken tables and tables that do not join are refused with their reason and counted.

--- /dev/null
+++ b/coordination/src/config_store.cpp
@@ -0,0 +1,157 @@
+#include <dandelionstall/coordination/config_store.h>
+
+#include <dandelionstall/coordination/errors.h>
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace dandelionstall::coordination {
+
+namespace {
+
+template<typename table>
+table_version versionOf(const std::shared_ptr<const table> &parsed)
+{
+    return parsed ? table_version{parsed->revision, parsed->digest} : table_version{};
+}
+
+absl::Status refusal(state::state_error code, std::string_view reason)
+{
+    return fromState(state::makeError(code, reason));
+}
+
+} // namespace
+
+std::string_view tableName(table_kind kind)
+{
+    return kind == table_kind::routes ? "routes" : "pools";
+}
+
+std::string_view verdictName(offer_verdict verdict)
+{
+    switch (verdict) {
+    case offer_verdict::accepted:
+        return "accepted";
+    case offer_verdict::held:
+        return "held";
+    case offer_verdict::unchanged:
+        return "unchanged";
+    case offer_verdict::stale:
+        return "stale";
+    case offer_verdict::conflict:
+        return "conflict";
+    case offer_verdict::broken:
+        return "broken";
+    }
+    return "broken";
+}
+
+offer_result config_store::offer(table_kind kind, std::string text, std::string_view source)
+{
+    const std::string place = fmt::format("{}@{}", tableName(kind), source);
+    if (kind == table_kind::routes) {
+        absl::StatusOr<state::route_table> parsed = state::parseRouteTable(text, place);
+        return take(m_routes, kind, std::move(parsed), std::move(text));
+    }
+    absl::StatusOr<state::pool_table> parsed = state::parsePoolTable(text, place);
+    return take(m_pools, kind, std::move(parsed), std::move(text));
+}
+
+template<typename table>
+offer_result config_store::take(pair_of<table> &tables, table_kind kind, absl::StatusOr<table> parsed, std::string text)
+{
+    if (!parsed.ok()) {
+        return {offer_verdict::broken, {}, fromState(parsed.status())};
+    }
+    const table_version version{parsed->revision, parsed->digest};
+    const table_version best = versionOf(tables.held.parsed ? tables.held.parsed : tables.inForce.parsed);
+    if (version == best || version == versionOf(tables.inForce.parsed)) {
+        return {offer_verdict::unchanged, version, absl::OkStatus()};
+    }
+    if (version.revision == best.revision || version.revision == inForce(kind).revision) {
+        return {
+            offer_verdict::conflict, version, refusal(state::state_error::conflict, fmt::format("revision {} is known with other content", version.revision))};
+    }
+    if (version.revision < best.revision) {
+        return {
+            offer_verdict::stale, version, refusal(state::state_error::stale, fmt::format("revision {} is older than {}", version.revision, best.revision))};
+    }
+    tables.held.parsed = std::make_shared<const table>(*std::move(parsed));
+    tables.held.text = std::make_shared<const std::string>(std::move(text));
+    const absl::Status reason = settle();
+    const bool taken = versionOf(tables.inForce.parsed) == version;
+    return {taken ? offer_verdict::accepted : offer_verdict::held, version, taken ? absl::OkStatus() : reason};
+}
+
+// Puts the newest pair in force that fits together. Both held tables together go first, then each with the one in force.
+absl::Status config_store::settle()
+{
+    const auto newest = [](const auto &tables) {
+        return tables.held.parsed ? tables.held : tables.inForce;
+    };
+    absl::Status reason;
+    if (tryInForce(newest(m_routes), newest(m_pools), reason)) {
+        return absl::OkStatus();
+    }
+    absl::Status ignored;
+    if (!tryInForce(m_routes.inForce, newest(m_pools), ignored)) {
+        tryInForce(newest(m_routes), m_pools.inForce, ignored);
+    }
+    return reason;
+}
+
+bool config_store::tryInForce(const slot<state::route_table> &routes, const slot<state::pool_table> &pools, absl::Status &reason)
+{
+    if (routes.parsed) {
+        reason = pools.parsed ? fromState(state::checkJoin(*routes.parsed, *pools.parsed)) : refusal(state::state_error::unresolved, "no pool table yet");
+    }
+    if (!reason.ok()) {
+        return false;
+    }
+    const auto put = [](auto &tables, auto chosen) { // takes a copy: the argument may be the slot that is cleared
+        if (chosen.parsed == tables.held.parsed) {
+            tables.held = {};
+        }
+        tables.inForce = std::move(chosen);
+    };
+    put(m_routes, routes);
+    put(m_pools, pools);
+    return true;
+}
+
+std::shared_ptr<const state::route_table> config_store::routes() const
+{
+    return m_routes.inForce.parsed;
+}
+
+std::shared_ptr<const state::pool_table> config_store::pools() const
+{
+    return m_pools.inForce.parsed;
+}
+
+table_version config_store::inForce(table_kind kind) const
+{
+    return kind == table_kind::routes ? versionOf(m_routes.inForce.parsed) : versionOf(m_pools.inForce.parsed);
+}
+
+table_version config_store::known(table_kind kind) const
+{
+    if (kind == table_kind::routes) {
+        return versionOf(m_routes.held.parsed ? m_routes.held.parsed : m_routes.inForce.parsed);
+    }
+    return versionOf(m_pools.held.parsed ? m_pools.held.parsed : m_pools.inForce.parsed);
+}
+
+table_text config_store::text(table_kind kind, const table_version &version) const
+{
+    const auto find = [&version](const auto &tables) -> table_text {
+        if (versionOf(tables.inForce.parsed) == version) {
+            return tables.inForce.text;
+        }
+        return versionOf(tables.held.parsed) == version ? tables.held.text : nullptr;
+    };
+    return kind == table_kind::routes ? find(m_routes) : find(m_pools);
+}
+
+} // namespace dandelionstall::coordination
--- /dev/null
+++ b/programs/dandelionstall/control_watch.cpp
@@ -0,0 +1,116 @@
+#include "control_watch.h"
+
+#include <dandelionstall/protocol/platform.h>
+#include <dandelionstall/state/text.h>
+#include <dandelionstall/transport/events.h>
+
+#include <boost/asio.hpp>
+#include <fmt/format.h>
+
+namespace dandelionstall {
+
+namespace asio = boost::asio;
+using transport::event;
+
+namespace {
+
+constexpr std::chrono::seconds MaxWait{20};          // a blocking query is answered after this at the latest
+constexpr std::chrono::seconds AnswerGrace{4};       // on top of the wait
+constexpr std::chrono::milliseconds FirstPause{200}; // after one failure
+constexpr std::chrono::milliseconds LongestPause{10'000};
+constexpr std::uint32_t MaxDoublings = 6;
+
+} // namespace
+
+control_watch::control_watch(
+    asio::io_context &io, const transport::platform_client &client, transport::metrics &metrics, watch_options options, std::uint64_t seed)
+    : m_client(client)
+    , m_metrics(metrics)
+    , m_options(std::move(options))
+    , m_timer(io)
+    , m_random(seed)
+{ }
+
+void control_watch::start(answer_handler handler)
+{
+    asio::co_spawn(m_timer.get_executor(), run(std::move(handler)), asio::detached);
+}
+
+void control_watch::setActive(bool active)
+{
+    if (active && !m_active) {
+        m_index = 0; // whatever changed meanwhile is read at once
+        m_timer.cancel();
+    }
+    m_active = active;
+}
+
+void control_watch::stop()
+{
+    m_stopped = true;
+    m_timer.cancel();
+}
+
+asio::awaitable<void> control_watch::run(answer_handler handler)
+{
+    while (!m_stopped) {
+        if (!m_active) {
+            co_await pauseUntil(state::time_point::max());
+            continue;
+        }
+        const state::time_point earliestNext = state::clock::now() + m_options.minInterval;
+        const bool answered = co_await callOnce(handler);
+        co_await pauseUntil(answered ? earliestNext : state::clock::now() + drawPause());
+    }
+}
+
+asio::awaitable<bool> control_watch::callOnce(const answer_handler &handler)
+{
+    const std::uint64_t index = m_index;
+    const state::time_point deadline = state::clock::now() + (index == 0 ? std::chrono::seconds(0) : MaxWait) + AnswerGrace;
+    m_metrics.countNamed("platform_calls");
+    absl::StatusOr<transport::platform_answer> answer = co_await m_client.get(m_options.target(index, MaxWait), deadline);
+    noteOutcome(answer.status());
+    if (!answer.ok()) {
+        m_index = 0;
+        co_return false;
+    }
+    m_index = protocol::nextIndex(index, answer->index);
+    if (index == 0 || m_index != index) {
+        co_await handler(*std::move(answer));
+    }
+    co_return true;
+}
+
+asio::awaitable<void> control_watch::pauseUntil(state::time_point until)
+{
+    if (m_stopped || until <= state::clock::now()) {
+        co_return;
+    }
+    m_timer.expires_at(until);
+    co_await m_timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+void control_watch::noteOutcome(const absl::Status &status)
+{
+    if (status.ok()) {
+        if (m_failures > 0) {
+            transport::logEvent(event::watch_recovered, {{"watch", m_options.name}, {"failures", fmt::to_string(m_failures)}});
+        }
+        m_failures = 0;
+        return;
+    }
+    m_metrics.countNamed("platform_calls_failed");
+    if (m_failures++ == 0) {
+        transport::logEvent(event::watch_failed, {{"watch", m_options.name}, {"reason", std::string(state::messageOf(status))}});
+    }
+}
+
+std::chrono::milliseconds control_watch::drawPause()
+{
+    const auto longest = std::min(LongestPause, FirstPause * (1U << std::min(m_failures, MaxDoublings)));
+    const auto half = static_cast<std::uint32_t>(longest.count() / 2);
+    return std::chrono::milliseconds(half + m_random(half + 1));
+}
+
+} // namespace dandelionstall
--- a/transport/include/dandelionstall/transport/events.h
+++ b/transport/include/dandelionstall/transport/events.h
@@ -26,6 +26,22 @@
     node_stopped = 1003,     // info: nothing in flight any more
     settings_refused = 1004, // error: the settings file cannot be used
     listen_failed = 1005,    // error: an address cannot be bound
+
+    config_accepted = 4001,  // info: a newer table is in force
+    config_held = 4002,      // warn: a newer table waits for the other one
+    config_refused = 4003,   // error: a table cannot be parsed
+    config_stale = 4004,     // warn: an older table than the known one was offered
+    config_conflict = 4005,  // error: other content under a known revision; operators must write a higher one
+    watch_failed = 4006,     // warn: the platform's service does not answer
+    watch_recovered = 4007,  // info: the platform's service answers again
+    reader_changed = 4008,   // info: this node has become a reader of the service, or no longer is one
+    member_alive = 4020,     // info: a node was heard for the first time or came back
+    member_suspected = 4021, // info: a node does not answer
+    member_dead = 4022,      // warn: a suspected node did not refute it
+    member_leaving = 4023,   // info: a node takes no new work
+    self_doubt = 4024,       // warn: this node slept or is isolated and declares nobody dead
+    self_trust = 4025,       // info: this node trusts its view again
+    gossip_refused = 4026,   // warn: datagrams that are no valid messages
 };
 
 enum class log_level { trace, debug, info, warn, error };
--- /dev/null
+++ b/transport/src/platform_client.cpp
@@ -0,0 +1,92 @@
+#include <dandelionstall/transport/platform_client.h>
+
+#include <dandelionstall/transport/errors.h>
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+
+#include <charconv>
+
+namespace dandelionstall::transport {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t MaxAnswerBytes = 4'194'304; // the list of VMs is longer than one value
+
+constexpr auto Quiet = asio::as_tuple(asio::use_awaitable);
+
+std::uint64_t readIndex(const http::response<http::string_body> &response)
+{
+    const beast::string_view text = response["X-Consul-Index"];
+    std::uint64_t index = 0;
+    std::from_chars(text.data(), text.data() + text.size(), index);
+    return index;
+}
+
+// Leaves from the node's own address, where the families agree.
+boost::system::error_code bindLocal(asio::ip::tcp::socket &socket, const asio::ip::tcp::endpoint &remote, const std::string &localIp)
+{
+    boost::system::error_code error;
+    const asio::ip::address local = asio::ip::make_address(localIp, error);
+    if (error || local.is_v4() != remote.address().is_v4()) {
+        return error;
+    }
+    if (socket.open(remote.protocol(), error)) {
+        return error;
+    }
+    return socket.bind({local, 0}, error);
+}
+
+} // namespace
+
+platform_client::platform_client(state::node_address service, std::string localIp)
+    : m_service(std::move(service))
+    , m_localIp(std::move(localIp))
+{ }
+
+asio::awaitable<absl::StatusOr<platform_answer>> platform_client::get(std::string target, state::time_point deadline) const
+{
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    stream.expires_at(deadline);
+    boost::system::error_code error;
+    const asio::ip::tcp::endpoint remote(asio::ip::make_address(m_service.ip, error), m_service.port);
+    if (!error) {
+        error = bindLocal(stream.socket(), remote, m_localIp);
+    }
+    if (error) {
+        co_return fromSocket(transport_error::connect, error);
+    }
+    const auto [connectError] = co_await stream.async_connect(remote, Quiet);
+    if (connectError) {
+        co_return fromSocket(transport_error::connect, connectError);
+    }
+
+    http::request<http::empty_body> request(http::verb::get, target, 11);
+    request.set(http::field::host, state::formatNodeAddress(m_service));
+    request.keep_alive(false);
+    const auto [writeError, written] = co_await http::async_write(stream, request, Quiet);
+    if (writeError) {
+        co_return fromSocket(transport_error::closed, writeError);
+    }
+
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(MaxAnswerBytes);
+    const auto [readError, read] = co_await http::async_read(stream, buffer, parser, Quiet);
+    if (readError) {
+        co_return fromSocket(readError == beast::error::timeout ? transport_error::silent : transport_error::closed, readError);
+    }
+    http::response<http::string_body> response = parser.release();
+    if (response.result() != http::status::ok) {
+        co_return makeError(transport_error::refused, fmt::format("the service answered {} to {}", response.result_int(), target));
+    }
+    co_return platform_answer{readIndex(response), std::move(response.body())};
+}
+
+} // namespace dandelionstall::transport
