--- a/transport/include/dandelionstall/transport/events.h
+++ b/transport/include/dandelionstall/transport/events.h
@@ -27,27 +27,18 @@
     settings_refused = 1004, // error: the settings file cannot be used
     listen_failed = 1005,    // error: an address cannot be bound
     worker_draining = 3001,  // info: a worker has started or stopped refusing new work
-};
-
-enum class log_level { trace, debug, info, warn, error };
-
-struct event_info {
-    event id;              // number
-    log_level level;       // severity
-    std::string_view name; // stable name, snake case
-};
-
-const event_info &eventInfo(event id); // every event has one
-
-// [SECTION] Writing
-
-struct log_field {
-    std::string_view name; // snake case
-    std::string value;     // quoted when needed
-};
-
-void configureLog(std::string_view level, std::string_view nodeName);       // once at start; level as in the settings
-void logEvent(event id, std::initializer_list<log_field> fields);           // thread-safe
-std::string formatEvent(event id, std::initializer_list<log_field> fields); // "event=1001 name=node_started listen=..."
-
-} // namespace dandelionstall::transport
+    config_accepted = 4001,  // info: a newer table is in force
+    config_held = 4002,      // warn: a newer table waits for the other one
+    config_refused = 4003,   // error: a table cannot be parsed
+    config_stale = 4004,     // warn: an older table than the known one was offered
+    config_conflict = 4005,  // error: other content under a known revision; operators must write a higher one
+    watch_failed = 4006,     // warn: the platform's service does not answer
+    watch_recovered = 4007,  // info: the platform's service answers again
+    reader_changed = 4008,   // info: this node has become a reader of the service, or no longer is one
+    member_alive = 4020,     // info: a node was heard for the first time or came back
+    member_suspected = 4021, // info: a node does not answer
+    member_dead = 4022,      // warn: a suspected node did not refute it
+    member_leaving = 4023,   // info: a node takes no new work
+    self_doubt = 4024,       // warn: this node slept or is isolated and declares nobody dead
+    self_trust = 4025,       // info: this node trusts its view again
+    gossip_refused = 4026,   // warn: datagrams that are no valid messages
