Parsers of settings and tables, route matching, events and metrics

Cause: settings, route table and pool table existed as aggregates only; nothing read them, and no event or counter was written.

inih cuts lines over 199 bytes and section names over 49 bytes without a word, and joins indented lines to the key before. Its own file reader was therefore ruled out: a line reader of ours trims, counts and limits lines, opens sections, and leaves keys to inih. Of several faults the one that stands first is reported.

Ruled out: reporting a pool without workers when its worker lines are faulty; the test of worker lines showed it hiding the real fault.

--- a/state/include/dandelionstall/state/ini.h
+++ b/state/include/dandelionstall/state/ini.h
@@ -1,6 +1,7 @@
 // Reads INI text into sections and keys that remember their line, on top of inih.
 //
-// Errors name the place: "<source>:<line>: <reason>". A section or key that stands twice is an error.
+// Errors name the place: "<source>:<line>: <reason>". A section or key that stands twice is an error. A comment takes a
+// whole line after '#' or ';', or the end of a line after " ;". Leading blanks carry no meaning.
 #pragma once
 
 #include <dandelionstall/state/types.h>
@@ -18,7 +19,7 @@
 
 struct ini_section {
     std::string name;               // text between the brackets
-    std::uint32_t line = 0;         // line of its first entry
+    std::uint32_t line = 0;         // line of its header
     std::vector<ini_entry> entries; // in file order
 };
 
@@ -32,6 +33,10 @@
 absl::StatusOr<ini_document> parseIni(std::string_view text, std::string_view source);
 absl::Status iniError(state_error code, std::string_view source, std::uint32_t line, std::string_view reason); // "<source>:<line>: <reason>"
 
+std::string_view reasonOf(const absl::Status &status);     // message without the "state: " in front
+std::vector<std::string> splitList(std::string_view text); // comma separated parts, trimmed
+std::string_view trimBlanks(std::string_view text);        // without blanks at both ends
+
 // Value parsers; the error text says what was expected.
 absl::StatusOr<std::uint64_t> parseUnsigned(std::string_view text, std::uint64_t min, std::uint64_t max);
 absl::StatusOr<double> parseNumber(std::string_view text, double min, double max);
--- a/state/include/dandelionstall/state/tables.h
+++ b/state/include/dandelionstall/state/tables.h
@@ -7,15 +7,19 @@
 //   auto pools = parsePoolTable(text, "pools.ini");
 //   auto routes = parseRouteTable(text, "routes.ini");
 //   absl::Status joined = checkJoin(*routes, *pools);   // each route's pool exists
+//   route_index index(routes);                          // tables_index.h; for many matches in one table
 //
 // Index:
 //   [SECTION] Routes
 //   [SECTION] Pools
+//   [SECTION] Policy names
 //   [SECTION] Parsing
+//   [SECTION] Matching
 #pragma once
 
 #include <dandelionstall/state/types.h>
 
+#include <array>
 #include <string>
 #include <vector>
 
@@ -46,6 +50,7 @@
     table_revision revision = 0; // highest accepted revision wins
     std::uint64_t digest = 0;    // hash of the text; tells other content with the same revision
     std::vector<route> routes;   // in table order
+    std::string source;          // file name or key, for messages
 };
 
 // [SECTION] Pools
@@ -82,6 +87,13 @@
     std::vector<pool> pools;     // in table order
 };
 
+// [SECTION] Policy names
+
+inline constexpr std::array<std::string_view, 3> BalancerNames{"least_wait", "random", "round_robin"};
+inline constexpr std::array<std::string_view, 2> EjectorNames{"peer_outlier", "consecutive_failures"};
+inline constexpr std::array<std::string_view, 2> AdmissionNames{"worth_density", "fifo"};
+inline constexpr std::array<std::string_view, 2> RetryNames{"budgeted", "fixed_count"};
+
 // [SECTION] Parsing
 
 inline constexpr std::size_t MaxTableBytes = 1'048'576; // a value of the configuration service
@@ -91,7 +103,19 @@
 absl::Status checkJoin(const route_table &routes, const pool_table &pools);                  // error when a route names no pool
 const pool *findPool(const pool_table &table, std::string_view name);                        // nullptr when absent
 
-// Finds the route of a request: exact host before any host, then the longest path prefix, then table order.
+// [SECTION] Matching
+
+// Finds the route of a request: exact host before any host, then the longest path prefix, then table order. The host is
+// taken as the caller sent it (any case, with or without port), the path as well (with or without query).
 const route *matchRoute(const route_table &table, std::string_view host, std::string_view path, std::string_view method); // nullptr when none
 
+namespace detail {
+
+std::string normalizeHost(std::string_view host);               // lower case, without port and final dot
+std::string_view stripQuery(std::string_view target);           // path without query
+bool takesPath(std::string_view prefix, std::string_view path); // whole segments
+bool takesMethod(const route &candidate, std::string_view method);
+
+} // namespace detail
+
 } // namespace dandelionstall::state
--- /dev/null
+++ b/state/src/settings.cpp
@@ -0,0 +1,196 @@
+#include <dandelionstall/state/settings.h>
+
+#include <dandelionstall/state/ini_reader.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+namespace dandelionstall::state {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view WorkerPrefix = "worker.";
+constexpr std::array<std::string_view, 5> SectionNames{"node", "platform", "limits", "log", WorkerPrefix};
+constexpr std::array<std::string_view, 5> LogLevels{"trace", "debug", "info", "warn", "error"};
+
+constexpr std::uint64_t Kibibyte = 1024;
+constexpr std::uint64_t Mebibyte = 1024 * Kibibyte;
+constexpr std::uint32_t MaxIngressThreads = 16;
+constexpr std::uint64_t MaxHeaderLimit = Mebibyte;
+constexpr std::uint64_t MaxBodyLimit = 64 * Mebibyte;
+constexpr std::uint64_t MaxCallerLimit = 100'000;
+constexpr std::uint64_t MaxQueueLimit = 100'000;
+constexpr std::uint64_t MaxOrganisationLimit = 1'000'000;
+constexpr milliseconds MinCallerTimeout{10};
+constexpr milliseconds MaxCallerTimeout = std::chrono::hours(1);
+constexpr milliseconds MinTicketLifetime{1000};
+constexpr milliseconds MaxTicketLifetime = std::chrono::hours(24);
+constexpr std::string_view DefaultAdmin = "127.0.0.1:7402";
+
+bool isWildcard(const node_address &address)
+{
+    return address.ip == "0.0.0.0" || address.ip == "::";
+}
+
+void readNode(const ini_section &section, parse_faults &faults, settings &target)
+{
+    section_reader reader(section, faults);
+    reader.require({"data_centre", "region", "listen", "callers"});
+    reader.readName("name", target.name);
+    reader.readName("data_centre", target.dataCentre);
+    reader.readName("region", target.region);
+    reader.readAddress("listen", target.listen);
+    reader.readAddress("callers", target.callers);
+    reader.readAddress("admin", target.admin);
+    reader.readCount("ingress_threads", target.ingressThreads, 1, MaxIngressThreads);
+    if (!reader.readAddress("advertise", target.advertise)) {
+        target.advertise = target.listen;
+    }
+    reader.finish();
+    if (isWildcard(target.advertise)) {
+        faults.add(
+            state_error::out_of_range, section.line, "[node] needs \"advertise\" with the address that other nodes use, when \"listen\" takes any address");
+    }
+    if (target.name.empty()) {
+        target.name = formatNodeAddress(target.advertise);
+    }
+    if (target.callers == target.listen || target.admin == target.listen || target.admin == target.callers) {
+        faults.add(state_error::conflict, section.line, "[node] needs different addresses for \"listen\", \"callers\" and \"admin\"");
+    }
+}
+
+void readSeeds(section_reader &reader, settings &target)
+{
+    std::vector<std::string> seeds;
+    const ini_entry *entry = reader.take("seeds");
+    if (!reader.readList("seeds", seeds)) {
+        return;
+    }
+    for (const std::string &seed : seeds) {
+        absl::StatusOr<node_address> address = parseNodeAddress(seed);
+        if (!address.ok()) {
+            return reader.fault(*entry, state_error::malformed, reasonOf(address.status()));
+        }
+        target.seeds.push_back(std::move(*address));
+    }
+}
+
+void readPlatform(const ini_section &section, parse_faults &faults, settings &target)
+{
+    section_reader reader(section, faults);
+    reader.require({"config_service"});
+    reader.readAddress("config_service", target.configService);
+    reader.readText("routes_key", target.routesKey);
+    reader.readText("pools_key", target.poolsKey);
+    if (!reader.readAddress("vm_list", target.vmList)) {
+        target.vmList = target.configService;
+    }
+    readSeeds(reader, target);
+    reader.finish();
+    if (target.routesKey == target.poolsKey) {
+        faults.add(state_error::conflict, section.line, "[platform] needs different values for \"routes_key\" and \"pools_key\"");
+    }
+}
+
+void readLimits(const ini_section &section, parse_faults &faults, settings &target)
+{
+    section_reader reader(section, faults);
+    reader.readCount("max_header_bytes", target.maxHeaderBytes, Kibibyte, MaxHeaderLimit);
+    reader.readCount("max_body_bytes", target.maxBodyBytes, 0, MaxBodyLimit);
+    reader.readCount("max_kept_answer_bytes", target.maxKeptAnswerBytes, 0, MaxBodyLimit);
+    reader.readCount("max_callers", target.maxCallers, 1, MaxCallerLimit);
+    reader.readCount("max_queued_per_worker", target.maxQueuedPerWorker, 0, MaxQueueLimit);
+    reader.readCount("max_organisations", target.maxOrganisations, 1, MaxOrganisationLimit);
+    reader.readSpan("header_timeout", target.headerTimeout, MinCallerTimeout, MaxCallerTimeout);
+    reader.readSpan("idle_timeout", target.idleTimeout, MinCallerTimeout, MaxCallerTimeout);
+    reader.readSpan("ticket_lifetime", target.ticketLifetime, MinTicketLifetime, MaxTicketLifetime);
+    reader.finish();
+}
+
+void readLog(const ini_section &section, parse_faults &faults, settings &target)
+{
+    section_reader reader(section, faults);
+    reader.readChoice("level", target.logLevel, LogLevels);
+    reader.finish();
+}
+
+void readWorker(const ini_section &section, parse_faults &faults, settings &target)
+{
+    local_worker worker;
+    worker.id = section.name.substr(WorkerPrefix.size());
+    if (!isName(worker.id)) {
+        faults.add(state_error::malformed, section.line, fmt::format("expected a worker id of letters, digits, \"-\" or \"_\" in [{}]", section.name));
+    }
+    section_reader reader(section, faults);
+    reader.require({"pool", "address"});
+    reader.readName("pool", worker.pool);
+    reader.readAddress("address", worker.address);
+    const ini_entry *healthPath = reader.take("health_path");
+    if (healthPath != nullptr) {
+        worker.healthPath = healthPath->value; // empty disables probes
+        if (!worker.healthPath.empty() && worker.healthPath.front() != '/') {
+            reader.fault(*healthPath, state_error::malformed, fmt::format("expected a path that starts with \"/\" or nothing, got \"{}\"", worker.healthPath));
+        }
+    }
+    reader.finish();
+    const auto sameAddress = [&](const local_worker &other) {
+        return other.address == worker.address;
+    };
+    if (std::any_of(target.workers.begin(), target.workers.end(), sameAddress)) {
+        faults.add(state_error::conflict, section.line, fmt::format("[{}] has the address of another worker", section.name));
+    }
+    target.workers.push_back(std::move(worker));
+}
+
+void readSection(const ini_section &section, parse_faults &faults, settings &target)
+{
+    if (section.name == "node") {
+        readNode(section, faults, target);
+    } else if (section.name == "platform") {
+        readPlatform(section, faults, target);
+    } else if (section.name == "limits") {
+        readLimits(section, faults, target);
+    } else if (section.name == "log") {
+        readLog(section, faults, target);
+    } else if (section.name.starts_with(WorkerPrefix)) {
+        readWorker(section, faults, target);
+    } else {
+        const std::string expected = "expected [node], [platform], [limits], [log] or [worker.<id>]";
+        const std::string hint = suggestName(section.name, SectionNames);
+        faults.add(state_error::unknown_key, section.line, fmt::format("unknown section [{}], {}{}", section.name, expected, hint));
+    }
+}
+
+} // namespace
+
+absl::StatusOr<settings> parseSettings(std::string_view text, std::string_view source)
+{
+    const absl::StatusOr<ini_document> document = parseIni(text, source);
+    if (!document.ok()) {
+        return document.status();
+    }
+    parse_faults faults(source);
+    settings target;
+    target.admin = *parseNodeAddress(DefaultAdmin);
+    for (const ini_section &section : document->sections) {
+        readSection(section, faults, target);
+    }
+    for (const std::string_view required : {"node", "platform"}) {
+        const auto isRequired = [&](const ini_section &section) {
+            return section.name == required;
+        };
+        if (std::none_of(document->sections.begin(), document->sections.end(), isRequired)) {
+            faults.add(state_error::malformed, 1, fmt::format("section [{}] is missing", required));
+        }
+    }
+    if (!faults.status().ok()) {
+        return faults.status();
+    }
+    return target;
+}
+
+} // namespace dandelionstall::state
--- /dev/null
+++ b/state/src/tables.cpp
@@ -0,0 +1,88 @@
+#include "tables_detail.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <unordered_set>
+
+namespace dandelionstall::state {
+
+namespace detail {
+
+absl::StatusOr<ini_document> parseTable(std::string_view text, std::string_view source)
+{
+    if (text.size() > MaxTableBytes) {
+        return iniError(state_error::out_of_range, source, 1, fmt::format("table of {} bytes, expected at most {}", text.size(), MaxTableBytes));
+    }
+    return parseIni(text, source);
+}
+
+std::uint64_t digestOf(std::string_view text)
+{
+    return XXH3_64bits(text.data(), text.size());
+}
+
+table_revision readRevision(const ini_document &document, parse_faults &faults)
+{
+    const auto isTable = [](const ini_section &section) {
+        return section.name == TableSection;
+    };
+    const auto section = std::find_if(document.sections.begin(), document.sections.end(), isTable);
+    if (section == document.sections.end()) {
+        faults.add(state_error::malformed, 1, "section [table] with the key \"revision\" is missing");
+        return 0;
+    }
+    table_revision revision = 0;
+    section_reader reader(*section, faults);
+    reader.require({"revision"});
+    reader.readCount("revision", revision, 1, std::numeric_limits<std::int64_t>::max());
+    reader.finish();
+    return revision;
+}
+
+std::string readSectionName(const ini_section &section, std::string_view prefix, parse_faults &faults)
+{
+    if (!section.name.starts_with(prefix)) {
+        const std::string expected = fmt::format("[table] or [{}<name>]", prefix);
+        const std::array<std::string_view, 2> known{TableSection, prefix};
+        const std::string hint = suggestName(section.name.substr(0, section.name.find('.') + 1), known);
+        faults.add(state_error::unknown_key, section.line, fmt::format("unknown section [{}], expected {}{}", section.name, expected, hint));
+        return {};
+    }
+    std::string name = section.name.substr(prefix.size());
+    if (!isName(name)) {
+        faults.add(state_error::malformed, section.line, fmt::format("expected a name of letters, digits, \"-\" or \"_\" in [{}]", section.name));
+        return {};
+    }
+    return name;
+}
+
+} // namespace detail
+
+absl::Status checkJoin(const route_table &routes, const pool_table &pools)
+{
+    std::vector<std::string_view> names;
+    std::unordered_set<std::string_view> known;
+    for (const pool &candidate : pools.pools) {
+        names.push_back(candidate.name);
+        known.insert(candidate.name);
+    }
+    for (const route &row : routes.routes) {
+        if (!known.contains(row.pool)) {
+            const std::string reason
+                = fmt::format("route \"{}\" names the pool \"{}\", which is not in the pool table{}", row.name, row.pool, suggestName(row.pool, names));
+            return iniError(state_error::unresolved, routes.source, row.line, reason);
+        }
+    }
+    return absl::OkStatus();
+}
+
+const pool *findPool(const pool_table &table, std::string_view name)
+{
+    const auto found = std::find_if(table.pools.begin(), table.pools.end(), [&](const pool &candidate) { return candidate.name == name; });
+    return found == table.pools.end() ? nullptr : &*found;
+}
+
+} // namespace dandelionstall::state
--- /dev/null
+++ b/state/src/tables_pools.cpp
@@ -0,0 +1,136 @@
+#include "tables_detail.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <sstream>
+#include <unordered_map>
+
+namespace dandelionstall::state {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view PoolPrefix = "pool.";
+constexpr std::string_view WorkerPrefix = "worker.";
+constexpr std::uint32_t MaxSlots = 10'000; // of one worker
+constexpr milliseconds MaxDrainTime = std::chrono::hours(1);
+constexpr std::size_t MinWorkerFields = 2; // node address, data centre
+constexpr std::size_t MaxWorkerFields = 3; // and slots
+
+std::vector<std::string> splitBlanks(const std::string &text)
+{
+    std::istringstream stream(text);
+    std::vector<std::string> fields;
+    for (std::string field; stream >> field;) {
+        fields.push_back(field);
+    }
+    return fields;
+}
+
+// "<node address:port> <data centre> [slots]"
+absl::StatusOr<pool_worker> parseWorker(std::string_view id, const std::string &value)
+{
+    const std::vector<std::string> fields = splitBlanks(value);
+    if (fields.size() < MinWorkerFields || fields.size() > MaxWorkerFields) {
+        return makeError(state_error::malformed, fmt::format("expected <node address:port> <data centre> [slots], got \"{}\"", value));
+    }
+    if (!isName(id)) {
+        return makeError(state_error::malformed, "expected a worker id of letters, digits, \"-\" or \"_\"");
+    }
+    const absl::StatusOr<node_address> node = parseNodeAddress(fields[0]);
+    if (!node.ok()) {
+        return node.status();
+    }
+    if (!isName(fields[1])) {
+        return makeError(state_error::malformed, fmt::format("expected a data centre of letters, digits, \"-\" or \"_\", got \"{}\"", fields[1]));
+    }
+    pool_worker worker{std::string(id), fields[1], *node, 0};
+    if (fields.size() == MaxWorkerFields) {
+        const absl::StatusOr<std::uint64_t> slots = parseUnsigned(fields[2], 1, MaxSlots);
+        if (!slots.ok()) {
+            return slots.status();
+        }
+        worker.slots = static_cast<std::uint32_t>(*slots);
+    }
+    return worker;
+}
+
+using worker_lines = std::unordered_map<std::string, std::uint32_t>; // worker id -> line
+
+void readWorkers(const ini_section &section, section_reader &reader, worker_lines &seen, pool &row)
+{
+    for (const ini_entry &entry : section.entries) {
+        const std::string_view key = entry.key;
+        if (!key.starts_with(WorkerPrefix)) {
+            continue;
+        }
+        absl::StatusOr<pool_worker> worker = parseWorker(key.substr(WorkerPrefix.size()), entry.value);
+        if (!worker.ok()) {
+            reader.fault(entry, state_error::malformed, reasonOf(worker.status()));
+            continue;
+        }
+        const auto [first, added] = seen.emplace(worker->id, entry.line);
+        if (!added) {
+            reader.fault(entry, state_error::conflict, fmt::format("worker id stands twice, first in line {}", first->second));
+            continue;
+        }
+        row.workers.push_back(std::move(*worker));
+    }
+}
+
+pool readPool(const ini_section &section, std::string name, worker_lines &seen, parse_faults &faults)
+{
+    pool row;
+    row.name = std::move(name);
+    row.line = section.line;
+    section_reader reader(section, faults);
+    reader.require({"slots"});
+    reader.readCount("slots", row.slots, 1, MaxSlots);
+    reader.readNumber("floor", row.floor, 0, 1);
+    reader.readChoice("balancer", row.balancer, BalancerNames);
+    reader.readChoice("ejector", row.ejector, EjectorNames);
+    reader.readChoice("admission", row.admission, AdmissionNames);
+    reader.readChoice("retry", row.retry, RetryNames);
+    reader.readSpan("drain_time", row.drainTime, milliseconds(0), MaxDrainTime);
+    readWorkers(section, reader, seen, row);
+    reader.finish(WorkerPrefix);
+    const auto isWorker = [](const ini_entry &entry) {
+        return entry.key.starts_with(WorkerPrefix);
+    };
+    if (std::none_of(section.entries.begin(), section.entries.end(), isWorker)) {
+        faults.add(state_error::malformed, section.line, fmt::format("[{}] needs at least one line \"worker.<id> = ...\"", section.name));
+    }
+    return row;
+}
+
+} // namespace
+
+absl::StatusOr<pool_table> parsePoolTable(std::string_view text, std::string_view source)
+{
+    const absl::StatusOr<ini_document> document = detail::parseTable(text, source);
+    if (!document.ok()) {
+        return document.status();
+    }
+    parse_faults faults(source);
+    worker_lines seen;
+    pool_table table;
+    table.digest = detail::digestOf(text);
+    table.revision = detail::readRevision(*document, faults);
+    for (const ini_section &section : document->sections) {
+        if (section.name == detail::TableSection) {
+            continue;
+        }
+        std::string name = detail::readSectionName(section, PoolPrefix, faults);
+        if (!name.empty()) {
+            table.pools.push_back(readPool(section, std::move(name), seen, faults));
+        }
+    }
+    if (!faults.status().ok()) {
+        return faults.status();
+    }
+    return table;
+}
+
+} // namespace dandelionstall::state
--- /dev/null
+++ b/state/src/tables_routes.cpp
@@ -0,0 +1,142 @@
+#include "tables_detail.h"
+
+#include <absl/strings/ascii.h>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace dandelionstall::state {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view RoutePrefix = "route.";
+constexpr double MinWorth = 0.000001;
+constexpr double MaxWorth = 1'000'000;
+constexpr double MaxOrganisationRate = 1'000'000; // requests a second
+constexpr milliseconds MinTimeout{1};
+constexpr milliseconds MaxTimeout = std::chrono::hours(1);
+constexpr std::string_view AnyHost = "*";
+
+void readHost(section_reader &reader, route &row)
+{
+    const ini_entry *entry = reader.take("host");
+    if (!reader.readText("host", row.host)) {
+        return;
+    }
+    absl::AsciiStrToLower(&row.host);
+    if (row.host == AnyHost) {
+        row.host.clear();
+    } else if (row.host != detail::normalizeHost(row.host)) {
+        reader.fault(*entry, state_error::malformed, fmt::format("expected a host name without port or \"*\", got \"{}\"", entry->value));
+    }
+}
+
+bool isPathCharacter(char c)
+{
+    return c > ' ' && c < '\x7f' && c != '?' && c != '#';
+}
+
+void readPath(section_reader &reader, route &row)
+{
+    const ini_entry *entry = reader.take("path");
+    if (!reader.readText("path", row.pathPrefix)) {
+        return;
+    }
+    const std::string &path = row.pathPrefix;
+    const bool isPath = path.starts_with('/') && std::all_of(path.begin(), path.end(), isPathCharacter);
+    if (!isPath) {
+        reader.fault(*entry, state_error::malformed, fmt::format("expected a path that starts with \"/\" and has no query, got \"{}\"", entry->value));
+        row.pathPrefix = "/";
+        return;
+    }
+    const std::size_t last = path.find_last_not_of('/');
+    row.pathPrefix.resize(last == std::string::npos ? 1 : last + 1); // "/tags/" means the same as "/tags"
+}
+
+bool isMethod(const std::string &text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return c >= 'A' && c <= 'Z'; });
+}
+
+void readMethods(section_reader &reader, route &row)
+{
+    const ini_entry *entry = reader.take("methods");
+    if (!reader.readList("methods", row.methods)) {
+        return;
+    }
+    if (!std::all_of(row.methods.begin(), row.methods.end(), isMethod)) {
+        reader.fault(*entry, state_error::malformed, fmt::format("expected methods such as GET, POST, got \"{}\"", entry->value));
+    }
+}
+
+route readRoute(const ini_section &section, std::string name, parse_faults &faults)
+{
+    route row;
+    row.name = std::move(name);
+    row.line = section.line;
+    section_reader reader(section, faults);
+    reader.require({"pool", "idempotent"});
+    readHost(reader, row);
+    readPath(reader, row);
+    readMethods(reader, row);
+    reader.readName("pool", row.pool);
+    reader.readFlag("idempotent", row.idempotent);
+    reader.readNumber("worth", row.worth, MinWorth, MaxWorth);
+    reader.readSpan("timeout", row.timeout, MinTimeout, MaxTimeout);
+    reader.readSpan("cost_hint", row.costHint, milliseconds(0), MaxTimeout);
+    reader.readNumber("organisation_rate", row.organisationRate, 0, MaxOrganisationRate);
+    reader.finish();
+    return row;
+}
+
+// Two routes with the same host, path and methods: the later one could never be chosen.
+void checkMatches(const route_table &table, parse_faults &faults)
+{
+    std::unordered_map<std::string, const route *> seen;
+    for (const route &row : table.routes) {
+        std::vector<std::string> methods = row.methods;
+        std::sort(methods.begin(), methods.end());
+        methods.erase(std::unique(methods.begin(), methods.end()), methods.end());
+        const auto [first, added] = seen.emplace(fmt::format("{} {} {}", row.host, row.pathPrefix, fmt::join(methods, ",")), &row);
+        if (!added) {
+            const route &other = *first->second;
+            faults.add(
+                state_error::conflict, row.line, fmt::format("route \"{}\" matches the same as route \"{}\" in line {}", row.name, other.name, other.line));
+        }
+    }
+}
+
+} // namespace
+
+absl::StatusOr<route_table> parseRouteTable(std::string_view text, std::string_view source)
+{
+    const absl::StatusOr<ini_document> document = detail::parseTable(text, source);
+    if (!document.ok()) {
+        return document.status();
+    }
+    parse_faults faults(source);
+    route_table table;
+    table.source = source;
+    table.digest = detail::digestOf(text);
+    table.revision = detail::readRevision(*document, faults);
+    for (const ini_section &section : document->sections) {
+        if (section.name == detail::TableSection) {
+            continue;
+        }
+        std::string name = detail::readSectionName(section, RoutePrefix, faults);
+        if (!name.empty()) {
+            table.routes.push_back(readRoute(section, std::move(name), faults));
+        }
+    }
+    checkMatches(table, faults);
+    if (!faults.status().ok()) {
+        return faults.status();
+    }
+    return table;
+}
+
+} // namespace dandelionstall::state
--- a/transport/include/dandelionstall/transport/events.h
+++ b/transport/include/dandelionstall/transport/events.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -36,7 +37,8 @@
     std::string_view name; // stable name, snake case
 };
 
-const event_info &eventInfo(event id); // every event has one
+const event_info &eventInfo(event id);        // every event has one
+std::span<const event_info> eventCatalogue(); // all events, by number
 
 // [SECTION] Writing
 
--- /dev/null
+++ b/transport/src/events.cpp
@@ -0,0 +1,132 @@
+#include <dandelionstall/transport/events.h>
+
+#include <fmt/format.h>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+
+#include <algorithm>
+#include <array>
+
+namespace dandelionstall::transport {
+
+namespace {
+
+constexpr std::array Catalogue{
+    event_info{event::node_started, log_level::info, "node_started"},
+    event_info{event::node_stopping, log_level::info, "node_stopping"},
+    event_info{event::node_stopped, log_level::info, "node_stopped"},
+    event_info{event::settings_refused, log_level::error, "settings_refused"},
+    event_info{event::listen_failed, log_level::error, "listen_failed"},
+};
+
+log4cplus::LogLevel toLibraryLevel(log_level level)
+{
+    switch (level) {
+    case log_level::trace:
+        return log4cplus::TRACE_LOG_LEVEL;
+    case log_level::debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case log_level::info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case log_level::warn:
+        return log4cplus::WARN_LOG_LEVEL;
+    case log_level::error:
+        return log4cplus::ERROR_LOG_LEVEL;
+    }
+    return log4cplus::INFO_LOG_LEVEL;
+}
+
+log4cplus::LogLevel parseLibraryLevel(std::string_view level)
+{
+    constexpr std::array Names{
+        std::pair{std::string_view("trace"), log_level::trace},
+        std::pair{std::string_view("debug"), log_level::debug},
+        std::pair{std::string_view("info"), log_level::info},
+        std::pair{std::string_view("warn"), log_level::warn},
+        std::pair{std::string_view("error"), log_level::error},
+    };
+    const auto found = std::find_if(Names.begin(), Names.end(), [&](const auto &name) { return name.first == level; });
+    return toLibraryLevel(found == Names.end() ? log_level::info : found->second);
+}
+
+log4cplus::Logger logger()
+{
+    static log4cplus::Initializer initializer; // lives until exit, after the last event
+    return log4cplus::Logger::getInstance("dandelionstall");
+}
+
+bool needsQuotes(std::string_view value)
+{
+    const auto isPlain = [](char c) {
+        return c > ' ' && c != '"' && c != '=' && c != '\\' && c != '\x7f';
+    };
+    return value.empty() || !std::all_of(value.begin(), value.end(), isPlain);
+}
+
+// Quoted text with control characters escaped, so that one event stays one line whatever a peer sent.
+std::string quote(std::string_view value)
+{
+    std::string quoted = "\"";
+    for (const char c : value) {
+        if (c == '"' || c == '\\') {
+            quoted += '\\';
+            quoted += c;
+        } else if (c == '\n') {
+            quoted += "\\n";
+        } else if (static_cast<unsigned char>(c) < 0x20 || c == '\x7f') {
+            quoted += fmt::format("\\x{:02x}", static_cast<unsigned char>(c));
+        } else {
+            quoted += c;
+        }
+    }
+    return quoted + '"';
+}
+
+} // namespace
+
+const event_info &eventInfo(event id)
+{
+    const auto found = std::find_if(Catalogue.begin(), Catalogue.end(), [&](const event_info &info) { return info.id == id; });
+    return found == Catalogue.end() ? Catalogue.front() : *found;
+}
+
+std::span<const event_info> eventCatalogue()
+{
+    return Catalogue;
+}
+
+void configureLog(std::string_view level, std::string_view nodeName)
+{
+    log4cplus::Logger target = logger();
+    const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true)); // to stderr, flushed after each line
+    std::string name(nodeName);
+    std::replace(name.begin(), name.end(), '%', '_'); // the pattern language of log4cplus
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(fmt::format("%D{{%Y-%m-%dT%H:%M:%S.%q}}Z %p node={} %m%n", name)));
+    target.removeAllAppenders();
+    target.setAdditivity(false);
+    target.addAppender(appender);
+    target.setLogLevel(parseLibraryLevel(level));
+}
+
+void logEvent(event id, std::initializer_list<log_field> fields)
+{
+    const log4cplus::LogLevel level = toLibraryLevel(eventInfo(id).level);
+    log4cplus::Logger target = logger();
+    if (target.isEnabledFor(level)) {
+        target.forcedLog(level, formatEvent(id, fields), __FILE__, __LINE__);
+    }
+}
+
+std::string formatEvent(event id, std::initializer_list<log_field> fields)
+{
+    const event_info &info = eventInfo(id);
+    std::string line = fmt::format("event={} name={}", static_cast<std::uint32_t>(info.id), info.name);
+    for (const log_field &field : fields) {
+        line += fmt::format(" {}={}", field.name, needsQuotes(field.value) ? quote(field.value) : field.value);
+    }
+    return line;
+}
+
+} // namespace dandelionstall::transport
--- /dev/null
+++ b/transport/src/metrics.cpp
@@ -0,0 +1,119 @@
+#include <dandelionstall/transport/metrics.h>
+
+#include <fmt/format.h>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+#include <vector>
+
+namespace dandelionstall::transport {
+
+namespace {
+
+using coordination::refusal_reason;
+using coordination::retry_reason;
+
+// Adds one counter per reason of the enumeration, at the reason's value; the first unnamed value ends it.
+template<typename reason>
+std::vector<prometheus::Counter *> addReasons(prometheus::Family<prometheus::Counter> &family)
+{
+    std::vector<prometheus::Counter *> counters{nullptr}; // reason::none is not counted
+    while (true) {
+        const std::string_view name = reasonName(static_cast<reason>(counters.size()));
+        if (name == reasonName(reason::none)) {
+            return counters;
+        }
+        counters.push_back(&family.Add({{"reason", std::string(name)}}));
+    }
+}
+
+template<typename reason>
+void countReason(const std::vector<prometheus::Counter *> &counters, reason value)
+{
+    if (value != reason::none) {
+        counters.at(static_cast<std::size_t>(value))->Increment();
+    }
+}
+
+constexpr std::array TimeBuckets{0.0001, 0.00025, 0.0005, 0.001, 0.0022, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0}; // seconds
+
+double toSeconds(std::chrono::microseconds time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+prometheus::Family<prometheus::Counter> &addCounters(prometheus::Registry &registry, const std::string &name, const std::string &help)
+{
+    return prometheus::BuildCounter().Name("dandelionstall_" + name).Help(help).Register(registry);
+}
+
+prometheus::Histogram &addTimes(prometheus::Registry &registry, const std::string &name, const std::string &help)
+{
+    const prometheus::Histogram::BucketBoundaries buckets(TimeBuckets.begin(), TimeBuckets.end());
+    return prometheus::BuildHistogram().Name("dandelionstall_" + name).Help(help).Register(registry).Add({}, buckets);
+}
+
+} // namespace
+
+struct metrics::detail {
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter> &requests = addCounters(registry, "requests_total", "Answers given to callers, by route and status class.");
+    prometheus::Family<prometheus::Counter> &refusals = addCounters(registry, "refusals_total", "Refusals given to callers and ingresses, by reason.");
+    prometheus::Family<prometheus::Counter> &retries = addCounters(registry, "retries_total", "Further attempts, by reason.");
+    prometheus::Histogram &addedTime = addTimes(registry, "added_seconds", "Time of a request outside the worker.");
+    prometheus::Histogram &queueTime = addTimes(registry, "queue_seconds", "Time of an attempt in the queue of a worker.");
+    std::vector<prometheus::Counter *> refusalCounters = addReasons<refusal_reason>(refusals);
+    std::vector<prometheus::Counter *> retryCounters = addReasons<retry_reason>(retries);
+};
+
+metrics::metrics()
+    : m_detail(std::make_unique<detail>())
+{ }
+
+metrics::~metrics() = default;
+
+void metrics::countRequest(std::string_view route, std::uint32_t status)
+{
+    m_detail->requests.Add({{"route", std::string(route)}, {"status", fmt::format("{}xx", status / 100)}}).Increment();
+}
+
+void metrics::countRefusal(refusal_reason reason)
+{
+    countReason(m_detail->refusalCounters, reason);
+}
+
+void metrics::countRetry(retry_reason reason)
+{
+    countReason(m_detail->retryCounters, reason);
+}
+
+void metrics::countNamed(std::string_view name)
+{
+    addCounters(m_detail->registry, fmt::format("{}_total", name), "See docs/METRICS.md.").Add({}).Increment();
+}
+
+void metrics::observeAddedTime(std::chrono::microseconds time)
+{
+    m_detail->addedTime.Observe(toSeconds(time));
+}
+
+void metrics::observeQueueTime(std::chrono::microseconds time)
+{
+    m_detail->queueTime.Observe(toSeconds(time));
+}
+
+void metrics::setGauge(std::string_view name, double value)
+{
+    prometheus::BuildGauge().Name(fmt::format("dandelionstall_{}", name)).Help("See docs/METRICS.md.").Register(m_detail->registry).Add({}).Set(value);
+}
+
+std::string metrics::expose() const
+{
+    return prometheus::TextSerializer().Serialize(m_detail->registry.Collect());
+}
+
+} // namespace dandelionstall::transport
--- /dev/null
+++ b/transport/tests/test_events.cpp
@@ -0,0 +1,67 @@
+// Tests of transport/events.h and transport/metrics.h.
+#include <dandelionstall/transport/events.h>
+#include <dandelionstall/transport/metrics.h>
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace dandelionstall;
+using namespace dandelionstall::transport;
+
+Test(events, formats_one_line_with_named_fields)
+{
+    cr_assert(formatEvent(event::node_started, {{"listen", "10.0.0.1:7400"}}) == "event=1001 name=node_started listen=10.0.0.1:7400");
+    cr_assert(formatEvent(event::node_stopped, {{"a", ""}, {"b", "x \"y\""}}) == R"(event=1003 name=node_stopped a="" b="x \"y\"")");
+}
+
+Test(events, stays_one_line_whatever_a_value_holds)
+{
+    cr_assert(rc::check("no control characters", [](const std::string &value) {
+        const std::string line = formatEvent(event::node_started, {{"value", value}});
+        RC_ASSERT(std::none_of(line.begin(), line.end(), [](char c) { return static_cast<unsigned char>(c) < 0x20; }));
+    }));
+}
+
+Test(events, are_listed_by_number)
+{
+    const auto byNumber = [](const event_info &a, const event_info &b) {
+        return a.id < b.id;
+    };
+    cr_assert(std::is_sorted(eventCatalogue().begin(), eventCatalogue().end(), byNumber));
+    for (const event_info &info : eventCatalogue()) {
+        cr_assert(eventInfo(info.id).name == info.name);
+    }
+}
+
+Test(metrics, shows_every_reason_from_the_start)
+{
+    metrics counters;
+    const std::string text = counters.expose();
+    cr_assert(text.find("dandelionstall_refusals_total{reason=\"no_route\"} 0") != std::string::npos);
+    cr_assert(text.find("dandelionstall_refusals_total{reason=\"unknown_outcome\"} 0") != std::string::npos);
+    cr_assert(text.find("dandelionstall_retries_total{reason=\"path_silent\"} 0") != std::string::npos);
+    cr_assert(text.find("reason=\"none\"") == std::string::npos);
+}
+
+Test(metrics, counts_what_it_is_told)
+{
+    metrics counters;
+    counters.countRequest("lookup", 200);
+    counters.countRefusal(coordination::refusal_reason::unknown_outcome);
+    counters.countRefusal(coordination::refusal_reason::none);
+    counters.countRetry(coordination::retry_reason::path_silent);
+    counters.countNamed("late_answers_dropped");
+    counters.countNamed("late_answers_dropped");
+    counters.setGauge("kept_answer_bytes", 7);
+    counters.observeQueueTime(std::chrono::milliseconds(2));
+    const std::string text = counters.expose();
+    cr_assert(text.find("dandelionstall_requests_total{route=\"lookup\",status=\"2xx\"} 1") != std::string::npos);
+    cr_assert(text.find("dandelionstall_refusals_total{reason=\"unknown_outcome\"} 1") != std::string::npos);
+    cr_assert(text.find("dandelionstall_retries_total{reason=\"path_silent\"} 1") != std::string::npos);
+    cr_assert(text.find("dandelionstall_late_answers_dropped_total 2") != std::string::npos);
+    cr_assert(text.find("dandelionstall_kept_answer_bytes 7") != std::string::npos);
+    cr_assert(text.find("dandelionstall_queue_seconds_count 1") != std::string::npos);
+}
