--- a/state/include/dandelionstall/state/settings.h
+++ b/state/include/dandelionstall/state/settings.h
@@ -41,9 +41,9 @@
     std::vector<node_address> seeds;                 // nodes to ask first when this one starts
 
     // [limits]
-    std::size_t maxHeaderBytes = 16'384;           // of one request or answer
-    std::size_t maxBodyBytes = 1'048'576;           // of one request; it is held until the attempt ends
-    std::size_t maxKeptAnswerBytes = 262'144;      // of one non-idempotent answer kept for later delivery
+    std::size_t maxHeaderBytes = 16'384;              // of one request or answer
+    std::size_t maxBodyBytes = 1'048'576;             // of one request; it is held until the attempt ends
+    std::size_t maxKeptAnswerBytes = 262'144;         // of one non-idempotent answer kept for later delivery
     std::uint32_t maxCallers = 2000;                  // caller connections
     std::uint32_t maxQueuedPerWorker = 64;            // requests waiting at one worker's slots
     std::uint32_t maxOrganisations = 8192;            // organisations tracked for limits
