--- a/transport/include/dandelionstall/transport/events.h
+++ b/transport/include/dandelionstall/transport/events.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -42,3 +43,28 @@
     self_doubt = 4024,       // warn: this node slept or is isolated and declares nobody dead
     self_trust = 4025,       // info: this node trusts its view again
     gossip_refused = 4026,   // warn: datagrams that are no valid messages
+};
+
+enum class log_level { trace, debug, info, warn, error };
+
+struct event_info {
+    event id;              // number
+    log_level level;       // severity
+    std::string_view name; // stable name, snake case
+};
+
+const event_info &eventInfo(event id);        // every event has one
+std::span<const event_info> eventCatalogue(); // all events, by number
+
+// [SECTION] Writing
+
+struct log_field {
+    std::string_view name; // snake case
+    std::string value;     // quoted when needed
+};
+
+void configureLog(std::string_view level, std::string_view nodeName);       // once at start; level as in the settings
+void logEvent(event id, std::initializer_list<log_field> fields);           // thread-safe
+std::string formatEvent(event id, std::initializer_list<log_field> fields); // "event=1001 name=node_started listen=..."
+
+} // namespace dandelionstall::transport
