--- /dev/null
+++ b/tests/standins/check.cpp
@@ -0,0 +1,104 @@
+#include "check.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <iterator>
+#include <map>
+
+namespace dandelionstall::standins {
+
+namespace {
+
+constexpr std::size_t MaxDescribed = 20; // violations written out
+
+using runs_by_id = std::multimap<std::string, run_record>;
+using calls_by_id = std::multimap<std::string, call_record>;
+
+void checkAnswers(const check_input &input, std::vector<violation> &found)
+{
+    for (const call_record &call : input.calls) {
+        if (call.status == 200 && call.body != "own") {
+            found.push_back({"whole_and_own", call.id, fmt::format("body is {}", call.body)});
+        }
+        if (!input.cutsAllowed && call.status == 0) {
+            found.push_back({"no_cut", call.id, fmt::format("no answer from {}: {}", call.node, call.reason)});
+        }
+    }
+}
+
+void checkOnce(const calls_by_id &calls, const runs_by_id &runs, std::vector<violation> &found)
+{
+    for (auto call = calls.begin(); call != calls.end(); call = calls.upper_bound(call->first)) {
+        const std::size_t count = runs.count(call->first);
+        if (!call->second.idempotent && count > 1) {
+            found.push_back({"at_most_once", call->first, fmt::format("started {} times", count)});
+        }
+    }
+}
+
+// Whether the caller sent the request once more between being told and the start of the run.
+bool wasSentAgain(const calls_by_id &calls, const call_record &told, const run_record &run)
+{
+    const auto [first, last] = calls.equal_range(told.id);
+    return std::any_of(first, last, [&](const auto &entry) { return entry.second.sent >= told.answered && entry.second.sent <= run.started; });
+}
+
+void checkNotRun(const calls_by_id &calls, const runs_by_id &runs, std::vector<violation> &found)
+{
+    for (const auto &[id, call] : calls) {
+        if (call.run != "not_run") {
+            continue;
+        }
+        const auto [first, last] = runs.equal_range(id);
+        for (auto run = first; run != last; ++run) {
+            const bool earlier = run->second.started < call.sent; // an earlier try of the same request
+            if (!earlier && !wasSentAgain(calls, call, run->second)) {
+                found.push_back({"not_run", id, fmt::format("told not run ({}), started at {}", call.reason, run->second.worker)});
+            }
+        }
+    }
+}
+
+void checkLeaving(const check_input &input, std::vector<violation> &found)
+{
+    for (const leaving_mark &mark : input.workers.leaving) {
+        for (const run_record &run : input.workers.runs) {
+            const auto after = run.started - mark.since;
+            if (run.worker == mark.worker && after > LeavingLimit) {
+                found.push_back({"leaving", run.id, fmt::format("started at {} {} us after it began to leave", run.worker, after.count())});
+            }
+        }
+    }
+}
+
+} // namespace
+
+std::vector<violation> findViolations(const check_input &input)
+{
+    runs_by_id runs;
+    for (const run_record &run : input.workers.runs) {
+        runs.emplace(run.id, run);
+    }
+    calls_by_id calls;
+    for (const call_record &call : input.calls) {
+        calls.emplace(call.id, call);
+    }
+    std::vector<violation> found;
+    checkAnswers(input, found);
+    checkOnce(calls, runs, found);
+    checkNotRun(calls, runs, found);
+    checkLeaving(input, found);
+    return found;
+}
+
+std::string describeViolations(const std::vector<violation> &violations)
+{
+    std::string text = fmt::format("{} violations\n", violations.size());
+    for (std::size_t i = 0; i < std::min(violations.size(), MaxDescribed); ++i) {
+        fmt::format_to(std::back_inserter(text), "{} {}: {}\n", violations[i].rule, violations[i].id, violations[i].detail);
+    }
+    return text;
+}
+
+} // namespace dandelionstall::standins
--- a/tests/standins/config_service.cpp
+++ b/tests/standins/config_service.cpp
@@ -1,5 +1,7 @@
 #include "config_service.h"
 
+#include "key_values.h"
+
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -7,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <charconv>
+#include <utility>
 
 namespace dandelionstall::standins {
 
@@ -65,7 +68,11 @@
 
 void config_service::set(const std::string &key, std::string value)
 {
-    m_values[key] = {std::move(value), ++m_index};
+    const stored_value next{std::move(value), ++m_index};
+    const auto [entry, added] = m_values.try_emplace(key, value_history{next, next});
+    if (!added) {
+        entry->second.before = std::exchange(entry->second.last, next);
+    }
     m_changed.cancel();
 }
 
@@ -81,33 +88,53 @@
         set(std::string(NodesKey), request.body());
         co_return makeReply(http::status::ok, "true\n");
     }
+    if (put && target == "/_fault") {
+        co_return setFaults(request.body());
+    }
     if (target == "/_calls") {
         co_return describeCalls();
     }
     if (target.starts_with(ValuePrefix) || target.starts_with(NodesPath)) {
-        co_return co_await read(parseQuery(target), peer);
+        co_return co_await readFaulty(parseQuery(target), peer);
     }
     co_return makeReply(http::status::not_found, "no such path\n");
 }
 
-asio::awaitable<http_reply> config_service::read(read_query query, tcp::socket &peer)
+asio::awaitable<http_reply> config_service::readFaulty(read_query query, tcp::socket &peer)
 {
     ++m_calls[query.key];
+    if (m_faults.silent) {
+        co_await awaitPeerClosed(peer);
+        co_return http_reply{{}, delivery::dropped};
+    }
+    if (m_faults.absent == "close") {
+        co_return http_reply{{}, delivery::dropped};
+    }
+    if (m_faults.absent == "error") {
+        co_return makeReply(http::status::internal_server_error, "unavailable\n");
+    }
+    if (overLimit()) {
+        co_return makeReply(http::status::too_many_requests, "too many calls\n");
+    }
+    co_return co_await read(std::move(query), peer);
+}
+
+asio::awaitable<http_reply> config_service::read(read_query query, tcp::socket &peer)
+{
     if (query.index > 0) {
         co_await (awaitChange(query.key, query.index) || pauseFor(query.wait) || awaitPeerClosed(peer));
     }
-    const auto found = m_values.find(query.key);
-    const bool present = found != m_values.end();
-    http_reply reply = present ? makeReply(http::status::ok, found->second.text, query.contentType) : makeReply(http::status::not_found, "");
-    reply.message.set("X-Consul-Index", fmt::to_string(present ? found->second.index : m_index));
+    const stored_value *found = find(query.key);
+    http_reply reply = found != nullptr ? makeReply(http::status::ok, found->text, query.contentType) : makeReply(http::status::not_found, "");
+    reply.message.set("X-Consul-Index", fmt::to_string(found != nullptr ? found->index : m_index));
     co_return reply;
 }
 
 asio::awaitable<void> config_service::awaitChange(std::string key, std::uint64_t index)
 {
     const auto changed = [this, &key, index] {
-        const auto found = m_values.find(key);
-        return found != m_values.end() && found->second.index > index;
+        const stored_value *found = find(key);
+        return found != nullptr && found->index > index;
     };
     while (!changed()) {
         boost::system::error_code ignored;
@@ -115,6 +142,42 @@
     }
 }
 
+const config_service::stored_value *config_service::find(const std::string &key) const
+{
+    const auto found = m_values.find(key);
+    if (found == m_values.end()) {
+        return nullptr;
+    }
+    return m_faults.stale ? &found->second.before : &found->second.last;
+}
+
+bool config_service::overLimit()
+{
+    const state::time_point now = state::clock::now();
+    if (now - m_secondStart >= std::chrono::seconds(1)) {
+        m_secondStart = now;
+        m_readsInSecond = 0;
+    }
+    return m_faults.limit > 0 && ++m_readsInSecond > m_faults.limit;
+}
+
+http_reply config_service::setFaults(const std::string &text)
+{
+    try {
+        key_values values(text);
+        config_faults faults;
+        faults.absent = values.take("absent", faults.absent);
+        faults.stale = values.takeFlag("stale");
+        faults.silent = values.takeFlag("silent");
+        faults.limit = values.take("limit", faults.limit);
+        values.expectEmpty();
+        m_faults = faults;
+    } catch (const std::invalid_argument &error) {
+        return makeReply(http::status::bad_request, std::string(error.what()) + "\n");
+    }
+    return makeReply(http::status::ok, "true\n");
+}
+
 http_reply config_service::describeCalls() const
 {
     boost::json::object body;
--- /dev/null
+++ b/tests/standins/run_log.cpp
@@ -0,0 +1,51 @@
+#include "run_log.h"
+
+#include <sstream>
+#include <stdexcept>
+
+namespace dandelionstall::standins {
+
+namespace {
+
+struct log_line {
+    std::string kind;
+    std::string id;
+    std::string detail;
+    std::int64_t time = 0;
+};
+
+// Lines before the first event, such as "port=NNNN", have no time.
+bool readLine(const std::string &text, log_line &line)
+{
+    std::istringstream fields(text);
+    return static_cast<bool>(fields >> line.kind >> line.id >> line.detail >> line.time);
+}
+
+} // namespace
+
+void parseRunLog(const std::string &text, const std::string &worker, run_log &log)
+{
+    std::istringstream lines(text);
+    for (std::string each; std::getline(lines, each);) {
+        log_line line;
+        const bool partial = lines.eof();
+        if (each.starts_with("port=") || partial) {
+            continue;
+        }
+        if (!readLine(each, line)) {
+            throw std::invalid_argument("bad line in the log of " + worker + ": " + each);
+        }
+        if (line.kind == "start") {
+            log.runs.push_back({line.id, worker, std::chrono::microseconds(line.time)});
+        } else if (line.kind == "draining") {
+            log.leaving.push_back({worker, std::chrono::microseconds(line.time)});
+        }
+    }
+}
+
+std::chrono::microseconds steadyNow()
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(state::clock::now().time_since_epoch());
+}
+
+} // namespace dandelionstall::standins
--- a/tests/standins/standin_worker_main.cpp
+++ b/tests/standins/standin_worker_main.cpp
@@ -1,10 +1,7 @@
 // A stand-in worker, see worker_service.h. Prints "port=NNNN" when it is ready.
+#include "program_options.h"
 #include "worker_service.h"
 
-#include <boost/program_options.hpp>
-
-#include <iostream>
-
 namespace standins = dandelionstall::standins;
 namespace options = boost::program_options;
 
@@ -14,18 +11,13 @@
     standins::worker_options worker;
     options::options_description description("Options");
     auto add = description.add_options();
-    add("help", "print this text");
     add("listen", options::value(&listen)->default_value("127.0.0.1:0"), "ip:port; port 0 lets the kernel choose");
     add("name", options::value(&worker.name)->default_value("worker"), "sent as X-Worker with each answer");
     add("slots", options::value(&worker.slots)->default_value(3), "requests run at a time");
-    options::variables_map given;
-    options::store(options::parse_command_line(argc, argv, description), given);
-    options::notify(given);
-    if (given.contains("help")) {
-        std::cout << description;
-        return 0;
-    }
-    boost::asio::io_context io(1);
-    standins::worker_service service(io, worker);
-    return standins::runHttpProgram(io, standins::listenOn(io, listen), service);
+    add("seed", options::value(&worker.seed)->default_value(1), "of the draws behind the shares of faults");
+    return standins::runProgram(argc, argv, description, [&](const options::variables_map &) {
+        boost::asio::io_context io(1);
+        standins::worker_service service(io, worker);
+        return standins::runHttpProgram(io, standins::listenOn(io, listen), service);
+    });
 }
--- a/tests/standins/worker_service.cpp
+++ b/tests/standins/worker_service.cpp
@@ -1,6 +1,7 @@
 #include "worker_service.h"
 
 #include "answer_body.h"
+#include "run_log.h"
 
 #include <dandelionstall/state/types.h>
 
@@ -15,17 +16,11 @@
 
 namespace {
 
-constexpr std::chrono::hours NoDeadline{24};
-
-std::int64_t steadyMicros()
-{
-    const auto sinceStart = state::clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::microseconds>(sinceStart).count();
-}
+constexpr std::chrono::milliseconds NoDeadline{24 * 60 * 60 * 1000};
 
 void logLine(std::string_view kind, std::string_view requestId, std::string_view detail)
 {
-    fmt::print("{} {} {} {}\n", kind, requestId, detail, steadyMicros());
+    fmt::print("{} {} {} {}\n", kind, requestId, detail, steadyNow().count());
     std::fflush(stdout);
 }
 
@@ -40,10 +35,14 @@
 worker_service::worker_service(asio::io_context &io, const worker_options &options)
     : m_options(options)
     , m_slots(io, options.slots)
+    , m_random(options.seed)
 { }
 
 asio::awaitable<http_reply> worker_service::answer(const http_request &request, tcp::socket &peer)
 {
+    if (request.target() == "/_fault") {
+        co_return setFaults(request.body());
+    }
     http_reply reply;
     if (request.target() == "/healthz") {
         reply = describeHealth();
@@ -53,45 +52,121 @@
         reply = co_await work(request, peer);
     }
     reply.message.set("X-Worker", m_options.name);
+    if (faultsNow().draining) {
+        reply.message.set("X-Worker-State", "draining");
+    }
     co_return reply;
 }
 
 asio::awaitable<http_reply> worker_service::work(const http_request &request, tcp::socket &peer)
 {
-    const std::string id = requestIdOf(request);
-    auto entered = co_await (m_slots.enter() || awaitPeerClosed(peer));
-    if (entered.index() == 1 || !std::get<0>(entered).held()) {
+    if (draw(faultsNow().shed)) {
+        http_reply refusal = makeReply(http::status::service_unavailable, "shedding load\n");
+        refusal.message.set("X-Worker-Refused", "not-run");
+        co_return refusal;
+    }
+    std::string outcome;
+    {
+        auto entered = co_await (m_slots.enter() || awaitPeerClosed(peer));
+        if (entered.index() == 1 || !std::get<0>(entered).held()) {
+            co_return http_reply{{}, delivery::dropped};
+        }
+        outcome = co_await run(request, peer);
+    }
+    if (outcome == "cancelled") {
         co_return http_reply{{}, delivery::dropped};
     }
+    if (outcome == "deadline") {
+        co_return makeReply(http::status::gateway_timeout, "deadline passed\n");
+    }
+    const std::string id = requestIdOf(request);
+    const std::size_t bytes = headerNumber(request, "X-Test-Bytes", m_options.defaultBytes);
+    co_return co_await finish(id, makeReply(http::status::ok, makeAnswerBody(id, bytes)));
+}
+
+// Runs the request in a slot that the caller holds; returns the outcome as logged.
+asio::awaitable<std::string> worker_service::run(const http_request &request, tcp::socket &peer)
+{
+    const std::string id = requestIdOf(request);
     const std::string idempotent = headerOf(request, "X-Test-Idempotent");
     logLine("start", id, idempotent.empty() ? "yes" : idempotent);
-    const std::chrono::milliseconds cost(headerNumber(request, "X-Test-Cost-Ms", 0));
-    const std::chrono::milliseconds allowed(headerNumber(request, "X-Deadline-Ms", std::chrono::milliseconds(NoDeadline).count()));
+    const worker_faults faults = faultsNow();
+    const std::chrono::milliseconds allowed(headerNumber(request, "X-Deadline-Ms", NoDeadline.count()));
+    std::chrono::milliseconds cost = runTime(faults, std::chrono::milliseconds(headerNumber(request, "X-Test-Cost-Ms", 0)), state::clock::now());
+    if (draw(faults.hang)) {
+        cost = NoDeadline;
+    }
+    std::string outcome = cost > allowed ? "deadline" : "answered";
     if (cost.count() > 0) {
         const auto ended = co_await (pauseFor(std::min(cost, allowed)) || awaitPeerClosed(peer));
         if (ended.index() == 1) {
-            logLine("end", id, "cancelled");
-            co_return http_reply{{}, delivery::dropped};
+            outcome = "cancelled";
         }
     }
-    if (cost > allowed) {
-        logLine("end", id, "deadline");
-        co_return makeReply(http::status::gateway_timeout, "deadline passed\n");
+    logLine("end", id, outcome);
+    co_return outcome;
+}
+
+// Applies the faults that concern the answer of a run that has ended.
+asio::awaitable<http_reply> worker_service::finish(std::string id, http_reply reply)
+{
+    const worker_faults faults = faultsNow();
+    if (faults.late.count() > 0) {
+        co_await pauseFor(faults.late);
     }
-    logLine("end", id, "answered");
-    const std::size_t bytes = headerNumber(request, "X-Test-Bytes", m_options.defaultBytes);
-    co_return makeReply(http::status::ok, makeAnswerBody(id, bytes));
+    if (draw(faults.fail)) {
+        co_return makeReply(http::status::internal_server_error, "failed " + id + "\n");
+    }
+    if (draw(faults.reset)) {
+        reply.how = delivery::reset;
+    } else if (draw(faults.truncate)) {
+        reply.how = delivery::truncated;
+    }
+    co_return reply;
+}
+
+http_reply worker_service::setFaults(const std::string &text)
+{
+    try {
+        m_faults = parseWorkerFaults(text, state::clock::now());
+    } catch (const std::invalid_argument &error) {
+        return makeReply(http::status::bad_request, std::string(error.what()) + "\n");
+    }
+    if (m_faults.draining) {
+        logLine("draining", m_options.name, "yes");
+    }
+    return makeReply(http::status::ok, "true\n");
 }
 
 http_reply worker_service::describeHealth() const
 {
-    return makeReply(http::status::ok, R"({"status":"ok"})", "application/json");
+    const worker_faults faults = faultsNow();
+    if (faults.health == "sick") {
+        return makeReply(http::status::service_unavailable, R"({"status":"sick"})", "application/json");
+    }
+    const bool draining = faults.draining && faults.health == "honest";
+    return makeReply(http::status::ok, draining ? R"({"status":"draining"})" : R"({"status":"ok"})", "application/json");
 }
 
 http_reply worker_service::describeLoad() const
 {
-    const std::string body = fmt::format(R"({{"slots":{},"busy":{},"queued":{}}})", m_options.slots, m_slots.busy(), m_slots.waiting());
+    const worker_faults faults = faultsNow();
+    std::uint64_t busy = m_slots.busy();
+    if (faults.load != "honest") {
+        busy = faults.load == "idle" ? 0 : m_options.slots;
+    }
+    const std::string body = fmt::format(R"({{"slots":{},"busy":{},"queued":{}}})", m_options.slots, busy, m_slots.waiting());
     return makeReply(http::status::ok, body, "application/json");
 }
 
+worker_faults worker_service::faultsNow() const
+{
+    return faultsAt(m_faults, state::clock::now());
+}
+
+bool worker_service::draw(double share)
+{
+    return share > 0 && std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+}
+
 } // namespace dandelionstall::standins
--- a/tests/standins/worker_service.h
+++ b/tests/standins/worker_service.h
@@ -7,13 +7,16 @@
 //   X-Test-Idempotent  "yes" or "no"; only for the log
 //   X-Deadline-Ms      milliseconds left; work that would end later is broken off then, with status 504
 // Each run is logged to standard output: "start <request id> <idempotent> <steady us>" and "end <request id> <outcome>
-// <steady us>". Closing the connection stops the work and frees its slot.
+// <steady us>"; "draining <name> yes <steady us>" marks when draining began. Closing the connection stops the work and frees its slot. PUT /_fault takes the
+// faults of worker_faults.h as its body; an empty body ends them.
 #pragma once
 
 #include "http_server.h"
 #include "slot_gate.h"
+#include "worker_faults.h"
 
 #include <cstdint>
+#include <random>
 #include <string>
 
 namespace dandelionstall::standins {
@@ -22,6 +25,7 @@
     std::string name = "worker"; // sent as X-Worker
     std::uint32_t slots = 3;
     std::size_t defaultBytes = 64; // answer size without X-Test-Bytes
+    std::uint64_t seed = 1;        // of the draws behind the shares of faults
 };
 
 class worker_service : public http_service
@@ -33,11 +37,18 @@
 
 private:
     asio::awaitable<http_reply> work(const http_request &request, tcp::socket &peer);
+    asio::awaitable<http_reply> finish(std::string id, http_reply reply);
+    asio::awaitable<std::string> run(const http_request &request, tcp::socket &peer);
+    http_reply setFaults(const std::string &text);
     http_reply describeHealth() const;
     http_reply describeLoad() const;
+    worker_faults faultsNow() const;
+    bool draw(double share);
 
     worker_options m_options;
     slot_gate m_slots;
+    worker_faults m_faults; // as commanded
+    std::mt19937_64 m_random;
 };
 
 } // namespace dandelionstall::standins
