--- a/tests/standins/fault_network.cpp
+++ b/tests/standins/fault_network.cpp
@@ -20,12 +20,10 @@
 constexpr std::size_t MaxDatagramBytes = 64 * 1024;
 constexpr std::chrono::milliseconds CutPollInterval{5};
 
-template<typename endpoint_type>
-endpoint_type endpointOf(const std::string &address)
+udp::endpoint datagramEndpoint(const std::string &address)
 {
-    const std::size_t colon = address.rfind(':');
-    const auto port = static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)));
-    return {asio::ip::make_address(address.substr(0, colon)), port};
+    const tcp::endpoint same = parseEndpoint(address);
+    return {same.address(), same.port()};
 }
 
 std::string ipOf(const tcp::socket &socket)
@@ -69,10 +67,10 @@
 
 void fault_network::open(const fault_link &link)
 {
-    auto acceptor = std::make_shared<tcp::acceptor>(m_io, endpointOf<tcp::endpoint>(link.listen));
-    auto datagrams = std::make_shared<udp::socket>(m_io, endpointOf<udp::endpoint>(link.listen));
-    asio::co_spawn(m_io, acceptConnections(acceptor, endpointOf<tcp::endpoint>(link.target)), asio::detached);
-    asio::co_spawn(m_io, receiveDatagrams(datagrams, endpointOf<udp::endpoint>(link.target)), asio::detached);
+    auto acceptor = std::make_shared<tcp::acceptor>(m_io, parseEndpoint(link.listen));
+    auto datagrams = std::make_shared<udp::socket>(m_io, datagramEndpoint(link.listen));
+    asio::co_spawn(m_io, acceptConnections(acceptor, parseEndpoint(link.target)), asio::detached);
+    asio::co_spawn(m_io, receiveDatagrams(datagrams, datagramEndpoint(link.target)), asio::detached);
 }
 
 asio::awaitable<http_reply> fault_network::answer(const http_request &request, tcp::socket &)
--- a/tests/standins/http_server.cpp
+++ b/tests/standins/http_server.cpp
@@ -137,14 +137,19 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-tcp::acceptor listenOn(asio::io_context &io, const std::string &address)
+tcp::endpoint parseEndpoint(const std::string &address)
 {
     const std::size_t colon = address.rfind(':');
     if (colon == std::string::npos) {
         throw std::invalid_argument(fmt::format("address must be ip:port, got '{}'", address));
     }
     const auto port = static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)));
-    return {io, tcp::endpoint(asio::ip::make_address(address.substr(0, colon)), port)};
+    return {asio::ip::make_address(address.substr(0, colon)), port};
+}
+
+tcp::acceptor listenOn(asio::io_context &io, const std::string &address)
+{
+    return {io, parseEndpoint(address)};
 }
 
 asio::awaitable<void> serveHttp(tcp::acceptor acceptor, http_service &service)
--- a/tests/standins/http_server.h
+++ b/tests/standins/http_server.h
@@ -54,6 +54,7 @@
 
 asio::awaitable<void> awaitPeerClosed(tcp::socket &peer);                 // returns when the peer has closed or reset the connection
 asio::awaitable<void> pauseFor(std::chrono::microseconds span);           // sleeps; cancellable
+tcp::endpoint parseEndpoint(const std::string &address);                  // "127.0.0.1:80"; throws when malformed
 tcp::acceptor listenOn(asio::io_context &io, const std::string &address); // "127.0.0.1:0"; throws when it cannot be bound
 
 asio::awaitable<void> serveHttp(tcp::acceptor acceptor, http_service &service);          // until the acceptor fails
--- /dev/null
+++ b/tests/standins/load_profile.cpp
@@ -0,0 +1,128 @@
+#include "load_profile.h"
+
+#include "key_values.h"
+
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <random>
+
+namespace dandelionstall::standins {
+
+namespace {
+
+void readLoad(key_values &values, load_profile &profile)
+{
+    profile.seed = values.take("seed", profile.seed);
+    const auto nodes = values.take<std::string>("nodes", "");
+    boost::split(profile.nodes, nodes, boost::is_any_of(", "), boost::token_compress_on);
+    profile.source = values.take("source", profile.source);
+    profile.idPrefix = values.take("id_prefix", profile.idPrefix);
+    profile.maxOpen = values.take("max_open", profile.maxOpen);
+}
+
+load_phase readPhase(const std::string &name, key_values &values)
+{
+    load_phase phase;
+    phase.name = name;
+    phase.length = std::chrono::milliseconds(static_cast<std::int64_t>(values.take("seconds", 1.0) * 1000));
+    phase.rate = values.take("rate", phase.rate);
+    return phase;
+}
+
+request_class readClass(const std::string &name, key_values &values)
+{
+    request_class each;
+    each.name = name;
+    each.share = values.take("share", each.share);
+    each.path = values.take("path", each.path);
+    each.method = values.take("method", each.method);
+    each.host = values.take("host", each.host);
+    each.idempotent = values.takeFlag("idempotent");
+    each.ticket = values.takeFlag("ticket");
+    each.cost = values.takeMillis("cost_ms", each.cost);
+    each.costSigma = values.take("cost_sigma", each.costSigma);
+    each.stragglerShare = values.take("straggler_share", each.stragglerShare);
+    each.stragglerFactor = values.take("straggler_factor", each.stragglerFactor);
+    each.bytes = values.take("bytes", each.bytes);
+    each.worth = values.take("worth", each.worth);
+    each.deadline = values.takeMillis("deadline_ms", each.deadline);
+    each.organisations = values.take("organisations", each.organisations);
+    each.retries = values.take("retries", each.retries);
+    return each;
+}
+
+std::chrono::milliseconds drawCost(const request_class &each, std::mt19937_64 &random)
+{
+    double cost = static_cast<double>(each.cost.count());
+    if (each.costSigma > 0) {
+        cost *= std::lognormal_distribution<double>(0.0, each.costSigma)(random);
+    }
+    if (std::bernoulli_distribution(each.stragglerShare)(random)) {
+        cost *= each.stragglerFactor;
+    }
+    return std::chrono::milliseconds(static_cast<std::int64_t>(cost + 0.5));
+}
+
+} // namespace
+
+load_profile readLoadProfile(const std::string &path)
+{
+    load_profile profile;
+    for (auto &[name, values] : readSections(path)) {
+        if (name == "load") {
+            readLoad(values, profile);
+        } else if (name.starts_with("phase.")) {
+            profile.phases.push_back(readPhase(name.substr(6), values));
+        } else if (name.starts_with("class.")) {
+            profile.classes.push_back(readClass(name.substr(6), values));
+        } else {
+            throw std::invalid_argument("unknown section " + name);
+        }
+        values.expectEmpty();
+    }
+    if (profile.nodes.empty() || profile.phases.empty() || profile.classes.empty()) {
+        throw std::invalid_argument("a load profile needs nodes, a phase and a class");
+    }
+    return profile;
+}
+
+std::vector<planned_request> planLoad(const load_profile &profile)
+{
+    std::mt19937_64 random(profile.seed);
+    std::vector<double> shares;
+    for (const request_class &each : profile.classes) {
+        shares.push_back(each.share);
+    }
+    std::discrete_distribution<std::size_t> drawClass(shares.begin(), shares.end());
+    std::uniform_int_distribution<std::size_t> drawNode(0, profile.nodes.size() - 1);
+    std::vector<planned_request> plan;
+    std::chrono::microseconds start{0};
+    for (std::size_t phase = 0; phase < profile.phases.size(); ++phase) {
+        const load_phase &now = profile.phases[phase];
+        const std::chrono::microseconds end = start + now.length;
+        std::exponential_distribution<double> drawGap(now.rate);
+        const auto nextGap = [&] {
+            return std::chrono::microseconds(static_cast<std::int64_t>(drawGap(random) * 1e6));
+        };
+        for (std::chrono::microseconds due = start + nextGap(); due < end; due += nextGap()) {
+            planned_request request;
+            request.id = fmt::format("{}{}-{}", profile.idPrefix, profile.seed, plan.size());
+            request.due = due;
+            request.phase = phase;
+            request.requestClass = drawClass(random);
+            request.node = drawNode(random);
+            const request_class &kind = profile.classes[request.requestClass];
+            request.cost = drawCost(kind, random);
+            const std::uint32_t last = std::max(kind.organisations, 1U) - 1;
+            request.organisation = fmt::format("outlet-{}", std::uniform_int_distribution<std::uint32_t>(0, last)(random));
+            plan.push_back(std::move(request));
+        }
+        start = end;
+    }
+    return plan;
+}
+
+} // namespace dandelionstall::standins
--- /dev/null
+++ b/tests/standins/load_profile.h
@@ -0,0 +1,77 @@
+// Load profile: what callers send, when and where. Planning is pure: the same profile gives the same requests.
+//
+//   [load]
+//   seed=1
+//   nodes=127.2.0.1:7480,127.2.0.2:7480    each request goes to one of them, drawn evenly
+//   source=127.9.0.1                       IP number to send from; any when absent
+//   id_prefix=a                            put before each request id
+//   max_open=2000                          requests in flight; more are recorded as caller_overload
+//   [phase.quiet]                          phases follow each other in file order
+//   seconds=5
+//   rate=100                               requests a second, Poisson arrivals
+//   [class.lookup]
+//   share=0.9                              relative weight among the classes
+//   path=/orders/lookup  method=GET  host= idempotent=yes  ticket=no
+//   cost_ms=20  cost_sigma=0.3             log-normal run time: median and sigma
+//   straggler_share=0.01  straggler_factor=100
+//   bytes=500  worth=1  deadline_ms=1000
+//   organisations=50                       drawn evenly: outlet-0, outlet-1, ...
+//   retries=0                              tries at other nodes when no answer or an unknown outcome came
+#pragma once
+
+#include <dandelionstall/state/types.h>
+
+#include <string>
+#include <vector>
+
+namespace dandelionstall::standins {
+
+struct load_phase {
+    std::string name;
+    std::chrono::milliseconds length{1000};
+    double rate = 10.0;
+};
+
+struct request_class {
+    std::string name;
+    double share = 1.0;
+    std::string path = "/";
+    std::string method = "GET";
+    std::string host = "service.example";
+    bool idempotent = true;
+    bool ticket = false; // fetch a ticket first and send it along
+    std::chrono::milliseconds cost{10};
+    double costSigma = 0.0;
+    double stragglerShare = 0.0;
+    double stragglerFactor = 100.0;
+    std::size_t bytes = 200;
+    double worth = 1.0;
+    std::chrono::milliseconds deadline{2000};
+    std::uint32_t organisations = 20;
+    std::uint32_t retries = 0;
+};
+
+struct load_profile {
+    std::uint64_t seed = 1;
+    std::vector<std::string> nodes;
+    std::string source;
+    std::string idPrefix = "r";
+    std::size_t maxOpen = 2000;
+    std::vector<load_phase> phases;
+    std::vector<request_class> classes;
+};
+
+struct planned_request {
+    std::string id;
+    std::chrono::microseconds due{0}; // after the start of the load
+    std::size_t requestClass = 0;     // index into the profile's classes
+    std::size_t phase = 0;            // index into the profile's phases
+    std::size_t node = 0;             // index into the profile's nodes
+    std::chrono::milliseconds cost{0};
+    std::string organisation;
+};
+
+load_profile readLoadProfile(const std::string &path);              // throws std::invalid_argument
+std::vector<planned_request> planLoad(const load_profile &profile); // in order of their due times
+
+} // namespace dandelionstall::standins
