No co_await inside conditional expressions

Cause: nodes crashed with 'free(): invalid pointer' on the second answer: GCC 12 destroys the temporaries of the branch of ?: that was not taken when the other branch awaits. Ruled out: the digest state (aligned allocation, freed once) and kept answers. Conclusion: awaiting conditionals are written as if/else.

--- a/programs/dandelionstall/request_attempt.cpp
+++ b/programs/dandelionstall/request_attempt.cpp
@@ -189,7 +189,10 @@
             }
         } else if (event.frame.type == frame_type::answer_end && sent.headArrived) {
             const auto end = protocol::decodeAnswerEnd(event.frame.payload);
-            co_return end.ok() ? co_await takeEnd(sent, *end) : cutAnswer(sent);
+            if (!end.ok()) {
+                co_return cutAnswer(sent);
+            }
+            co_return co_await takeEnd(sent, *end);
         } else {
             sent.link->session->reset(sent.stream);
             co_return cutAnswer(sent);
@@ -270,7 +273,7 @@
     const std::string_view length = protocol::findHeader(answer.head.headers, "Content-Length");
     const bool bodiless = m_request.method == "HEAD" || answer.head.status == 204 || answer.head.status == 304;
     if (!length.empty() && !bodiless) {
-        std::from_chars(length.data(), length.data() + length.size(), stated);
+        std::from_chars(length.begin(), length.end(), stated);
     }
     if (!whole || stated != answer.bodyBytes) {
         m_owner.counters().countNamed("answers_not_whole");
@@ -281,8 +284,12 @@
     }
     const std::uint32_t status = answer.head.status;
     answer.sentBytes += answer.held.size();
-    const bool sentAll
-        = answer.streaming ? co_await m_connection.sendLast(answer.held) : co_await m_connection.sendWhole(status, answer.head.headers, std::move(answer.held));
+    bool sentAll = false;
+    if (answer.streaming) {
+        sentAll = co_await m_connection.sendLast(answer.held);
+    } else {
+        sentAll = co_await m_connection.sendWhole(status, answer.head.headers, std::move(answer.held));
+    }
     if (sent.tracked && m_ticket.empty()) {
         acknowledge(sent);
     }
--- a/programs/dandelionstall/request_run.cpp
+++ b/programs/dandelionstall/request_run.cpp
@@ -31,7 +31,7 @@
 {
     const std::string_view text = protocol::findHeader(headers, protocol::DeadlineHeader);
     std::int64_t value = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    const auto parsed = std::from_chars(text.begin(), text.end(), value);
     if (parsed.ec != std::errc() || value <= 0) {
         return routeTimeout;
     }
--- a/state/include/dandelionstall/state/attempts.h
+++ b/state/include/dandelionstall/state/attempts.h
@@ -67,8 +67,8 @@
 };
 
 struct attempt_limits {
-    std::size_t maxRecords = 65'536;             // records kept at a time
-    std::size_t maxKeptBytes = 64 * 1024 * 1024; // bytes of all kept answers
+    std::size_t maxRecords = 65'536;       // records kept at a time
+    std::size_t maxKeptBytes = 67'108'864; // bytes of all kept answers
 };
 
 class attempt_registry
--- a/state/src/attempts.cpp
+++ b/state/src/attempts.cpp
@@ -20,9 +20,8 @@
 template<typename number>
 bool readNumber(std::string_view text, int base, number &value)
 {
-    const char *end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, value, base);
-    return !text.empty() && result.ec == std::errc() && result.ptr == end;
+    const auto result = std::from_chars(text.begin(), text.end(), value, base);
+    return !text.empty() && result.ec == std::errc() && result.ptr == text.end();
 }
 
 bool isWorkerName(std::string_view name)
--- a/transport/src/node_session.cpp
+++ b/transport/src/node_session.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
-#include <cstring>
 #include <utility>
 #include <vector>
 
@@ -271,7 +270,7 @@
     while (copied < length && !entry.out.empty()) {
         const std::string &front = entry.out.front();
         const std::size_t part = std::min(length - copied, front.size() - entry.outOffset);
-        std::memcpy(buffer + copied, front.data() + entry.outOffset, part);
+        std::copy_n(front.data() + entry.outOffset, part, buffer + copied);
         copied += part;
         entry.outOffset += part;
         if (entry.outOffset == front.size()) {
--- a/transport/src/worker_client.cpp
+++ b/transport/src/worker_client.cpp
@@ -59,7 +59,7 @@
 {
     const std::string_view text = protocol::findHeader(headers, "Retry-After");
     std::uint32_t seconds = 0;
-    std::from_chars(text.data(), text.data() + text.size(), seconds);
+    std::from_chars(text.begin(), text.end(), seconds);
     return std::chrono::seconds(std::min<std::uint32_t>(seconds, 3600));
 }
 
