--- /dev/null
+++ b/protocol/tests/test_messages.cpp
@@ -0,0 +1,139 @@
+// Tests of protocol/messages.h, frame.h and clock_estimate.h.
+#include <dandelionstall/protocol/clock_estimate.h>
+#include <dandelionstall/protocol/frame.h>
+#include <dandelionstall/protocol/messages.h>
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <rapidcheck.h>
+
+using namespace dandelionstall;
+using namespace dandelionstall::protocol;
+
+namespace {
+
+std::chrono::microseconds anySpan(std::int64_t max)
+{
+    return std::chrono::microseconds(*rc::gen::inRange<std::int64_t>(0, max));
+}
+
+std::string anyText()
+{
+    return *rc::gen::container<std::string>(rc::gen::inRange('a', 'z'));
+}
+
+} // namespace
+
+Test(messages, an_attempt_survives_encoding)
+{
+    cr_assert(rc::check("attempt round trip", [] {
+        attempt_head head;
+        head.id = {*rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint64_t>()};
+        head.worker = anyText();
+        head.route = anyText();
+        head.home = *rc::gen::arbitrary<std::uint64_t>();
+        head.deadline = state::time_point(anySpan(1'000'000'000));
+        head.worth = *rc::gen::inRange(1, 100);
+        head.idempotent = *rc::gen::arbitrary<bool>();
+        head.costHint = anySpan(1'000'000);
+        head.headers = {{anyText(), anyText()}, {anyText(), anyText()}};
+        head.ticket = anyText();
+        head.bodyBytes = *rc::gen::inRange<std::uint64_t>(0, 1'000'000);
+        const auto parsed = decodeAttemptHead(encode(head));
+        RC_ASSERT(parsed.ok());
+        RC_ASSERT(parsed->id == head.id);
+        RC_ASSERT(parsed->worker == head.worker);
+        RC_ASSERT(parsed->deadline == head.deadline);
+        RC_ASSERT(parsed->idempotent == head.idempotent);
+        RC_ASSERT(parsed->headers == head.headers);
+        RC_ASSERT(parsed->ticket == head.ticket);
+        RC_ASSERT(parsed->bodyBytes == head.bodyBytes);
+    }));
+}
+
+Test(messages, an_answer_keeps_its_reason_and_reports)
+{
+    answer_head head;
+    head.id = {1, 2};
+    head.run = coordination::run_state::not_run;
+    head.refusal = coordination::refusal_reason::queue_full;
+    head.retryAfter = std::chrono::milliseconds(640);
+    coordination::worker_report report;
+    report.worker = "w1";
+    report.node = {"10.0.0.1", 7400};
+    report.version = 9;
+    report.slowness = 2.5;
+    head.reports.push_back(report);
+    const auto parsed = decodeAnswerHead(encode(head));
+    cr_assert(parsed.ok());
+    cr_assert(parsed->run == coordination::run_state::not_run);
+    cr_assert(parsed->refusal == coordination::refusal_reason::queue_full);
+    cr_assert(parsed->retryAfter == std::chrono::milliseconds(640));
+    cr_assert(eq(sz, parsed->reports.size(), 1));
+    cr_assert(parsed->reports.front().node == report.node);
+    cr_assert(parsed->reports.front().slowness == 2.5);
+}
+
+Test(messages, an_unknown_run_state_is_never_taken_for_not_run)
+{
+    cr_assert(decodeAnswerHead("").ok());
+    cr_assert(decodeAnswerHead("")->run == coordination::run_state::unknown);
+    cr_assert(not(decodeAnswerHead("\xff\xff\xff").ok()));
+}
+
+Test(frames, arrive_whole_however_the_bytes_are_cut)
+{
+    cr_assert(rc::check("frames in pieces", [] {
+        const auto payloads = *rc::gen::container<std::vector<std::string>>(rc::gen::container<std::string>(rc::gen::arbitrary<char>()));
+        std::string bytes;
+        for (const std::string &payload : payloads) {
+            appendFrame(bytes, frame_type::body, payload);
+        }
+        frame_decoder decoder;
+        std::vector<std::string> got;
+        std::size_t at = 0;
+        while (at < bytes.size()) {
+            const std::size_t part = *rc::gen::inRange<std::size_t>(1, 9);
+            decoder.feed(std::string_view(bytes).substr(at, part));
+            at += part;
+            for (auto next = decoder.next(); next.ok() && next->has_value(); next = decoder.next()) {
+                got.push_back((*next)->payload);
+            }
+        }
+        RC_ASSERT(got == payloads);
+        RC_ASSERT(decoder.atBoundary());
+    }));
+}
+
+Test(frames, unknown_types_and_oversized_lengths_are_refused)
+{
+    frame_decoder unknown;
+    unknown.feed(std::string_view("\x63\0\0\0\0", 5));
+    cr_assert(not(unknown.next().ok()));
+    frame_decoder oversized;
+    oversized.feed(std::string_view("\x02\x7f\0\0\0", 5));
+    cr_assert(not(oversized.next().ok()));
+}
+
+Test(clock_estimate, a_translated_deadline_is_never_later_than_the_true_one)
+{
+    cr_assert(rc::check("deadline on the peer's clock", [] {
+        const state::time_point start{};
+        const auto offset = std::chrono::microseconds(*rc::gen::inRange<std::int64_t>(-1'000'000'000, 1'000'000'000));
+        clock_estimate estimate;
+        state::time_point now = start + std::chrono::seconds(100);
+        const int exchanges = *rc::gen::inRange(1, 6);
+        for (int i = 0; i < exchanges; ++i) {
+            const state::time_point sentAt = now;
+            const auto out = anySpan(200'000);
+            const auto back = anySpan(200'000);
+            estimate.noteExchange(sentAt, sentAt + out + offset, sentAt + out + back);
+            now = sentAt + out + back + anySpan(5'000'000);
+        }
+        RC_ASSERT(estimate.known());
+        const state::time_point deadline = now + anySpan(10'000'000);
+        const state::time_point truth = deadline + offset;
+        RC_ASSERT(estimate.toPeer(deadline, now) <= truth + std::chrono::microseconds(1));
+        RC_ASSERT(truth - estimate.toPeer(deadline, now) <= 2 * estimate.uncertainty(now) + std::chrono::microseconds(2));
+    }));
+}
