Wake for gated long work only when the account of demand changes

Cause: with a free slot and long work waiting, nextDeadline() was one tick after now once the account of recent demand was older than its last boundary, so that a timer would have fired without end.

Before: the new test (100 wakes allowed) fails. Conclusion: nextDeadline() names the next boundary after now, or none.

--- a/coordination/src/admission_demand.cpp
+++ b/coordination/src/admission_demand.cpp
@@ -61,9 +61,12 @@
     return total(&bucket::shortWork, now) > 0.0;
 }
 
-state::time_point recent_demand::changesAt() const
+state::time_point recent_demand::changesAt(state::time_point now) const
 {
-    return m_currentEndsAt;
+    if (now < m_currentEndsAt) {
+        return m_currentEndsAt;
+    }
+    return now < m_currentEndsAt + BucketSpan ? m_currentEndsAt + BucketSpan : state::time_point::max();
 }
 
 void recent_demand::roll(state::time_point now)
--- a/coordination/src/admission_demand.h
+++ b/coordination/src/admission_demand.h
@@ -15,7 +15,7 @@
     double shortDensity(state::time_point now) const;         // mean worth per second of the short work
     double refusedDensity(state::time_point now) const;       // highest density refused for low worth; 0 when none
     bool hasShort(state::time_point now) const;               // short work came lately
-    state::time_point changesAt() const;                      // when the oldest part of the account is dropped
+    state::time_point changesAt(state::time_point now) const; // when the oldest part is dropped; max() when nothing is left
 
 private:
     // Sums over one stretch of time.
--- a/coordination/src/admission_worth_density.cpp
+++ b/coordination/src/admission_worth_density.cpp
@@ -273,7 +273,7 @@
         m_nextDeadline = std::min(m_nextDeadline, work.deadline - work.cost + state::duration(1));
     }
     if (hasFreeSlot() && !m_waiting.empty()) {
-        m_nextDeadline = std::min(m_nextDeadline, std::max(m_demand.changesAt(), now + state::duration(1)));
+        m_nextDeadline = std::min(m_nextDeadline, m_demand.changesAt(now));
     }
 }
 
--- a/coordination/tests/test_admission.cpp
+++ b/coordination/tests/test_admission.cpp
@@ -196,3 +196,23 @@
     }
     cr_assert(times.size() > 45U);
 }
+
+Test(admission, wakes_a_bounded_number_of_times_while_long_work_waits_beside_a_free_slot)
+{
+    const auto policy = makePolicy("worth_density", {2, 8});
+    for (std::uint64_t sequence = 1; sequence <= 20; ++sequence) {
+        const state::time_point now = Start + sequence * 40ms;
+        policy->offer(makeItem(sequence, "short", 1, now + 1s, 20ms), now);
+        policy->finish({1, sequence}, work_result::answered, now + 20ms);
+    }
+    state::time_point now = Start + 830ms;
+    policy->offer(makeItem(21, "long", 1, now + 20s, 2s), now);
+    admission_actions todo = policy->offer(makeItem(22, "long", 1, now + 20s, 2s), now);
+    int wakes = 0;
+    while (!isStarted(todo, 22) && ++wakes < 100) {
+        now = policy->nextDeadline();
+        todo = policy->advance(now);
+    }
+    cr_assert(isStarted(todo, 22));
+    cr_assert(now < Start + 3s);
+}
