Harness for integration tests with real processes

Cause: promises have to be tested on separate processes with their own addresses, which must not outlive the test. Before: no harness.

--- /dev/null
+++ b/tests/integration/support/http_call.h
@@ -0,0 +1,25 @@
+// One blocking HTTP exchange, for commands and reads of a test.
+#pragma once
+
+#include <chrono>
+#include <string>
+
+namespace dandelionstall::testing {
+
+struct http_call {
+    std::string address; // ip:port
+    std::string target = "/";
+    std::string method = "GET";
+    std::string body;
+};
+
+struct http_outcome {
+    unsigned status = 0; // 0 when there was no answer
+    std::string body;
+};
+
+http_outcome callHttp(const http_call &call, std::chrono::milliseconds timeout = std::chrono::seconds(2));
+http_outcome getHttp(const std::string &address, const std::string &target);
+void command(const std::string &address, const std::string &target, const std::string &body); // PUT; throws unless it gets status 200
+
+} // namespace dandelionstall::testing
