Admin API in the node process

Cause: operators and tests could not see whether a node is ready. Before: no admin address was bound. After: /v1/ready and /metrics answer. Conclusion: the membership view joins when control hands it out.

--- a/programs/dandelionstall/main.cpp
+++ b/programs/dandelionstall/main.cpp
@@ -1,5 +1,6 @@
 // The node process: ingress for callers and sidecar of the workers on its VM.
 #include "node.h"
+#include "version.h"
 
 #include <dandelionstall/state/text.h>
 #include <dandelionstall/transport/events.h>
@@ -17,8 +18,6 @@
 
 namespace {
 
-constexpr std::string_view Version = "0.1.0";
-
 // Exit codes, also in docs/SETTINGS.md.
 constexpr int ExitOk = 0;       // graceful stop, or the check passed
 constexpr int ExitUsage = 2;    // the command line is wrong
--- a/programs/dandelionstall/node.cpp
+++ b/programs/dandelionstall/node.cpp
@@ -1,5 +1,7 @@
 #include "node.h"
 
+#include "version.h"
+
 #include <dandelionstall/transport/events.h>
 
 #include <boost/asio.hpp>
@@ -36,6 +38,7 @@
 node::node(state::settings settings)
     : m_settings(std::move(settings))
     , m_life(makeIncarnation())
+    , m_startedAt(state::clock::now())
     , m_signals(m_controlIo, SIGTERM, SIGINT)
 { }
 
@@ -67,6 +70,9 @@
         }
         m_ingresses.push_back(std::move(entry));
     }
+    if (absl::Status status = startAdmin(); !status.ok()) {
+        return status;
+    }
     m_control->subscribe([this](coordination::snapshot_ptr snapshot) { publish(snapshot); });
     m_control->start();
     waitForSignal();
@@ -78,6 +84,28 @@
     return absl::OkStatus();
 }
 
+absl::Status node::startAdmin()
+{
+    transport::admin_providers providers;
+    providers.identity = [this] {
+        return protocol::node_identity{m_settings.name, std::string(Version), m_life, m_startedAt};
+    };
+    providers.now = [] {
+        return state::clock::now();
+    };
+    providers.snapshot = [this] {
+        return m_control->current();
+    };
+    providers.settings = [this]() -> const state::settings & {
+        return m_settings;
+    };
+    providers.metrics = [this] {
+        return m_counters.expose();
+    };
+    m_admin = std::make_unique<transport::admin_server>(m_controlIo, transport::makeAdminHandlers(std::move(providers)));
+    return m_admin->listen(m_settings.admin);
+}
+
 void node::publish(const coordination::snapshot_ptr &snapshot)
 {
     asio::post(m_sidecarIo, [this, snapshot] { m_sidecar->applySnapshot(snapshot); });
@@ -172,6 +200,7 @@
     pause.expires_after(OutcomeLinger);
     co_await pause.async_wait(asio::use_awaitable);
     co_await waitUntilIdle();
+    m_admin->stop();
     m_sidecarIo.stop();
     for (const auto &entry : m_ingresses) {
         entry->io.stop();
--- a/programs/dandelionstall/node.h
+++ b/programs/dandelionstall/node.h
@@ -11,6 +11,7 @@
 #include "sidecar.h"
 
 #include <dandelionstall/state/settings.h>
+#include <dandelionstall/transport/admin_server.h>
 #include <dandelionstall/transport/metrics.h>
 
 #include <boost/asio/io_context.hpp>
@@ -40,6 +41,7 @@
         std::atomic<std::size_t> busy{0}; // connections with a request in flight, as of the last poll
     };
 
+    absl::Status startAdmin();
     void publish(const coordination::snapshot_ptr &snapshot);
     void waitForSignal();
     void beginShutdown();
@@ -49,12 +51,14 @@
 
     state::settings m_settings;
     state::incarnation m_life;
+    state::time_point m_startedAt; // for the admin API
     transport::metrics m_counters;
     boost::asio::io_context m_controlIo{1};
     boost::asio::io_context m_sidecarIo{1};
     boost::asio::signal_set m_signals;
     std::unique_ptr<control> m_control;
     std::unique_ptr<sidecar> m_sidecar;
+    std::unique_ptr<transport::admin_server> m_admin;
     std::thread m_sidecarThread;
     std::vector<std::unique_ptr<ingress_thread>> m_ingresses;
     std::atomic<bool> m_sidecarIdle{true};
