--- a/coordination/include/dandelionstall/coordination/config_store.h
+++ b/coordination/include/dandelionstall/coordination/config_store.h
@@ -89,6 +89,8 @@
 
     template<typename table>
     offer_result take(pair_of<table> &tables, table_kind kind, absl::StatusOr<table> parsed, std::string text);
+    template<typename table>
+    bool takeBetween(pair_of<table> &tables, const table &parsed, const std::string &text);
     absl::Status settle();
     bool tryInForce(const slot<state::route_table> &routes, const slot<state::pool_table> &pools, absl::Status &reason);
 
--- a/coordination/src/config_store.cpp
+++ b/coordination/src/config_store.cpp
@@ -74,6 +74,9 @@
             offer_verdict::conflict, version, refusal(state::state_error::conflict, fmt::format("revision {} is known with other content", version.revision))};
     }
     if (version.revision < best.revision) {
+        if (version.revision > inForce(kind).revision && takeBetween(tables, *parsed, text)) {
+            return {offer_verdict::accepted, version, absl::OkStatus()};
+        }
         return {
             offer_verdict::stale, version, refusal(state::state_error::stale, fmt::format("revision {} is older than {}", version.revision, best.revision))};
     }
@@ -84,6 +87,20 @@
     return {taken ? offer_verdict::accepted : offer_verdict::held, version, taken ? absl::OkStatus() : reason};
 }
 
+// A table older than the one held back but newer than the one in force is better than the latter.
+template<typename table>
+bool config_store::takeBetween(pair_of<table> &tables, const table &parsed, const std::string &text)
+{
+    const slot<table> before = tables.inForce;
+    tables.inForce = {std::make_shared<const table>(parsed), std::make_shared<const std::string>(text)};
+    absl::Status reason;
+    if (tryInForce(m_routes.inForce, m_pools.inForce, reason)) {
+        return true;
+    }
+    tables.inForce = before;
+    return false;
+}
+
 // Puts the newest pair in force that fits together. Both held tables together go first, then each with the one in force.
 absl::Status config_store::settle()
 {
--- /dev/null
+++ b/coordination/src/gossip_news.cpp
@@ -0,0 +1,69 @@
+#include <dandelionstall/coordination/gossip_news.h>
+
+#include <algorithm>
+
+namespace dandelionstall::coordination {
+
+namespace {
+
+constexpr double BudgetBytesPerSecond = 600.0;
+constexpr double MaxBudgetBytes = 12'000.0;
+constexpr double UpdateBytes = 32.0;   // encoded, on average
+constexpr double EnvelopeBytes = 90.0; // message without updates, with its UDP and IP headers
+
+} // namespace
+
+void gossip_news::add(const state::node_address &about, bool urgent, std::uint32_t rides)
+{
+    m_items[about] = {urgent, false, rides};
+}
+
+std::vector<state::node_address> gossip_news::takeRides(std::size_t limit)
+{
+    std::vector<std::map<state::node_address, item>::iterator> order;
+    order.reserve(m_items.size());
+    for (auto it = m_items.begin(); it != m_items.end(); ++it) {
+        order.push_back(it);
+    }
+    const std::size_t count = std::min(limit, order.size());
+    const auto before = [](const auto &left, const auto &right) {
+        return std::pair(right->second.urgent, right->second.ridesLeft) < std::pair(left->second.urgent, left->second.ridesLeft);
+    };
+    std::partial_sort(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count), order.end(), before);
+    std::vector<state::node_address> result;
+    result.reserve(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        result.push_back(order[i]->first);
+        if (--order[i]->second.ridesLeft == 0) {
+            m_items.erase(order[i]);
+        }
+    }
+    return result;
+}
+
+std::vector<state::node_address> gossip_news::takePushes(std::size_t limit, std::size_t receivers, state::time_point now)
+{
+    const double elapsed = std::chrono::duration<double>(now - m_refilledAt).count();
+    m_budgetBytes = std::min(MaxBudgetBytes, m_budgetBytes + std::max(elapsed, 0.0) * BudgetBytesPerSecond);
+    m_refilledAt = now;
+    std::vector<state::node_address> result;
+    for (const bool urgent : {true, false}) {
+        for (auto &[address, entry] : m_items) {
+            const double cost = static_cast<double>(receivers) * (result.empty() ? EnvelopeBytes + UpdateBytes : UpdateBytes);
+            if (entry.pushed || entry.urgent != urgent || result.size() >= limit || cost > m_budgetBytes) {
+                continue;
+            }
+            m_budgetBytes -= cost;
+            entry.pushed = true;
+            result.push_back(address);
+        }
+    }
+    return result;
+}
+
+std::size_t gossip_news::size() const
+{
+    return m_items.size();
+}
+
+} // namespace dandelionstall::coordination
--- /dev/null
+++ b/coordination/src/gossip_node.cpp
@@ -0,0 +1,288 @@
+#include <dandelionstall/coordination/gossip_node.h>
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+
+namespace dandelionstall::coordination {
+
+namespace {
+
+constexpr std::chrono::milliseconds AskInterval{250};      // a fresh node repeats its question
+constexpr std::chrono::milliseconds SilentPeersTime{1500}; // then it does without peers
+constexpr std::chrono::seconds TransferTime{8};            // for the first tables, when a peer has them
+constexpr std::size_t PeersAsked = 3;
+
+constexpr std::chrono::seconds ShareInterval{1}; // between unasked reports
+constexpr std::chrono::seconds PushInterval{1};  // between two sharp changes of one worker
+constexpr std::size_t ShareReceivers = 2;
+constexpr std::size_t ReportsPerMessage = 2;
+constexpr std::size_t ConfigLocalPushes = 3;
+constexpr std::size_t ConfigRemotePushes = 2;
+
+constexpr double SharpSuccessChange = 0.15;
+constexpr double SharpSlownessRatio = 1.3;
+
+constexpr std::uint64_t SpreadSalt = 0x73707264;
+constexpr std::uint64_t ReportSalt = 0x72657074;
+
+bool toggled(const worker_report &before, const worker_report &after)
+{
+    return before.leaving != after.leaving || before.starting != after.starting;
+}
+
+// Others have to know of it before the next regular exchange.
+bool isSharpChange(const worker_report &before, const worker_report &after)
+{
+    const double ratio = (after.slowness + 1e-3) / (before.slowness + 1e-3);
+    const bool stuck = after.oldestRunning > before.oldestRunning * 2 && after.oldestRunning > std::chrono::milliseconds(200);
+    return toggled(before, after) || std::abs(before.successShare - after.successShare) >= SharpSuccessChange || ratio >= SharpSlownessRatio
+           || ratio <= 1.0 / SharpSlownessRatio || stuck;
+}
+
+} // namespace
+
+gossip_node::gossip_node(const self_identity &identity, std::uint64_t seed)
+    : m_spread(m_store, seed ^ SpreadSalt)
+    , m_members(identity, seed)
+    , m_random(seed ^ ReportSalt)
+{ }
+
+void gossip_node::start(const std::vector<state::node_address> &seeds, state::time_point now)
+{
+    m_members.addSeeds(seeds);
+    m_hasPeers = !m_members.members().empty();
+    m_askUntil = now + TransferTime;
+    m_trustedFrom = now + SilentPeersTime;
+    m_readers.start(now);
+}
+
+// ---- Time and messages ----
+
+gossip_batch gossip_node::tick(state::time_point now)
+{
+    gossip_batch out = m_members.tick(now);
+    m_readers.tick(now);
+    std::ranges::move(m_spread.tick(now), std::back_inserter(out));
+    if (m_spread.hasPush()) {
+        std::ranges::move(m_spread.push(m_members.drawPeers(ConfigLocalPushes, ConfigRemotePushes)), std::back_inserter(out));
+    }
+    askPeers(now, out);
+    refreshPools();
+    shareReport(now, out);
+    return stamp(std::move(out), now);
+}
+
+gossip_batch gossip_node::receive(const gossip_message &message, state::time_point now)
+{
+    if (message.sender.address == m_members.self().address) {
+        return {};
+    }
+    gossip_batch out = m_members.receive(message, now);
+    std::ranges::move(m_spread.receive(message, now), std::back_inserter(out));
+    if (m_spread.hasPush()) {
+        std::ranges::move(m_spread.push(m_members.drawPeers(ConfigLocalPushes, ConfigRemotePushes)), std::back_inserter(out));
+    }
+    if (message.sender.dataCentre == m_members.self().dataCentre) {
+        m_readers.noteHeard(message.readerRound, message.readAge, now);
+    }
+    m_hints[message.sender.address] = message.tables;
+    m_reports.insert(m_reports.end(), message.reports.begin(), message.reports.end());
+    return stamp(std::move(out), now);
+}
+
+gossip_batch gossip_node::leave(state::time_point now)
+{
+    return stamp(m_members.leave(now), now);
+}
+
+gossip_batch gossip_node::stamp(gossip_batch batch, state::time_point now)
+{
+    const auto hints = m_spread.hints();
+    const std::chrono::seconds age = m_readers.readAge(now);
+    for (gossip_out &out : batch) {
+        out.message.sender = m_members.self();
+        out.message.tables = hints;
+        out.message.readerRound = m_readers.round();
+        out.message.readAge = age;
+        if (out.message.kind == gossip_kind::ping || out.message.kind == gossip_kind::ack) {
+            attachReports(out);
+        }
+    }
+    return batch;
+}
+
+// ---- Configuration ----
+
+void gossip_node::askPeers(state::time_point now, gossip_batch &out)
+{
+    const bool complete = m_store.inForce(table_kind::routes).revision != 0 && m_store.inForce(table_kind::pools).revision != 0;
+    if (complete || m_nextAsk > now) {
+        return;
+    }
+    m_nextAsk = now + AskInterval;
+    std::vector<state::node_address> peers = m_members.drawPeers(PeersAsked, PeersAsked);
+    if (peers.empty()) {
+        for (const member &known : m_members.members()) {
+            peers.push_back(known.address);
+        }
+    }
+    while (peers.size() > PeersAsked) {
+        peers.erase(peers.begin() + m_random(static_cast<std::uint32_t>(peers.size())));
+    }
+    std::ranges::move(m_spread.ask(peers), std::back_inserter(out));
+}
+
+offer_result gossip_node::offerFromService(table_kind kind, std::string text, state::time_point now)
+{
+    return m_spread.offer(kind, std::move(text), "service", now);
+}
+
+void gossip_node::setVmList(const std::vector<vm_record> &vms, state::time_point now)
+{
+    m_members.setVmList(vms, now);
+    m_hasPeers = m_hasPeers || !m_members.members().empty();
+}
+
+void gossip_node::noteRead(state::time_point now)
+{
+    m_readers.noteRead(now);
+}
+
+bool gossip_node::trustsService(state::time_point now) const
+{
+    const bool complete = m_store.known(table_kind::routes).revision != 0 && m_store.known(table_kind::pools).revision != 0;
+    return complete || !m_hasPeers || now >= (m_spread.heardFromPeer() ? m_askUntil : m_trustedFrom);
+}
+
+bool gossip_node::readsService(state::time_point now) const
+{
+    const gossip_sender &self = m_members.self();
+    return trustsService(now) && isReader(self.address, m_members.candidates(self.dataCentre), m_readers.round());
+}
+
+// ---- Reports ----
+
+void gossip_node::refreshPools()
+{
+    if (m_poolsSeen == m_store.pools()) {
+        return;
+    }
+    m_poolsSeen = m_store.pools();
+    m_pools.clear();
+    std::vector<state::node_address> siblings;
+    for (const state::pool &pool : m_poolsSeen->pools) {
+        const auto here = [this](const state::pool_worker &worker) {
+            return worker.node == m_members.self().address;
+        };
+        if (std::none_of(pool.workers.begin(), pool.workers.end(), here)) {
+            continue;
+        }
+        std::vector<state::node_address> &nodes = m_pools[pool.name];
+        for (const state::pool_worker &worker : pool.workers) {
+            nodes.push_back(worker.node);
+        }
+        std::sort(nodes.begin(), nodes.end());
+        nodes.erase(std::unique(nodes.begin(), nodes.end()), nodes.end());
+        std::erase(nodes, m_members.self().address);
+        siblings.insert(siblings.end(), nodes.begin(), nodes.end());
+    }
+    m_members.setSiblings(std::move(siblings));
+}
+
+gossip_batch gossip_node::noteOwnReports(const std::vector<worker_report> &reports, state::time_point now)
+{
+    gossip_batch out;
+    for (const worker_report &report : reports) {
+        own_report &own = m_ownReports[report.worker];
+        own.latest = report;
+        const bool due = toggled(own.pushed, report) || own.nextPush <= now;
+        const auto pool = m_pools.find(report.pool);
+        if (pool == m_pools.end() || !due || !isSharpChange(own.pushed, report)) {
+            continue;
+        }
+        own.pushed = report;
+        own.nextPush = now + PushInterval;
+        for (const state::node_address &node : pool->second) {
+            gossip_message message;
+            message.reports.push_back(report);
+            out.push_back({node, std::move(message)});
+        }
+    }
+    return stamp(std::move(out), now);
+}
+
+void gossip_node::shareReport(state::time_point now, gossip_batch &out)
+{
+    if (m_nextShare > now || m_ownReports.empty()) {
+        return;
+    }
+    m_nextShare = now + ShareInterval;
+    const worker_report &report = std::next(m_ownReports.begin(), static_cast<std::ptrdiff_t>(m_nextReport++ % m_ownReports.size()))->second.latest;
+    const auto pool = m_pools.find(report.pool);
+    if (pool == m_pools.end() || pool->second.empty()) {
+        return;
+    }
+    for (std::size_t i = 0; i < ShareReceivers; ++i) {
+        gossip_message message;
+        message.reports.push_back(report);
+        out.push_back({pool->second[m_random(static_cast<std::uint32_t>(pool->second.size()))], std::move(message)});
+    }
+}
+
+// Reports of workers in pools that the receiver has workers in too.
+void gossip_node::attachReports(gossip_out &out)
+{
+    for (const auto &[worker, own] : m_ownReports) {
+        const auto pool = m_pools.find(own.latest.pool);
+        const bool shared = pool != m_pools.end() && std::binary_search(pool->second.begin(), pool->second.end(), out.to);
+        if (shared && out.message.reports.size() < ReportsPerMessage) {
+            out.message.reports.push_back(own.latest);
+        }
+    }
+}
+
+// ---- Views ----
+
+membership &gossip_node::members()
+{
+    return m_members;
+}
+
+const membership &gossip_node::members() const
+{
+    return m_members;
+}
+
+const config_store &gossip_node::store() const
+{
+    return m_store;
+}
+
+std::vector<offered_table> gossip_node::takeResults()
+{
+    return m_spread.takeResults();
+}
+
+std::vector<worker_report> gossip_node::takeReports()
+{
+    return std::exchange(m_reports, {});
+}
+
+std::array<table_hint, TableKinds.size()> gossip_node::hintsOf(const state::node_address &node) const
+{
+    const auto known = m_hints.find(node);
+    return known == m_hints.end() ? std::array<table_hint, TableKinds.size()>{} : known->second;
+}
+
+std::vector<std::string> gossip_node::ownPools() const
+{
+    std::vector<std::string> result;
+    result.reserve(m_pools.size());
+    for (const auto &[name, nodes] : m_pools) {
+        result.push_back(name);
+    }
+    return result;
+}
+
+} // namespace dandelionstall::coordination
--- /dev/null
+++ b/coordination/src/membership_probe.cpp
@@ -0,0 +1,383 @@
+#include <dandelionstall/coordination/membership.h>
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+#include <xxhash.h>
+
+namespace dandelionstall::coordination {
+
+namespace {
+
+constexpr std::size_t RelayCount = 3;     // members asked to try in place of this one
+constexpr std::size_t LocalPushes = 3;    // receivers of one push in the own data centre
+constexpr std::size_t RemotePushes = 1;   // receivers in other data centres
+constexpr std::size_t OutcomeWindow = 12; // latest probes that tell whether this node is isolated
+constexpr std::size_t PullsAhead = 1;
+
+constexpr std::chrono::milliseconds SuspectPingInterval{100};
+constexpr std::chrono::seconds RevivalInterval{1}; // between pings to listed and dead members
+constexpr std::chrono::milliseconds JoinPageInterval{200};
+constexpr std::chrono::seconds PageInterval{10};
+constexpr std::chrono::minutes ForgetInterval{1};
+
+constexpr std::uint64_t RingSeed = 0x72696E67;
+
+enum class probe_slot { ring, sibling, local, remote };
+
+constexpr std::array ProbeSchedule{
+    probe_slot::ring,
+    probe_slot::sibling,
+    probe_slot::ring,
+    probe_slot::local,
+    probe_slot::ring,
+    probe_slot::sibling,
+    probe_slot::ring,
+    probe_slot::remote,
+};
+
+std::uint64_t ringPosition(const state::node_address &address)
+{
+    return XXH3_64bits_withSeed(address.ip.data(), address.ip.size(), RingSeed + address.port);
+}
+
+} // namespace
+
+gossip_batch membership::tick(state::time_point now)
+{
+    gossip_batch out;
+    if (m_lastTick == state::time_point{}) { // first tick
+        m_lastAnswer = now;
+        m_nextForget = now + ForgetInterval;
+        m_nextProbe = now + std::chrono::milliseconds(m_random(static_cast<std::uint32_t>(ProbePeriod.count())));
+        spread(m_self.address, false);
+    } else if (now - m_lastTick > PauseLimit) {
+        notePause(now);
+    }
+    m_lastTick = now;
+    if (m_indexStale) {
+        rebuildIndex();
+    }
+    checkProbes(now, out);
+    checkSuspects(now, out);
+    if (m_nextProbe <= now) {
+        m_nextProbe = now + ProbePeriod;
+        probeNext(now, out);
+    }
+    reviveNext(now, out);
+    pullPage(now, out);
+    pushNews(now, out);
+    if (m_nextForget <= now) {
+        m_nextForget = now + ForgetInterval;
+        forgetOld(now);
+    }
+    return out;
+}
+
+void membership::rebuildIndex()
+{
+    m_indexStale = false;
+    m_ring.clear();
+    m_remote.clear();
+    m_absent.clear();
+    for (const auto &[address, known] : m_members) {
+        const member_state state = known.about.state;
+        if (state == member_state::listed || state == member_state::dead) {
+            m_absent.push_back(address);
+        } else if (known.about.dataCentre == m_self.dataCentre) {
+            m_ring.emplace_back(ringPosition(address), address);
+        } else {
+            m_remote.push_back(address);
+        }
+    }
+    std::sort(m_ring.begin(), m_ring.end());
+}
+
+// ---- Choice of targets ----
+
+std::optional<state::node_address> membership::drawFrom(const std::vector<state::node_address> &from)
+{
+    if (from.empty()) {
+        return std::nullopt;
+    }
+    const state::node_address &drawn = from[m_random(static_cast<std::uint32_t>(from.size()))];
+    return m_suspects.contains(drawn) ? std::nullopt : std::optional(drawn);
+}
+
+// The successors of this node in turn, nearest first, so that a dead successor does not hide the next one.
+std::optional<state::node_address> membership::nextOnRing()
+{
+    const auto begin = std::upper_bound(m_ring.begin(), m_ring.end(), std::pair(ringPosition(m_self.address), m_self.address));
+    const auto offset = static_cast<std::size_t>(begin - m_ring.begin());
+    for (std::size_t step = 0; step < m_ring.size(); ++step) {
+        const state::node_address &address = m_ring[(offset + step) % m_ring.size()].second;
+        if (!m_suspects.contains(address)) {
+            return address;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<state::node_address> membership::drawTarget()
+{
+    const probe_slot slot = ProbeSchedule[m_round++ % ProbeSchedule.size()];
+    std::optional<state::node_address> target;
+    if (slot == probe_slot::ring) {
+        target = nextOnRing();
+    } else if (slot == probe_slot::sibling) {
+        target = drawFrom(m_siblings);
+        const member *known = target ? find(*target) : nullptr;
+        if (known == nullptr || known->state != member_state::alive) {
+            target.reset();
+        }
+    } else if (slot == probe_slot::remote) {
+        target = drawFrom(m_remote);
+    }
+    if (target) {
+        return target;
+    }
+    if (!m_ring.empty()) {
+        const state::node_address &drawn = m_ring[m_random(static_cast<std::uint32_t>(m_ring.size()))].second;
+        return m_suspects.contains(drawn) ? nextOnRing() : std::optional(drawn);
+    }
+    return drawFrom(m_remote);
+}
+
+std::vector<state::node_address> membership::drawPeers(std::size_t local, std::size_t remote)
+{
+    if (m_indexStale) {
+        rebuildIndex();
+    }
+    std::vector<state::node_address> result;
+    const auto draw = [&](std::size_t count, std::size_t size, const auto &at) {
+        for (std::size_t i = 0; i < count && size > 0; ++i) {
+            const state::node_address &address = at(m_random(static_cast<std::uint32_t>(size)));
+            if (std::find(result.begin(), result.end(), address) == result.end()) {
+                result.push_back(address);
+            }
+        }
+    };
+    draw(local, m_ring.size(), [this](std::uint32_t index) -> const state::node_address & { return m_ring[index].second; });
+    draw(remote, m_remote.size(), [this](std::uint32_t index) -> const state::node_address & { return m_remote[index]; });
+    return result;
+}
+
+// ---- Pings ----
+
+void membership::probeNext(state::time_point now, gossip_batch &out)
+{
+    const std::optional<state::node_address> target = drawTarget();
+    const auto underWay = [&](const probe &other) {
+        return target && other.target == *target;
+    };
+    if (!target || std::any_of(m_probes.begin(), m_probes.end(), underWay)) {
+        return;
+    }
+    m_probes.push_back({*target, ++m_sequence, now, now + AckTimeout, now + RelayTimeout, false});
+    send(*target, make(gossip_kind::ping, m_sequence), now, out);
+}
+
+// Listed and dead members are pinged now and then, so that a healed split is noticed.
+void membership::reviveNext(state::time_point now, gossip_batch &out)
+{
+    if (m_nextRevival > now || m_absent.empty()) {
+        return;
+    }
+    m_nextRevival = now + RevivalInterval;
+    const state::node_address target = m_absent[m_random(static_cast<std::uint32_t>(m_absent.size()))];
+    gossip_message ping = make(gossip_kind::ping, ++m_sequence);
+    if (const member *known = find(target); known != nullptr && known->state == member_state::dead) {
+        ping.updates.push_back(*known);
+    }
+    send(target, std::move(ping), now, out);
+}
+
+void membership::checkProbes(state::time_point now, gossip_batch &out)
+{
+    for (probe &current : m_probes) {
+        if (!current.relayed && current.relayAt <= now) {
+            current.relayed = true;
+            ++m_members[current.target].directFailures;
+            askOthers(current.target, current.sequence, out);
+            send(current.target, make(gossip_kind::ping, current.sequence), now, out);
+        }
+    }
+    const auto failed = std::partition(m_probes.begin(), m_probes.end(), [now](const probe &current) { return current.failsAt > now; });
+    for (auto it = failed; it != m_probes.end(); ++it) {
+        suspect(*it, now);
+    }
+    m_probes.erase(failed, m_probes.end());
+}
+
+void membership::askOthers(const state::node_address &target, std::uint64_t sequence, gossip_batch &out)
+{
+    for (const state::node_address &peer : drawPeers(RelayCount, m_ring.size() > RelayCount ? 0 : RelayCount)) {
+        if (peer != target && !m_suspects.contains(peer)) {
+            gossip_message relay = make(gossip_kind::relay, sequence);
+            relay.subject = target;
+            out.push_back({peer, std::move(relay)});
+        }
+    }
+}
+
+// ---- Outcomes ----
+
+void membership::noteAck(const gossip_message &message, state::time_point now)
+{
+    const bool relayed = message.kind == gossip_kind::relayed_ack;
+    const state::node_address &target = relayed && message.subject ? *message.subject : message.sender.address;
+    m_lastAnswer = now;
+    const auto known = m_members.find(target);
+    if (known == m_members.end()) {
+        return;
+    }
+    entry &answered = known->second;
+    if (relayed) {
+        const bool iHearIt = answered.heardAt + IsolationLimit > now;
+        if (answered.directFailures > 1) {
+            m_paths.push_back({target, iHearIt, false});
+        }
+    } else {
+        answered.directFailures = 0;
+        m_paths.push_back({target, true, true});
+    }
+    clearSuspicion(answered);
+    const auto done = std::find_if(m_probes.begin(), m_probes.end(), [&](const probe &current) { return current.target == target; });
+    if (done != m_probes.end()) {
+        m_probes.erase(done);
+        m_outcomes.push_back(true);
+    }
+    while (m_outcomes.size() > OutcomeWindow) {
+        m_outcomes.pop_front();
+    }
+}
+
+void membership::clearSuspicion(entry &known)
+{
+    if (known.about.state == member_state::suspect) {
+        known.about.state = member_state::alive;
+        m_suspects.erase(known.about.address);
+        noteChange(known);
+    }
+}
+
+void membership::suspect(const probe &failed, state::time_point now)
+{
+    m_outcomes.push_back(false);
+    if (m_outcomes.size() > OutcomeWindow) {
+        m_outcomes.pop_front();
+    }
+    entry &silent = m_members[failed.target];
+    m_paths.push_back({failed.target, false, false});
+    if (silent.about.state != member_state::alive) {
+        return;
+    }
+    silent.about.state = member_state::suspect;
+    silent.suspectFrom = failed.sentAt;
+    silent.suspectUntil = now + SuspicionTime;
+    m_suspects.insert(failed.target);
+    m_changed.insert(failed.target);
+}
+
+void membership::checkSuspects(state::time_point now, gossip_batch &out)
+{
+    const bool pingNow = m_nextSuspectPing <= now && !m_suspects.empty();
+    if (pingNow) {
+        m_nextSuspectPing = now + SuspectPingInterval;
+    }
+    const bool doubtful = doubtsItself(now);
+    for (const state::node_address &address : std::vector(m_suspects.begin(), m_suspects.end())) {
+        entry &silent = m_members[address];
+        if (silent.suspectUntil <= now && !doubtful && m_lastAnswer >= silent.suspectFrom) {
+            member death = silent.about;
+            death.state = member_state::dead;
+            merge(death, now);
+        } else if (pingNow) {
+            send(address, make(gossip_kind::ping, ++m_sequence), now, out);
+            askOthers(address, m_sequence, out);
+        }
+    }
+}
+
+// ---- Trust in itself ----
+
+void membership::notePause(state::time_point now)
+{
+    m_paused = true;
+    m_doubtUntil = now + DoubtTime;
+    m_probes.clear();
+    m_outcomes.clear();
+    m_lastAnswer = now;
+    for (const state::node_address &address : m_suspects) {
+        m_members[address].suspectFrom = now;
+        m_members[address].suspectUntil = now + DoubtTime + SuspicionTime;
+    }
+}
+
+bool membership::isIsolated(state::time_point now) const
+{
+    if (m_ring.empty() && m_remote.empty()) {
+        return false;
+    }
+    const auto failures = std::count(m_outcomes.begin(), m_outcomes.end(), false);
+    const bool mostFail = m_outcomes.size() >= OutcomeWindow / 2 && static_cast<std::size_t>(failures) * 3 > m_outcomes.size() * 2;
+    return mostFail || m_lastAnswer + IsolationLimit < now;
+}
+
+bool membership::doubtsItself(state::time_point now) const
+{
+    return now < m_doubtUntil || isIsolated(now);
+}
+
+// ---- News ----
+
+void membership::pushNews(state::time_point now, gossip_batch &out)
+{
+    const std::vector<state::node_address> receivers = drawPeers(LocalPushes, RemotePushes);
+    if (receivers.empty()) {
+        return;
+    }
+    gossip_message push = make(gossip_kind::push);
+    for (const state::node_address &about : m_news.takePushes(MemberPageRows, receivers.size(), now)) {
+        if (std::optional<member> row = rowOf(about)) {
+            push.updates.push_back(*std::move(row));
+        }
+    }
+    if (push.updates.empty()) {
+        return;
+    }
+    for (const state::node_address &receiver : receivers) {
+        send(receiver, push, now, out);
+    }
+}
+
+// Fetches the whole list of members page by page at first, then a page from a random place now and then.
+void membership::pullPage(state::time_point now, gossip_batch &out)
+{
+    if (m_nextPage > now) {
+        return;
+    }
+    const bool alone = m_ring.empty() && m_remote.empty();
+    m_nextPage = now + (m_joined ? std::chrono::milliseconds(PageInterval) : JoinPageInterval);
+    std::optional<state::node_address> peer;
+    if (alone) {
+        peer = drawFrom(m_absent);
+    } else if (const auto peers = drawPeers(PullsAhead, m_ring.empty() ? PullsAhead : 0); !peers.empty()) {
+        peer = peers.front();
+    }
+    if (!peer) {
+        return;
+    }
+    gossip_message pull = make(gossip_kind::member_pull);
+    if (m_joined && !m_members.empty()) {
+        const auto place = m_random(static_cast<std::uint32_t>(m_members.size()));
+        pull.subject = std::next(m_members.begin(), place)->first;
+        m_pageCursor.reset();
+    } else {
+        pull.subject = m_pageCursor ? *m_pageCursor : state::node_address{"0.0.0.1", 1};
+        m_pageCursor = pull.subject;
+    }
+    send(*peer, std::move(pull), now, out);
+}
+
+} // namespace dandelionstall::coordination
--- /dev/null
+++ b/coordination/tests/gossip_loop.h
@@ -0,0 +1,269 @@
+// Drives several gossip_node instances in one thread over links that lose, delay, repeat and cut messages.
+#pragma once
+
+#include <dandelionstall/coordination/gossip_node.h>
+
+#include <fmt/format.h>
+
+#include <functional>
+#include <memory>
+#include <pcg_random.hpp>
+#include <queue>
+#include <set>
+#include <vector>
+
+namespace dandelionstall::coordination {
+
+struct link_options {
+    double loss = 0.02;  // share of messages
+    double repeat = 0.0; // share of messages that arrive twice
+    std::chrono::milliseconds latency{5};
+    std::chrono::milliseconds jitter{3}; // added on top, at most
+};
+
+class gossip_loop
+{
+public:
+    gossip_loop(const link_options &links, std::uint64_t seed)
+        : m_links(links)
+        , m_random(seed)
+    { }
+
+    // Nodes know the first few of the fleet as seeds.
+    std::size_t add(const std::string &dataCentre, state::incarnation life = 1)
+    {
+        const std::size_t index = m_nodes.size();
+        m_nodes.push_back({addressOf(index), dataCentre, nullptr, life, true});
+        restart(index, life);
+        m_events.push({m_now + std::chrono::milliseconds(m_random(50)), m_order++, index, nullptr});
+        return index;
+    }
+
+    void restart(std::size_t index, state::incarnation life)
+    {
+        slot &target = m_nodes[index];
+        target.life = life;
+        target.node = std::make_unique<gossip_node>(self_identity{target.address, target.dataCentre, life}, m_random());
+        std::vector<state::node_address> seeds;
+        for (std::size_t i = 0; i < 3; ++i) {
+            seeds.push_back(addressOf(i));
+        }
+        target.node->start(seeds, m_now);
+    }
+
+    void run(std::chrono::milliseconds span)
+    {
+        const state::time_point end = m_now + span;
+        runUntil([] { return false; }, end);
+        m_now = end;
+    }
+
+    // False when the limit came first.
+    bool runUntil(const std::function<bool()> &reached, std::chrono::milliseconds limit)
+    {
+        return runUntil(reached, m_now + limit);
+    }
+
+    void setUp(std::size_t index, bool up) // a node that is not up neither ticks nor receives: dead or paused
+    {
+        m_nodes[index].up = up;
+    }
+
+    void cut(std::size_t from, std::size_t to, bool isCut = true) // one direction
+    {
+        if (isCut) {
+            m_cuts.insert({from, to});
+        } else {
+            m_cuts.erase({from, to});
+        }
+    }
+
+    void post(std::size_t from, gossip_batch batch)
+    {
+        for (gossip_out &out : batch) {
+            send(from, std::move(out));
+        }
+    }
+
+    gossip_node &at(std::size_t index)
+    {
+        return *m_nodes[index].node;
+    }
+
+    std::size_t size() const
+    {
+        return m_nodes.size();
+    }
+
+    state::time_point now() const
+    {
+        return m_now;
+    }
+
+    member_state beliefOf(std::size_t viewer, std::size_t about) const
+    {
+        const member *known = m_nodes[viewer].node->members().find(addressOf(about));
+        return known != nullptr ? known->state : member_state::listed;
+    }
+
+    bool seesLeaving(std::size_t viewer, std::size_t about) const
+    {
+        const member *known = m_nodes[viewer].node->members().find(addressOf(about));
+        return known != nullptr && known->leaving;
+    }
+
+    // Every node that is up fulfils the condition.
+    bool all(const std::function<bool(std::size_t)> &condition) const
+    {
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            if (m_nodes[i].up && !condition(i)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    bool allSeeAllAlive() const
+    {
+        return all([this](std::size_t viewer) {
+            return all([this, viewer](std::size_t about) { return viewer == about || beliefOf(viewer, about) == member_state::alive; });
+        });
+    }
+
+    static state::node_address addressOf(std::size_t index)
+    {
+        return {fmt::format("10.{}.{}.{}", index / 62'500, index / 250 % 250, index % 250 + 1), 7400};
+    }
+
+    std::function<void(std::size_t from, const gossip_out &)> onSend;                 // every message, before it may get lost
+    std::function<void(std::size_t index, const std::function<void()> &work)> onWork; // wraps each tick and receipt, to time it
+    std::function<void(std::size_t index)> afterTick;
+
+private:
+    struct slot {
+        state::node_address address;
+        std::string dataCentre;
+        std::unique_ptr<gossip_node> node;
+        state::incarnation life = 1;
+        bool up = true;
+    };
+
+    struct event {
+        state::time_point at;
+        std::uint64_t order = 0;
+        std::size_t node = 0;
+        std::shared_ptr<const gossip_message> message; // null for a tick
+
+        bool operator<(const event &other) const
+        {
+            return std::pair(other.at, other.order) < std::pair(at, order);
+        }
+    };
+
+    bool runUntil(const std::function<bool()> &reached, state::time_point end)
+    {
+        state::time_point nextCheck = m_now;
+        while (!m_events.empty() && m_events.top().at <= end) {
+            const event next = m_events.top();
+            m_events.pop();
+            m_now = next.at;
+            handle(next);
+            if (nextCheck <= m_now) {
+                nextCheck = m_now + std::chrono::milliseconds(10);
+                if (reached()) {
+                    return true;
+                }
+            }
+        }
+        return reached();
+    }
+
+    void handle(const event &next)
+    {
+        slot &target = m_nodes[next.node];
+        if (!next.message) {
+            m_events.push({m_now + TickInterval, m_order++, next.node, nullptr});
+        }
+        if (!target.up) {
+            return;
+        }
+        gossip_batch batch;
+        const auto work = [&] {
+            batch = next.message ? target.node->receive(*next.message, m_now) : target.node->tick(m_now);
+        };
+        if (onWork) {
+            onWork(next.node, work);
+        } else {
+            work();
+        }
+        if (!next.message && afterTick) {
+            afterTick(next.node);
+        }
+        post(next.node, std::move(batch));
+    }
+
+    void send(std::size_t from, gossip_out out)
+    {
+        if (onSend) {
+            onSend(from, out);
+        }
+        const std::size_t to = indexOf(out.to);
+        if (to >= m_nodes.size() || m_cuts.contains({from, to}) || draw() < m_links.loss) {
+            return;
+        }
+        const auto message = std::make_shared<const gossip_message>(std::move(out.message));
+        const int copies = draw() < m_links.repeat ? 2 : 1;
+        for (int i = 0; i < copies; ++i) {
+            const std::chrono::microseconds delay(
+                m_links.latency + std::chrono::microseconds(static_cast<std::int64_t>(draw() * 1000.0 * static_cast<double>(m_links.jitter.count()))));
+            m_events.push({m_now + delay, m_order++, to, message});
+        }
+    }
+
+    double draw()
+    {
+        return static_cast<double>(m_random()) / 4294967296.0;
+    }
+
+    static std::size_t indexOf(const state::node_address &address)
+    {
+        unsigned a = 0;
+        unsigned b = 0;
+        unsigned c = 0;
+        const int fields = std::sscanf(address.ip.c_str(), "10.%u.%u.%u", &a, &b, &c);
+        return fields == 3 && c > 0 ? a * 62'500 + b * 250 + c - 1 : static_cast<std::size_t>(-1);
+    }
+
+    link_options m_links;
+    pcg32 m_random;
+    state::time_point m_now{std::chrono::seconds(1000)};
+    std::uint64_t m_order = 0;
+    std::vector<slot> m_nodes;
+    std::set<std::pair<std::size_t, std::size_t>> m_cuts;
+    std::priority_queue<event> m_events;
+};
+
+// Tables with a given revision; the content differs with the revision and the variant.
+inline std::string poolsText(state::table_revision revision, int variant = 0, int pools = 3)
+{
+    std::string text = fmt::format("[table]\nrevision = {}\n", revision);
+    for (int i = 0; i < pools; ++i) {
+        text += fmt::format("\n[pool.p{}]\nslots = {}\nworker.w{} = {} thika\n",
+                            i,
+                            3 + variant,
+                            i,
+                            state::formatNodeAddress(gossip_loop::addressOf(static_cast<std::size_t>(i))));
+    }
+    return text;
+}
+
+inline std::string routesText(state::table_revision revision, const std::string &pool = "p0", int routes = 20)
+{
+    std::string text = fmt::format("[table]\nrevision = {}\n", revision);
+    for (int i = 0; i < routes; ++i) {
+        text += fmt::format("\n[route.r{}]\npath = /r{}\npool = {}\nidempotent = yes\n", i, i, pool);
+    }
+    return text;
+}
+
+} // namespace dandelionstall::coordination
--- /dev/null
+++ b/coordination/tests/test_config_spread.cpp
@@ -0,0 +1,208 @@
+// Tests of coordination/config_spread.h and gossip_node.h: several instances in one loop, fixed seeds, faults between them.
+#include "gossip_loop.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace dandelionstall;
+using namespace dandelionstall::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Seed = 20'261'203;
+
+gossip_loop makeFleet(std::size_t size, const link_options &links = {}, std::uint64_t seed = Seed)
+{
+    gossip_loop fleet(links, seed);
+    for (std::size_t i = 0; i < size; ++i) {
+        fleet.add(i % 2 == 0 ? "thika" : "ruiru");
+    }
+    return fleet;
+}
+
+void offer(gossip_loop &fleet, std::size_t at, table_kind kind, const std::string &text)
+{
+    fleet.at(at).offerFromService(kind, text, fleet.now());
+}
+
+state::table_revision inForce(gossip_loop &fleet, std::size_t at, table_kind kind)
+{
+    return fleet.at(at).store().inForce(kind).revision;
+}
+
+bool allHave(gossip_loop &fleet, state::table_revision routes, state::table_revision pools)
+{
+    return fleet.all([&](std::size_t i) { return inForce(fleet, i, table_kind::routes) == routes && inForce(fleet, i, table_kind::pools) == pools; });
+}
+
+} // namespace
+
+Test(config_spread, a_new_revision_is_everywhere_within_three_seconds)
+{
+    gossip_loop fleet = makeFleet(30);
+    fleet.run(3s);
+    offer(fleet, 4, table_kind::pools, poolsText(1));
+    offer(fleet, 4, table_kind::routes, routesText(1, "p0", 300));
+    cr_assert(fleet.runUntil([&] { return allHave(fleet, 1, 1); }, 3s));
+    offer(fleet, 9, table_kind::routes, routesText(2, "p1", 300));
+    cr_assert(fleet.runUntil([&] { return allHave(fleet, 2, 1); }, 3s));
+}
+
+Test(config_spread, a_fresh_node_gets_the_configuration_without_the_service)
+{
+    gossip_loop fleet = makeFleet(10);
+    fleet.run(3s);
+    offer(fleet, 4, table_kind::pools, poolsText(7));
+    offer(fleet, 4, table_kind::routes, routesText(8, "p0", 2000));
+    cr_assert(fleet.runUntil([&] { return allHave(fleet, 8, 7); }, 5s));
+    const std::size_t fresh = fleet.add("thika");
+    cr_assert(not(fleet.at(fresh).trustsService(fleet.now())));
+    cr_assert(fleet.runUntil([&] { return inForce(fleet, fresh, table_kind::routes) == 8; }, 5s));
+    offer(fleet, fresh, table_kind::routes, routesText(3)); // the service came back with old data
+    cr_assert(inForce(fleet, fresh, table_kind::routes) == 8);
+    const std::vector<offered_table> results = fleet.at(fresh).takeResults();
+    cr_assert(results.back().result.verdict == offer_verdict::stale);
+}
+
+Test(config_spread, a_node_without_peers_trusts_the_service)
+{
+    gossip_loop fleet = makeFleet(3);
+    fleet.setUp(0, false);
+    fleet.setUp(1, false);
+    cr_assert(not(fleet.at(2).trustsService(fleet.now())));
+    fleet.run(3s);
+    cr_assert(fleet.at(2).trustsService(fleet.now()));
+    cr_assert(fleet.at(2).readsService(fleet.now()));
+}
+
+Test(config_spread, other_content_under_one_revision_is_reported_and_refused)
+{
+    gossip_loop fleet = makeFleet(4);
+    fleet.run(2s);
+    offer(fleet, 0, table_kind::pools, poolsText(1, 0));
+    cr_assert(fleet.runUntil([&] { return allHave(fleet, 0, 1); }, 3s));
+    offer(fleet, 1, table_kind::pools, poolsText(1, 1));
+    const std::vector<offered_table> results = fleet.at(1).takeResults();
+    cr_assert(results.back().result.verdict == offer_verdict::conflict);
+    cr_assert(fleet.at(1).store().pools()->pools[0].slots == 3);
+}
+
+Test(config_spread, racing_tables_come_in_force_in_any_order)
+{
+    gossip_loop fleet = makeFleet(8);
+    fleet.run(2s);
+    offer(fleet, 0, table_kind::pools, poolsText(1));
+    offer(fleet, 0, table_kind::routes, routesText(1));
+    cr_assert(fleet.runUntil([&] { return allHave(fleet, 1, 1); }, 3s));
+    offer(fleet, 1, table_kind::routes, routesText(2, "p4")); // needs pools 2
+    fleet.run(2s);
+    cr_assert(allHave(fleet, 1, 1));
+    const std::size_t fresh = fleet.add("ruiru"); // gets the last good pair although a newer table is held back
+    cr_assert(fleet.runUntil([&] { return allHave(fleet, 1, 1); }, 8s));
+    cr_assert(inForce(fleet, fresh, table_kind::routes) == 1);
+    offer(fleet, 3, table_kind::pools, poolsText(2, 0, 5));
+    cr_assert(fleet.runUntil([&] { return allHave(fleet, 2, 2); }, 3s));
+}
+
+Test(config_spread, readers_are_few_and_one_that_falls_silent_is_replaced)
+{
+    gossip_loop fleet = makeFleet(24);
+    fleet.run(3s);
+    const auto readers = [&](bool reading) {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            if (fleet.at(i).readsService(fleet.now())) {
+                ++count;
+                if (reading) {
+                    fleet.at(i).noteRead(fleet.now());
+                }
+            }
+        }
+        return count;
+    };
+    std::size_t most = 0;
+    for (int i = 0; i < 60; ++i) {
+        fleet.run(1s);
+        most = std::max(most, readers(true));
+    }
+    cr_assert(most == 2 * ReadersPerDataCentre);
+    const auto first = [&] {
+        std::size_t i = 0;
+        while (!fleet.at(i).readsService(fleet.now())) {
+            ++i;
+        }
+        return i;
+    };
+    const std::size_t gone = first();
+    fleet.setUp(gone, false);
+    fleet.run(3s);
+    std::size_t others = 0;
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        others += i != gone && fleet.at(i).readsService(fleet.now()) ? 1 : 0;
+    }
+    cr_assert(others == 2 * ReadersPerDataCentre);
+    fleet.setUp(gone, true);
+    most = 0;
+    for (int i = 0; i < 200; ++i) { // the service is absent: the choice moves on, the number stays
+        fleet.run(1s);
+        most = std::max(most, i > 10 ? readers(false) : 0);
+    }
+    cr_assert(most <= 3 * ReadersPerDataCentre);
+}
+
+Test(config_spread, sharp_reports_reach_the_nodes_of_the_pool)
+{
+    gossip_loop fleet = makeFleet(6);
+    fleet.run(2s);
+    std::string pools = "[table]\nrevision = 1\n[pool.p]\nslots = 3\n";
+    for (std::size_t i = 0; i < 4; ++i) {
+        pools += fmt::format("worker.w{} = {} thika\n", i, state::formatNodeAddress(gossip_loop::addressOf(i)));
+    }
+    offer(fleet, 0, table_kind::pools, pools);
+    cr_assert(fleet.runUntil([&] { return allHave(fleet, 0, 1); }, 3s));
+    fleet.run(200ms);
+    worker_report report;
+    report.worker = "w0";
+    report.pool = "p";
+    report.node = gossip_loop::addressOf(0);
+    report.leaving = true;
+    fleet.post(0, fleet.at(0).noteOwnReports({report}, fleet.now()));
+    fleet.run(5s);
+    for (std::size_t i = 1; i < 4; ++i) {
+        const auto reports = fleet.at(i).takeReports();
+        cr_assert(std::any_of(reports.begin(), reports.end(), [](const worker_report &heard) { return heard.worker == "w0" && heard.leaving; }));
+    }
+    cr_assert(fleet.at(5).takeReports().empty());
+}
+
+Test(config_spread, converges_to_the_highest_revision_under_any_faults)
+{
+    const bool holds = rc::check("revisions only grow, and all nodes end with the highest", [] {
+        const link_options links{.loss = *rc::gen::inRange(0, 40) / 100.0,
+                                 .repeat = *rc::gen::inRange(0, 50) / 100.0,
+                                 .latency = std::chrono::milliseconds(*rc::gen::inRange(0, 20)),
+                                 .jitter = std::chrono::milliseconds(*rc::gen::inRange(0, 60))};
+        const auto size = *rc::gen::inRange<std::size_t>(2, 9);
+        gossip_loop fleet = makeFleet(size, links, *rc::gen::arbitrary<std::uint64_t>());
+        std::vector<table_version> before(size);
+        fleet.afterTick = [&](std::size_t index) {
+            const table_version now = fleet.at(index).store().inForce(table_kind::pools);
+            RC_ASSERT(now.revision >= before[index].revision);
+            before[index] = now;
+        };
+        state::table_revision highest = 0;
+        const auto revisions = *rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 20));
+        for (const int number : revisions) {
+            const auto revision = static_cast<state::table_revision>(number);
+            offer(fleet, *rc::gen::inRange<std::size_t>(0, size), table_kind::pools, poolsText(revision, 0, *rc::gen::element(3)));
+            highest = std::max(highest, revision);
+            fleet.run(std::chrono::milliseconds(*rc::gen::inRange(0, 300)));
+        }
+        RC_ASSERT(fleet.runUntil([&] { return allHave(fleet, 0, highest); }, 60s));
+    });
+    cr_assert(holds);
+}
--- /dev/null
+++ b/coordination/tests/test_membership.cpp
@@ -0,0 +1,174 @@
+// Tests of coordination/membership.h: several instances in one loop, fixed seeds, faults between them.
+#include "gossip_loop.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <rapidcheck.h>
+
+using namespace dandelionstall;
+using namespace dandelionstall::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Seed = 20'261'203;
+
+gossip_loop makeFleet(std::size_t size, const link_options &links = {}, std::uint64_t seed = Seed)
+{
+    gossip_loop fleet(links, seed);
+    for (std::size_t i = 0; i < size; ++i) {
+        fleet.add(i % 3 == 0 ? "thika" : "ruiru");
+    }
+    return fleet;
+}
+
+bool settle(gossip_loop &fleet)
+{
+    return fleet.runUntil([&] { return fleet.allSeeAllAlive(); }, 20s);
+}
+
+bool allBelieve(gossip_loop &fleet, std::size_t about, member_state state)
+{
+    return fleet.all([&](std::size_t viewer) { return viewer == about || fleet.beliefOf(viewer, about) == state; });
+}
+
+} // namespace
+
+Test(membership, everybody_finds_everybody)
+{
+    gossip_loop fleet = makeFleet(30);
+    cr_assert(settle(fleet));
+    cr_assert(fleet.at(7).members().countLive() == 30);
+}
+
+Test(membership, a_dead_member_is_declared_dead_and_comes_back_with_a_new_life)
+{
+    gossip_loop fleet = makeFleet(20);
+    cr_assert(settle(fleet));
+    fleet.setUp(7, false);
+    cr_assert(fleet.runUntil([&] { return allBelieve(fleet, 7, member_state::dead); }, 5s));
+    fleet.restart(7, 2);
+    fleet.setUp(7, true);
+    cr_assert(settle(fleet));
+    cr_assert(fleet.at(3).members().find(gossip_loop::addressOf(7))->incarnation == 2);
+}
+
+Test(membership, a_paused_member_refutes_its_death_and_declares_nobody_dead)
+{
+    gossip_loop fleet = makeFleet(20);
+    cr_assert(settle(fleet));
+    fleet.setUp(7, false);
+    fleet.run(8s);
+    fleet.setUp(7, true);
+    fleet.run(60ms);
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        cr_assert(fleet.beliefOf(7, i) != member_state::dead || i == 7);
+    }
+    cr_assert(fleet.at(7).members().doubtsItself(fleet.now()));
+    cr_assert(fleet.at(7).members().takePause());
+    cr_assert(settle(fleet));
+    cr_assert(fleet.at(7).members().self().refutations > 0);
+}
+
+Test(membership, a_node_that_nobody_answers_doubts_itself)
+{
+    gossip_loop fleet = makeFleet(20);
+    cr_assert(settle(fleet));
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        fleet.cut(7, i); // nothing it says arrives; it hears the others
+    }
+    fleet.run(4s);
+    cr_assert(fleet.at(7).members().isIsolated(fleet.now()));
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        cr_assert(fleet.beliefOf(7, i) != member_state::dead);
+    }
+    cr_assert(fleet.beliefOf(3, 7) == member_state::dead);
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        fleet.cut(7, i, false);
+    }
+    cr_assert(settle(fleet));
+}
+
+Test(membership, a_cut_between_two_members_kills_neither_and_is_seen_in_its_direction)
+{
+    gossip_loop fleet = makeFleet(6, {.loss = 0.0});
+    cr_assert(settle(fleet));
+    fleet.cut(1, 2); // 1 -> 2
+    bool seen = false;
+    fleet.afterTick = [&](std::size_t index) {
+        for (const path_observation &path : fleet.at(index).members().takePaths()) {
+            seen = seen || (index == 1 && path.node == gossip_loop::addressOf(2) && path.iHearIt && !path.itHearsMe);
+        }
+        cr_assert(fleet.beliefOf(index, 1) != member_state::dead);
+        cr_assert(fleet.beliefOf(index, 2) != member_state::dead);
+    };
+    fleet.run(15s);
+    cr_assert(seen);
+}
+
+Test(membership, a_split_heals)
+{
+    gossip_loop fleet = makeFleet(12);
+    cr_assert(settle(fleet));
+    const auto setSplit = [&](bool isCut) {
+        for (std::size_t a = 0; a < 5; ++a) {
+            for (std::size_t b = 5; b < 12; ++b) {
+                fleet.cut(a, b, isCut);
+                fleet.cut(b, a, isCut);
+            }
+        }
+    };
+    setSplit(true);
+    fleet.run(20s);
+    cr_assert(fleet.beliefOf(6, 1) == member_state::dead);
+    setSplit(false);
+    cr_assert(fleet.runUntil([&] { return fleet.allSeeAllAlive(); }, 30s));
+}
+
+Test(membership, leaving_is_known_everywhere_within_three_seconds)
+{
+    gossip_loop fleet = makeFleet(30);
+    cr_assert(settle(fleet));
+    const auto allSeeLeaving = [&](std::size_t about) {
+        return fleet.all([&](std::size_t viewer) { return viewer == about || fleet.seesLeaving(viewer, about); });
+    };
+    fleet.post(7, fleet.at(7).leave(fleet.now()));
+    cr_assert(fleet.runUntil([&] { return allSeeLeaving(7); }, 3s));
+
+    std::vector<vm_record> vms;
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        vms.push_back({gossip_loop::addressOf(i), i % 3 == 0 ? "thika" : "ruiru", i == 9});
+    }
+    fleet.at(2).setVmList(vms, fleet.now()); // one reader knows the list
+    cr_assert(fleet.runUntil([&] { return allSeeLeaving(9) && fleet.at(9).members().isLeaving(); }, 3s));
+}
+
+Test(membership, the_list_of_vms_kills_nobody)
+{
+    gossip_loop fleet = makeFleet(6);
+    cr_assert(settle(fleet));
+    fleet.at(2).setVmList({}, fleet.now());
+    fleet.run(5s);
+    cr_assert(fleet.allSeeAllAlive());
+}
+
+Test(membership, no_member_that_answers_stays_dead_under_any_loss_and_repetition)
+{
+    const bool holds = rc::check("all see all alive after faults end", [] {
+        const link_options links{.loss = *rc::gen::inRange(0, 40) / 100.0,
+                                 .repeat = *rc::gen::inRange(0, 50) / 100.0,
+                                 .latency = std::chrono::milliseconds(*rc::gen::inRange(0, 20)),
+                                 .jitter = std::chrono::milliseconds(*rc::gen::inRange(0, 60))};
+        const auto size = *rc::gen::inRange<std::size_t>(3, 10);
+        gossip_loop fleet = makeFleet(size, links, *rc::gen::arbitrary<std::uint64_t>());
+        fleet.run(3s);
+        const auto paused = *rc::gen::inRange<std::size_t>(0, size);
+        fleet.setUp(paused, false);
+        fleet.run(std::chrono::milliseconds(*rc::gen::inRange(0, 4000)));
+        fleet.setUp(paused, true);
+        fleet.run(2s);
+        gossip_loop *running = &fleet;
+        RC_ASSERT(running->runUntil([&] { return running->allSeeAllAlive(); }, 60s));
+    });
+    cr_assert(holds);
+}
--- a/programs/dandelionstall/control.h
+++ b/programs/dandelionstall/control.h
@@ -65,12 +65,12 @@
     void start();                       // once, before the thread runs
 
     // Thread-safe.
-    void noteReports(const std::vector<coordination::worker_report> &reports); // of own workers, and those that came with answers
-    void notePath(const state::node_address &node, bool ok);                   // outcome of an attempt on the path to a node
-    void noteInterest(const std::string &pool);                                // this node routes to the pool
-    void beginShutdown();                                                      // announces that this node is leaving
-    coordination::snapshot_ptr current() const;                                // the latest snapshot; never null
-    void describe(description_handler handler);                                // called on the control thread
+    void noteReports(std::vector<coordination::worker_report> reports); // of own workers, and those that came with answers
+    void notePath(state::node_address node, bool ok);                   // outcome of an attempt on the path to a node
+    void noteInterest(std::string pool);                                // this node routes to the pool
+    void beginShutdown();                                               // announces that this node is leaving
+    coordination::snapshot_ptr current() const;                         // the latest snapshot; never null
+    void describe(description_handler handler);                         // called on the control thread
 
 private:
     class detail;
--- /dev/null
+++ b/programs/dandelionstall/control_sources.cpp
@@ -0,0 +1,106 @@
+#include "control_sources.h"
+
+#include <dandelionstall/protocol/platform.h>
+
+#include <boost/asio.hpp>
+
+namespace dandelionstall {
+
+namespace asio = boost::asio;
+using coordination::table_kind;
+
+namespace {
+
+constexpr std::chrono::seconds PartDeadline{5};           // for one part of a split table
+constexpr std::chrono::milliseconds VmListInterval{1000}; // between two reads of the list
+
+watch_options watchKey(table_kind kind, const std::string &key)
+{
+    return {std::string(tableName(kind)), [key](std::uint64_t index, std::chrono::seconds wait) { return protocol::tableTarget(key, index, wait); }, {}};
+}
+
+} // namespace
+
+control_sources::control_sources(asio::io_context &io, const state::settings &settings, transport::metrics &metrics, source_events events, std::uint64_t seed)
+    : m_metrics(metrics)
+    , m_events(std::move(events))
+    , m_tables(settings.configService, settings.listen.ip)
+    , m_vms(settings.vmList.port != 0 ? settings.vmList : settings.configService, settings.listen.ip)
+    , m_routesWatch(io, m_tables, metrics, watchKey(table_kind::routes, settings.routesKey), seed)
+    , m_poolsWatch(io, m_tables, metrics, watchKey(table_kind::pools, settings.poolsKey), seed + 1)
+    , m_vmWatch(io, m_vms, metrics, {"vm_list", protocol::vmListTarget, VmListInterval}, seed + 2)
+{ }
+
+void control_sources::start()
+{
+    m_routesWatch.start(tableHandler(table_kind::routes));
+    m_poolsWatch.start(tableHandler(table_kind::pools));
+    m_vmWatch.start([this](transport::platform_answer answer) { return takeVmList(std::move(answer.body)); });
+}
+
+void control_sources::setActive(bool tables, bool vmList)
+{
+    m_routesWatch.setActive(tables);
+    m_poolsWatch.setActive(tables);
+    m_vmWatch.setActive(vmList);
+}
+
+control_watch::answer_handler control_sources::tableHandler(table_kind kind)
+{
+    return [this, kind](transport::platform_answer answer) {
+        return takeTable(kind, std::move(answer.body));
+    };
+}
+
+asio::awaitable<void> control_sources::takeTable(table_kind kind, std::string text)
+{
+    m_events.read();
+    if (text.empty()) { // nothing has changed
+        co_return;
+    }
+    if (!protocol::isManifest(text)) {
+        m_events.table(kind, std::move(text));
+        co_return;
+    }
+    absl::StatusOr<std::string> whole = co_await joinParts(std::move(text));
+    if (whole.ok()) {
+        m_events.table(kind, *std::move(whole));
+    } else {
+        m_events.broken(kind, whole.status());
+    }
+}
+
+asio::awaitable<absl::StatusOr<std::string>> control_sources::joinParts(std::string manifestText)
+{
+    const absl::StatusOr<protocol::manifest> manifest = protocol::parseManifest(manifestText);
+    if (!manifest.ok()) {
+        co_return manifest.status();
+    }
+    std::string whole;
+    for (const protocol::manifest_part &part : manifest->parts) {
+        m_metrics.countNamed("platform_calls");
+        std::string target = protocol::tableTarget(part.key, 0, std::chrono::seconds(0));
+        const absl::StatusOr<transport::platform_answer> answer = co_await m_tables.get(std::move(target), state::clock::now() + PartDeadline);
+        if (!answer.ok()) {
+            co_return answer.status();
+        }
+        if (const absl::Status matches = protocol::checkPart(part, answer->body); !matches.ok()) {
+            co_return matches;
+        }
+        whole += answer->body;
+    }
+    co_return whole;
+}
+
+asio::awaitable<void> control_sources::takeVmList(std::string json)
+{
+    m_events.read();
+    if (json.empty()) { // nothing has changed
+        co_return;
+    }
+    if (absl::StatusOr<std::vector<coordination::vm_record>> vms = protocol::parseVmList(json); vms.ok()) {
+        m_events.vmList(*std::move(vms));
+    }
+}
+
+} // namespace dandelionstall
--- a/programs/dandelionstall/control_watch.cpp
+++ b/programs/dandelionstall/control_watch.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::chrono::seconds MaxWait{20};          // a blocking query is answered after this at the latest
+constexpr std::chrono::seconds MaxWait{15};          // a blocking query is answered after this at the latest
 constexpr std::chrono::seconds AnswerGrace{4};       // on top of the wait
 constexpr std::chrono::milliseconds FirstPause{200}; // after one failure
 constexpr std::chrono::milliseconds LongestPause{10'000};
@@ -76,9 +76,10 @@
         co_return false;
     }
     m_index = protocol::nextIndex(index, answer->index);
-    if (index == 0 || m_index != index) {
-        co_await handler(*std::move(answer));
+    if (index != 0 && m_index == index) {
+        answer->body.clear();
     }
+    co_await handler(*std::move(answer));
     co_return true;
 }
 
--- a/programs/dandelionstall/control_watch.h
+++ b/programs/dandelionstall/control_watch.h
@@ -1,4 +1,5 @@
-// Keeps one blocking query open at the platform's service and hands out each new answer.
+// Keeps one blocking query open at the platform's service and hands out each answer, with an empty body when the value has
+// not changed.
 //
 // A failed call is repeated after a pause that doubles up to a limit and is spread by chance. A call that outlives its
 // deadline counts as failed, so a connection that went silent is replaced. While inactive a watch makes no calls.
--- /dev/null
+++ b/protocol/include/dandelionstall/protocol/gossip_codec.h
@@ -0,0 +1,20 @@
+// Converts gossip messages between their typed form and the bytes of one datagram.
+//
+// Usage:
+//   std::string datagram = encodeGossip(message);
+//   absl::StatusOr<gossip_message> message = decodeGossip(bytes);
+#pragma once
+
+#include <dandelionstall/coordination/gossip.h>
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <string_view>
+
+namespace dandelionstall::protocol {
+
+std::string encodeGossip(const coordination::gossip_message &message);
+absl::StatusOr<coordination::gossip_message> decodeGossip(std::string_view datagram); // malformed_message with the reason
+
+} // namespace dandelionstall::protocol
--- /dev/null
+++ b/protocol/src/gossip_codec.cpp
@@ -0,0 +1,223 @@
+#include <dandelionstall/protocol/gossip_codec.h>
+
+#include <dandelionstall/protocol/errors.h>
+#include <dandelionstall/protocol/report_codec.h>
+
+#include <gossip.pb.h>
+
+#include <arpa/inet.h>
+
+#include <array>
+#include <limits>
+
+namespace dandelionstall::protocol {
+
+namespace {
+
+using coordination::gossip_kind;
+using coordination::gossip_message;
+using coordination::member;
+using coordination::member_state;
+using coordination::table_kind;
+using coordination::table_version;
+
+constexpr auto LastKind = static_cast<std::uint32_t>(gossip_kind::config_chunk);
+constexpr auto LastMemberState = static_cast<std::uint32_t>(member_state::dead);
+constexpr std::uint32_t MaxPort = std::numeric_limits<std::uint16_t>::max();
+
+absl::Status malformed(std::string_view reason)
+{
+    return makeError(protocol_error::malformed_message, reason);
+}
+
+void writeAddress(const state::node_address &address, wire::GossipAddress &out)
+{
+    out.set_port(address.port);
+    in_addr v4{};
+    in6_addr v6{};
+    if (inet_pton(AF_INET, address.ip.c_str(), &v4) == 1) {
+        out.set_ipv4(ntohl(v4.s_addr));
+    } else if (inet_pton(AF_INET6, address.ip.c_str(), &v6) == 1) {
+        out.set_ipv6(&v6, sizeof(v6));
+    }
+}
+
+absl::StatusOr<state::node_address> readAddress(const wire::GossipAddress &in)
+{
+    std::array<char, INET6_ADDRSTRLEN> text{};
+    const in_addr v4{htonl(in.ipv4())};
+    const bool isV6 = in.ipv6().size() == sizeof(in6_addr);
+    const char *ip = isV6 ? inet_ntop(AF_INET6, in.ipv6().data(), text.data(), text.size()) : inet_ntop(AF_INET, &v4, text.data(), text.size());
+    if (ip == nullptr || in.port() == 0 || in.port() > MaxPort || (!isV6 && in.ipv4() == 0)) {
+        return malformed("gossip with a bad address");
+    }
+    return state::node_address{ip, static_cast<std::uint16_t>(in.port())};
+}
+
+void writeMember(const member &value, wire::GossipMember &out)
+{
+    writeAddress(value.address, *out.mutable_address());
+    out.set_incarnation(value.incarnation);
+    out.set_refutations(value.refutations);
+    out.set_state(static_cast<std::uint32_t>(value.state));
+    out.set_leaving(value.leaving);
+    out.set_data_centre(value.dataCentre);
+}
+
+absl::StatusOr<member> readMember(const wire::GossipMember &in)
+{
+    absl::StatusOr<state::node_address> address = readAddress(in.address());
+    if (!address.ok()) {
+        return address.status();
+    }
+    if (in.state() > LastMemberState) {
+        return malformed("gossip with an unknown member state");
+    }
+    return member{*std::move(address), in.data_centre(), in.incarnation(), in.refutations(), static_cast<member_state>(in.state()), in.leaving()};
+}
+
+void writeHint(const coordination::table_hint &hint, wire::TableHint &out)
+{
+    out.set_revision(hint.revision);
+    out.set_digest(hint.digest);
+}
+
+void writeVersion(const table_version &version, wire::TableVersion &out)
+{
+    out.set_revision(version.revision);
+    out.set_digest(version.digest);
+}
+
+void writeConfig(const coordination::config_part &part, wire::ConfigPart &out)
+{
+    out.set_kind(static_cast<std::uint32_t>(part.kind));
+    if (part.base.revision != 0) {
+        writeVersion(part.base, *out.mutable_base());
+    }
+    if (part.target.revision != 0) {
+        writeVersion(part.target, *out.mutable_target());
+    }
+    out.set_offset(part.offset);
+    out.set_total(part.total);
+    out.set_bytes(part.bytes);
+}
+
+absl::StatusOr<coordination::config_part> readConfig(const wire::ConfigPart &in)
+{
+    if (in.kind() >= coordination::TableKinds.size()) {
+        return malformed("gossip with an unknown table");
+    }
+    coordination::config_part part;
+    part.kind = coordination::TableKinds.at(in.kind());
+    part.base = {in.base().revision(), in.base().digest()};
+    part.target = {in.target().revision(), in.target().digest()};
+    part.offset = in.offset();
+    part.total = in.total();
+    part.bytes = in.bytes();
+    return part;
+}
+
+absl::Status readSender(const wire::GossipMember &in, coordination::gossip_sender &out)
+{
+    absl::StatusOr<member> sender = readMember(in);
+    if (!sender.ok()) {
+        return sender.status();
+    }
+    out = {sender->address, sender->dataCentre, sender->incarnation, sender->refutations, sender->leaving};
+    return absl::OkStatus();
+}
+
+absl::Status readNews(const wire::Gossip &in, gossip_message &out)
+{
+    for (const wire::GossipMember &row : in.updates()) {
+        absl::StatusOr<member> update = readMember(row);
+        if (!update.ok()) {
+            return update.status();
+        }
+        out.updates.push_back(*std::move(update));
+    }
+    for (const wire::WorkerReport &row : in.reports()) {
+        absl::StatusOr<coordination::worker_report> report = readReport(row);
+        if (!report.ok()) {
+            return report.status();
+        }
+        out.reports.push_back(*std::move(report));
+    }
+    return absl::OkStatus();
+}
+
+absl::Status readOptionals(const wire::Gossip &in, gossip_message &out)
+{
+    if (in.has_heard_you_ms()) {
+        out.heardYou = std::chrono::milliseconds(in.heard_you_ms());
+    }
+    if (in.has_subject()) {
+        absl::StatusOr<state::node_address> subject = readAddress(in.subject());
+        if (!subject.ok()) {
+            return subject.status();
+        }
+        out.subject = *std::move(subject);
+    }
+    if (in.has_config()) {
+        absl::StatusOr<coordination::config_part> part = readConfig(in.config());
+        if (!part.ok()) {
+            return part.status();
+        }
+        out.config = *std::move(part);
+    }
+    return absl::OkStatus();
+}
+
+} // namespace
+
+std::string encodeGossip(const gossip_message &message)
+{
+    wire::Gossip out;
+    out.set_kind(static_cast<std::uint32_t>(message.kind));
+    out.set_sequence(message.sequence);
+    const coordination::gossip_sender &sender = message.sender;
+    writeMember({sender.address, sender.dataCentre, sender.incarnation, sender.refutations, member_state::alive, sender.leaving}, *out.mutable_sender());
+    writeHint(message.tables[0], *out.mutable_routes());
+    writeHint(message.tables[1], *out.mutable_pools());
+    out.set_read_age_s(static_cast<std::uint32_t>(message.readAge.count()));
+    out.set_reader_round(message.readerRound);
+    if (message.heardYou) {
+        out.set_heard_you_ms(static_cast<std::uint32_t>(message.heardYou->count()));
+    }
+    if (message.subject) {
+        writeAddress(*message.subject, *out.mutable_subject());
+    }
+    for (const member &update : message.updates) {
+        writeMember(update, *out.add_updates());
+    }
+    for (const coordination::worker_report &report : message.reports) {
+        writeReport(report, *out.add_reports());
+    }
+    if (message.config) {
+        writeConfig(*message.config, *out.mutable_config());
+    }
+    return out.SerializeAsString();
+}
+
+absl::StatusOr<gossip_message> decodeGossip(std::string_view datagram)
+{
+    wire::Gossip in;
+    if (!in.ParseFromArray(datagram.data(), static_cast<int>(datagram.size())) || in.kind() > LastKind) {
+        return malformed("datagram is no gossip message");
+    }
+    gossip_message message;
+    message.kind = static_cast<gossip_kind>(in.kind());
+    message.sequence = in.sequence();
+    message.tables
+        = {coordination::table_hint{in.routes().revision(), in.routes().digest()}, coordination::table_hint{in.pools().revision(), in.pools().digest()}};
+    message.readerRound = in.reader_round();
+    message.readAge = std::chrono::seconds(in.read_age_s());
+    for (const absl::Status &status : {readSender(in.sender(), message.sender), readOptionals(in, message), readNews(in, message)}) {
+        if (!status.ok()) {
+            return status;
+        }
+    }
+    return message;
+}
+
+} // namespace dandelionstall::protocol
--- /dev/null
+++ b/protocol/tests/test_gossip_codec.cpp
@@ -0,0 +1,78 @@
+// Tests of protocol/gossip_codec.h.
+#include <dandelionstall/protocol/gossip_codec.h>
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <fmt/format.h>
+#include <rapidcheck.h>
+
+using namespace dandelionstall;
+using namespace dandelionstall::coordination;
+using namespace dandelionstall::protocol;
+
+namespace {
+
+gossip_message sample()
+{
+    gossip_message message;
+    message.kind = gossip_kind::config_chunk;
+    message.sequence = 77;
+    message.sender = {{"10.1.2.3", 7400}, "sul-curitiba", 1'796'329'876'543, 2, true};
+    message.tables = {table_hint{2200, 0xDEADBEEF}, table_hint{7, 1}};
+    message.readerRound = 3;
+    message.readAge = std::chrono::seconds(12);
+    message.heardYou = std::chrono::milliseconds(250);
+    message.subject = state::node_address{"fd00::2", 7401};
+    message.updates = {{{"10.1.2.4", 7400}, "sul-poa", 9, 1, member_state::dead, true}, {{"10.1.2.5", 7400}, "", 0, 0, member_state::listed, false}};
+    message.config = config_part{table_kind::pools, {1, 2}, {3, 4}, 1100, 5000, std::string("a\0b", 3)};
+    return message;
+}
+
+} // namespace
+
+Test(gossip_codec, gives_back_what_was_encoded)
+{
+    const gossip_message message = sample();
+    const absl::StatusOr<gossip_message> read = decodeGossip(encodeGossip(message));
+    cr_assert(read.ok());
+    cr_assert(read->kind == message.kind && read->sequence == message.sequence);
+    cr_assert(read->sender.address == message.sender.address && read->sender.dataCentre == message.sender.dataCentre);
+    cr_assert(read->sender.incarnation == message.sender.incarnation && read->sender.refutations == 2 && read->sender.leaving);
+    cr_assert(read->tables == message.tables);
+    cr_assert(read->readerRound == 3 && read->readAge == message.readAge && read->heardYou == message.heardYou);
+    cr_assert(read->subject == message.subject);
+    cr_assert(read->updates.size() == 2 && read->updates[0].state == member_state::dead && read->updates[0].leaving);
+    cr_assert(read->updates[1].address == message.updates[1].address && read->updates[1].incarnation == 0);
+    cr_assert(read->config->kind == table_kind::pools && read->config->base == message.config->base && read->config->target == message.config->target);
+    cr_assert(read->config->offset == 1100 && read->config->total == 5000 && read->config->bytes == message.config->bytes);
+}
+
+Test(gossip_codec, keeps_the_largest_messages_in_one_datagram)
+{
+    gossip_message chunk = sample();
+    chunk.updates.clear();
+    chunk.config->bytes = std::string(ConfigChunkBytes, 'x');
+    cr_assert(encodeGossip(chunk).size() <= MaxDatagramBytes);
+    gossip_message page = sample();
+    page.config.reset();
+    page.updates.clear();
+    for (std::size_t i = 0; i < MemberPageRows; ++i) {
+        page.updates.push_back({{fmt::format("10.1.2.{}", i + 1), 7400}, "sul-curitiba", 1'796'329'876'543, 1, member_state::alive, true});
+    }
+    cr_assert(encodeGossip(page).size() <= MaxDatagramBytes);
+}
+
+Test(gossip_codec, survives_any_bytes)
+{
+    cr_assert(rc::check("garbage and cut messages are refused or harmless", [] {
+        std::string datagram = encodeGossip(sample());
+        const auto place = *rc::gen::inRange<std::size_t>(0, datagram.size());
+        datagram[place] = *rc::gen::arbitrary<char>();
+        datagram.resize(*rc::gen::inRange<std::size_t>(0, datagram.size() + 1));
+        const absl::StatusOr<gossip_message> read = decodeGossip(datagram);
+        const bool harmless = !read.ok() || read->sender.address.port != 0;
+        RC_ASSERT(harmless);
+    }));
+    cr_assert(not(decodeGossip("GET / HTTP/1.1\r\n\r\n").ok()));
+    cr_assert(not(decodeGossip("").ok()));
+}
