--- a/transport/include/dandelionstall/transport/events.h
+++ b/transport/include/dandelionstall/transport/events.h
@@ -48,11 +48,13 @@
 enum class log_level { trace, debug, info, warn, error };
 
 struct event_info {
-    event id;              // number
-    log_level level;       // severity
-    std::string_view name; // stable name, snake case
+    event id;                 // number
+    log_level level;          // severity
+    std::string_view name;    // stable name, snake case
+    std::string_view meaning; // what it says, in a few words
 };
 
+std::string_view levelName(log_level level);  // "info", ...
 const event_info &eventInfo(event id);        // every event has one
 std::span<const event_info> eventCatalogue(); // all events, by number
 
--- a/transport/src/events.cpp
+++ b/transport/src/events.cpp
@@ -14,27 +14,40 @@
 namespace {
 
 constexpr std::array Catalogue{
-    event_info{event::node_started, log_level::info, "node_started"},
-    event_info{event::node_stopping, log_level::info, "node_stopping"},
-    event_info{event::node_stopped, log_level::info, "node_stopped"},
-    event_info{event::settings_refused, log_level::error, "settings_refused"},
-    event_info{event::listen_failed, log_level::error, "listen_failed"},
-    event_info{event::worker_draining, log_level::info, "worker_draining"},
-    event_info{event::config_accepted, log_level::info, "config_accepted"},
-    event_info{event::config_held, log_level::warn, "config_held"},
-    event_info{event::config_refused, log_level::error, "config_refused"},
-    event_info{event::config_stale, log_level::warn, "config_stale"},
-    event_info{event::config_conflict, log_level::error, "config_conflict"},
-    event_info{event::watch_failed, log_level::warn, "watch_failed"},
-    event_info{event::watch_recovered, log_level::info, "watch_recovered"},
-    event_info{event::reader_changed, log_level::info, "reader_changed"},
-    event_info{event::member_alive, log_level::info, "member_alive"},
-    event_info{event::member_suspected, log_level::info, "member_suspected"},
-    event_info{event::member_dead, log_level::warn, "member_dead"},
-    event_info{event::member_leaving, log_level::info, "member_leaving"},
-    event_info{event::self_doubt, log_level::warn, "self_doubt"},
-    event_info{event::self_trust, log_level::info, "self_trust"},
-    event_info{event::gossip_refused, log_level::warn, "gossip_refused"},
+    event_info{event::node_started, log_level::info, "node_started", "listening on all its addresses"},
+    event_info{event::node_stopping, log_level::info, "node_stopping", "graceful stop has begun"},
+    event_info{event::node_stopped, log_level::info, "node_stopped", "nothing in flight any more"},
+    event_info{event::settings_refused, log_level::error, "settings_refused", "the settings file cannot be used"},
+    event_info{event::listen_failed, log_level::error, "listen_failed", "an address cannot be bound"},
+    event_info{event::worker_draining, log_level::info, "worker_draining", "a worker has started or stopped refusing new work"},
+    event_info{event::config_accepted, log_level::info, "config_accepted", "a newer table is in force"},
+    event_info{event::config_held, log_level::warn, "config_held", "a newer table waits for the other one"},
+    event_info{event::config_refused, log_level::error, "config_refused", "a table cannot be parsed"},
+    event_info{event::config_stale, log_level::warn, "config_stale", "an older table than the known one was offered"},
+    event_info{event::config_conflict, log_level::error, "config_conflict", "other content under a known revision; operators must write a higher one"},
+    event_info{event::watch_failed, log_level::warn, "watch_failed", "the platform's service does not answer"},
+    event_info{event::watch_recovered, log_level::info, "watch_recovered", "the platform's service answers again"},
+    event_info{event::reader_changed, log_level::info, "reader_changed", "this node has become a reader of the service, or no longer is one"},
+    event_info{event::member_alive, log_level::info, "member_alive", "a node was heard for the first time or came back"},
+    event_info{event::member_suspected, log_level::info, "member_suspected", "a node does not answer"},
+    event_info{event::member_dead, log_level::warn, "member_dead", "a suspected node did not refute it"},
+    event_info{event::member_leaving, log_level::info, "member_leaving", "a node takes no new work"},
+    event_info{event::self_doubt, log_level::warn, "self_doubt", "this node slept or is isolated and declares nobody dead"},
+    event_info{event::self_trust, log_level::info, "self_trust", "this node trusts its view again"},
+    event_info{event::gossip_refused, log_level::warn, "gossip_refused", "datagrams that are no valid messages"},
+};
+
+struct level_name {
+    log_level level;
+    std::string_view name;
+};
+
+constexpr std::array LevelNames{
+    level_name{log_level::trace, "trace"},
+    level_name{log_level::debug, "debug"},
+    level_name{log_level::info, "info"},
+    level_name{log_level::warn, "warn"},
+    level_name{log_level::error, "error"},
 };
 
 log4cplus::LogLevel toLibraryLevel(log_level level)
@@ -56,15 +69,8 @@
 
 log4cplus::LogLevel parseLibraryLevel(std::string_view level)
 {
-    constexpr std::array Names{
-        std::pair{std::string_view("trace"), log_level::trace},
-        std::pair{std::string_view("debug"), log_level::debug},
-        std::pair{std::string_view("info"), log_level::info},
-        std::pair{std::string_view("warn"), log_level::warn},
-        std::pair{std::string_view("error"), log_level::error},
-    };
-    const auto found = std::find_if(Names.begin(), Names.end(), [&](const auto &name) { return name.first == level; });
-    return toLibraryLevel(found == Names.end() ? log_level::info : found->second);
+    const auto found = std::find_if(LevelNames.begin(), LevelNames.end(), [&](const level_name &known) { return known.name == level; });
+    return toLibraryLevel(found == LevelNames.end() ? log_level::info : found->level);
 }
 
 log4cplus::Logger logger()
@@ -102,6 +108,11 @@
 
 } // namespace
 
+std::string_view levelName(log_level level)
+{
+    return LevelNames.at(static_cast<std::size_t>(level)).name;
+}
+
 const event_info &eventInfo(event id)
 {
     const auto found = std::find_if(Catalogue.begin(), Catalogue.end(), [&](const event_info &info) { return info.id == id; });
--- a/transport/tests/test_events.cpp
+++ b/transport/tests/test_events.cpp
@@ -33,6 +33,7 @@
     cr_assert(std::is_sorted(eventCatalogue().begin(), eventCatalogue().end(), byNumber));
     for (const event_info &info : eventCatalogue()) {
         cr_assert(eventInfo(info.id).name == info.name);
+        cr_assert(not(info.meaning.empty()));
     }
 }
 
