--- a/programs/dandelionctl/command_line.cpp
+++ b/programs/dandelionctl/command_line.cpp
@@ -92,7 +92,7 @@
     } catch (const options::error &error) {
         return state::makeError(state::state_error::malformed, error.what());
     }
-    if (const absl::Status status = finish(raw, line); !status.ok()) {
+    if (absl::Status status = finish(raw, line); !status.ok()) {
         return status;
     }
     return line;
