--- /dev/null
+++ b/fuzz/fuzz_pool_table.cpp
@@ -0,0 +1,21 @@
+// Fuzz target: any text is a pool table within its limits or is refused with its place.
+#include "text_input.h"
+
+#include <dandelionstall/state/tables.h>
+
+using namespace dandelionstall;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const absl::StatusOr<state::pool_table> table = state::parsePoolTable(fuzz::asText(data, size), fuzz::Source);
+    fuzz::requirePlace(table.status());
+    if (!table.ok()) {
+        return 0;
+    }
+    for (const state::pool &row : table->pools) {
+        if (row.workers.empty() || row.slots == 0 || !(row.floor >= 0 && row.floor <= 1)) {
+            std::abort();
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/fuzz/fuzz_settings.cpp
@@ -0,0 +1,16 @@
+// Fuzz target: any text is usable as settings or is refused with its place.
+#include "text_input.h"
+
+#include <dandelionstall/state/settings.h>
+
+using namespace dandelionstall;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+{
+    const absl::StatusOr<state::settings> settings = state::parseSettings(fuzz::asText(data, size), fuzz::Source);
+    fuzz::requirePlace(settings.status());
+    if (settings.ok() && (settings->listen.port == 0 || settings->listen == settings->callers)) {
+        std::abort();
+    }
+    return 0;
+}
--- a/state/include/dandelionstall/state/tables.h
+++ b/state/include/dandelionstall/state/tables.h
@@ -96,7 +96,8 @@
 
 // [SECTION] Parsing
 
-inline constexpr std::size_t MaxTableBytes = 1'048'576; // a value of the configuration service
+inline constexpr std::size_t MaxValueBytes = 1'048'576;  // a value of the configuration service; larger tables are split
+inline constexpr std::size_t MaxTableBytes = 16'777'216; // a whole table; larger ones are refused
 
 absl::StatusOr<route_table> parseRouteTable(std::string_view text, std::string_view source); // error names line and reason
 absl::StatusOr<pool_table> parsePoolTable(std::string_view text, std::string_view source);   // error names line and reason
--- a/state/tests/test_tables.cpp
+++ b/state/tests/test_tables.cpp
@@ -112,6 +112,20 @@
     cr_assert(reasonIn(parseRouteTable(std::string(MaxTableBytes + 1, '#'), "r").status()).starts_with("r:1: table of"));
 }
 
+Test(tables, reads_a_table_of_the_full_size)
+{
+    constexpr int RouteCount = 12'000;
+    std::string text;
+    for (int i = 0; i < RouteCount; i++) {
+        const std::string number = std::to_string(i);
+        text += "[route.r-" + number + "]\nhost = service-" + number + ".example\npath = /v1/things\npool = p-" + number + "\nidempotent = yes\n";
+    }
+    cr_assert(text.size() > MaxValueBytes);
+    const auto table = routesWith(text);
+    cr_assert(table.ok() && table->routes.size() == RouteCount);
+    cr_assert(matchRoute(*table, "service-11999.example", "/v1/things/7", "GET") == &table->routes.back());
+}
+
 Test(tables, reads_pools_and_workers)
 {
     const auto table = poolsWith("[pool.p]\nslots = 3\nfloor = 0.6\nbalancer = random\nworker.w-1 = 10.0.0.1:7400 thika\nworker.w-2 = 10.0.0.2:7400 ruiru 5\n");
