Admission refuses by forecast of denser work, and lets long work insist

- A planned wait is stretched by the share of slot time that recently offered, clearly denser work takes.
- Long work respects load + sqrt(load) of the short work at first and a quarter of the square root in the end.

--- a/coordination/src/admission_demand.cpp
+++ b/coordination/src/admission_demand.cpp
@@ -1,28 +1,32 @@
 #include "admission_demand.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dandelionstall::coordination::detail {
 
 namespace {
 
 constexpr std::chrono::milliseconds BucketSpan{500};
+constexpr double MinDensity = 1e-3;      // worth per second; the lowest class holds all below
 constexpr double MinWindowSeconds = 0.1; // a shorter stretch says nothing about a rate
 
-double seconds(state::duration span)
+} // namespace
+
+std::size_t load_above::classOf(double density)
 {
-    return std::chrono::duration<double>(span).count();
+    const double octaves = std::log2(std::max(density, MinDensity) / MinDensity);
+    return std::min(static_cast<std::size_t>(octaves * static_cast<double>(ClassesPerOctave)), Classes - 1);
 }
 
-} // namespace
-
-void recent_demand::noteOffer(std::chrono::microseconds cost, double worth, bool isLong, state::time_point now)
+void recent_demand::noteOffer(const offered_work &work, state::time_point now)
 {
     roll(now);
-    m_current.offered += seconds(cost);
-    if (!isLong) {
-        m_current.shortWork += seconds(cost);
-        m_current.shortWorth += worth;
+    m_current.offered += seconds(work.cost);
+    m_current.byDensity[load_above::classOf(work.density)] += static_cast<float>(seconds(work.cost));
+    if (!work.isLong) {
+        m_current.shortWork += seconds(work.cost);
+        m_current.shortWorth += work.worth;
     }
 }
 
@@ -32,6 +36,12 @@
     m_current.refusedDensity = std::max(m_current.refusedDensity, density);
 }
 
+void recent_demand::forgetDensities()
+{
+    m_current.byDensity = {};
+    m_previous.byDensity = {};
+}
+
 double recent_demand::offeredLoad(state::time_point now) const
 {
     return perSecond(&bucket::offered, now);
@@ -88,11 +98,32 @@
     return now >= m_currentEndsAt ? m_current.*sum : m_current.*sum + m_previous.*sum;
 }
 
-double recent_demand::perSecond(double bucket::*sum, state::time_point now) const
+double recent_demand::windowSeconds(state::time_point now) const
 {
     const bool hasPrevious = now < m_currentEndsAt && m_previous.offered > 0.0;
     const state::time_point since = m_currentEndsAt - (hasPrevious ? 2 * BucketSpan : BucketSpan);
-    return total(sum, now) / std::max(seconds(now - since), MinWindowSeconds);
+    return std::max(seconds(now - since), MinWindowSeconds);
+}
+
+double recent_demand::perSecond(double bucket::*sum, state::time_point now) const
+{
+    return total(sum, now) / windowSeconds(now);
+}
+
+load_above recent_demand::loadAbove(state::time_point now) const
+{
+    load_above load;
+    if (now >= m_currentEndsAt + BucketSpan) {
+        return load;
+    }
+    const bool hasPrevious = now < m_currentEndsAt;
+    const double window = windowSeconds(now);
+    double above = 0.0;
+    for (std::size_t index = load_above::Classes; index-- > 0;) {
+        load.m_above[index] = above / window;
+        above += m_current.byDensity[index] + (hasPrevious ? m_previous.byDensity[index] : 0.0F);
+    }
+    return load;
 }
 
 } // namespace dandelionstall::coordination::detail
--- a/coordination/src/admission_fifo.cpp
+++ b/coordination/src/admission_fifo.cpp
@@ -24,7 +24,7 @@
             refuseItem(item.id, refusal_reason::queue_full, now, todo);
             return;
         }
-        m_waiting.push_back({.id = item.id, .arrival = m_arrivals++, .worth = item.worth, .deadline = item.deadline});
+        m_waiting.push_back(makeWaiting(item, now));
     }
 
     void settle(state::time_point now, admission_actions &todo) override
--- a/coordination/src/admission_slots.cpp
+++ b/coordination/src/admission_slots.cpp
@@ -99,6 +99,17 @@
     return false;
 }
 
+waiting_work slot_queue::makeWaiting(const work_item &item, state::time_point now)
+{
+    waiting_work work;
+    work.id = item.id;
+    work.arrival = ++m_arrivals;
+    work.worth = item.worth;
+    work.offeredAt = now;
+    work.deadline = item.deadline;
+    return work;
+}
+
 bool slot_queue::hasFreeSlot() const
 {
     return m_running.size() < m_limits.slots;
--- a/coordination/src/admission_slots.h
+++ b/coordination/src/admission_slots.h
@@ -19,6 +19,7 @@
     std::chrono::microseconds cost{0}; // expected run time
     double worth = 0.0;                // value of its answer
     double density = 0.0;              // worth per second of expected run time
+    state::time_point offeredAt;
     state::time_point deadline;
 };
 
@@ -53,6 +54,7 @@
     virtual state::time_point retryTime(state::time_point now);                                      // for one refused item
     virtual bool isLong(const waiting_work &work) const;                                             // kind of a starting item
 
+    waiting_work makeWaiting(const work_item &item, state::time_point now); // without key, cost and density
     bool hasFreeSlot() const;
     void start(std::size_t index, state::time_point now, admission_actions &todo);                         // starts a waiting item
     void refuse(std::size_t index, refusal_reason reason, state::time_point now, admission_actions &todo); // refuses a waiting item
--- a/coordination/src/admission_worth_density.cpp
+++ b/coordination/src/admission_worth_density.cpp
@@ -18,17 +18,19 @@
 using std::chrono::duration_cast;
 using std::chrono::microseconds;
 
-constexpr int LongFactor = 8;        // long work takes more than this many times the typical run time
-constexpr int OverdueShare = 4;      // an item past its expected end is taken to need a quarter of its cost more
-constexpr int WaitMargin = 4;        // planned waits are stretched by a quarter
-constexpr int RefreshShare = 8;      // waiting items are reordered when their cost has changed by an eighth
-constexpr double MaxPressure = 16.0; // limits how far retries are spread
+constexpr int LongFactor = 8;         // long work takes more than this many times the typical run time
+constexpr int OverdueShare = 4;       // an item past its expected end is taken to need a quarter of its cost more
+constexpr double WaitMargin = 1.25;   // planned waits are stretched by a quarter
+constexpr double MinFreeShare = 0.02; // of the slot time that denser work leaves; below it work that must wait has no chance
+constexpr int RefreshShare = 8;       // waiting items are reordered when their cost has changed by an eighth
+constexpr double MinPatience = 0.25;  // of the margin for short work that long work respects to the end
+constexpr double MaxPressure = 16.0;  // limits how far retries are spread
 constexpr std::chrono::milliseconds RetryDelay{500};
 constexpr std::chrono::seconds TrialInterval{5}; // between runs that seem hopeless but refresh the estimate
 
 double densityOf(double worth, microseconds cost)
 {
-    return worth / std::chrono::duration<double>(std::max(cost, microseconds(1))).count();
+    return worth / seconds(std::max(cost, microseconds(1)));
 }
 
 // The order of the queue: densest first, then first come.
@@ -62,7 +64,7 @@
     void startReady(state::time_point now, admission_actions &todo);
     std::optional<std::size_t> findStartable(state::time_point now) const;
     bool mayTakeSlot(const waiting_work &work, state::time_point now) const;
-    double slotsForLong(state::time_point now) const;
+    double slotsForLong(const waiting_work &work, state::time_point now) const;
     std::size_t runningLong(state::time_point now) const;
     void refuseOverflow(state::time_point now, admission_actions &todo);
     void refuseUnreachable(state::time_point now, admission_actions &todo);
@@ -101,11 +103,33 @@
     std::vector<state::time_point> m_freeTimes;
 };
 
-// Run times vary, and the more so the more items run before; a planned wait is therefore stretched.
-state::time_point stretchedStart(state::time_point start, state::time_point now)
+// Run times vary, and denser work that is still to come goes first: a planned wait is stretched by both.
+class wait_forecast
 {
-    return start == state::time_point::max() ? start : start + (start - now) / WaitMargin;
-}
+public:
+    wait_forecast(const recent_demand &demand, std::uint32_t slots, state::time_point now)
+        : m_load(demand.loadAbove(now))
+        , m_slots(std::max(1U, slots))
+        , m_now(now)
+    { }
+
+    state::time_point startOf(const waiting_work &work, state::time_point planned) const
+    {
+        if (planned <= m_now || planned == state::time_point::max()) {
+            return planned;
+        }
+        const double freeShare = 1.0 - m_load(work.density) / m_slots;
+        if (freeShare <= MinFreeShare) {
+            return state::time_point::max();
+        }
+        return m_now + duration_cast<state::duration>((planned - m_now) * (WaitMargin / freeShare));
+    }
+
+private:
+    load_above m_load;
+    double m_slots;
+    state::time_point m_now;
+};
 
 bool fits(const waiting_work &work, state::time_point start)
 {
@@ -145,10 +169,11 @@
 
 void worth_density::enqueue(const work_item &item, state::time_point now, admission_actions &)
 {
-    waiting_work work{.id = item.id, .arrival = ++m_arrivals, .key = costKey(item.route, item.statedBytes), .worth = item.worth, .deadline = item.deadline};
+    waiting_work work = makeWaiting(item, now);
+    work.key = costKey(item.route, item.statedBytes);
     work.cost = m_costs.estimate(work.key, item.costHint);
     work.density = densityOf(item.worth, work.cost);
-    m_demand.noteOffer(work.cost, work.worth, isLong(work), now);
+    m_demand.noteOffer({work.cost, work.worth, work.density, isLong(work)}, now);
     m_offered = work.arrival;
     if (work.cost > item.deadline - now && isTrial(work.key, now)) {
         work.cost = duration_cast<microseconds>(item.deadline - now);
@@ -219,14 +244,17 @@
     if (!isLong(work) || !m_demand.hasShort(now) || work.density >= m_demand.shortDensity(now)) {
         return true;
     }
-    return static_cast<double>(runningLong(now)) + 1.0 <= slotsForLong(now);
+    return static_cast<double>(runningLong(now)) + 1.0 <= slotsForLong(work, now);
 }
 
 // The short work keeps its load and the square root of it, which keeps its waits short whatever the number of slots.
-double worth_density::slotsForLong(state::time_point now) const
+// Most of the square root is given up by and by as the latest start of the long work comes near.
+double worth_density::slotsForLong(const waiting_work &work, state::time_point now) const
 {
     const double load = m_demand.shortLoad(now);
-    const double kept = std::max(1.0, load + std::sqrt(load));
+    const state::time_point latestStart = work.deadline - work.cost;
+    const double patience = std::clamp(seconds(latestStart - now) / seconds(std::max(latestStart - work.offeredAt, state::duration(1))), MinPatience, 1.0);
+    const double kept = std::max(1.0, load + patience * std::sqrt(load));
     return static_cast<double>(m_limits.slots) - std::min(kept, static_cast<double>(m_limits.slots));
 }
 
@@ -249,11 +277,12 @@
 void worth_density::refuseUnreachable(state::time_point now, admission_actions &todo)
 {
     slot_plan plan(freeTimes(now));
-    const state::time_point firstFree = stretchedStart(plan.nextFree(), now);
+    const wait_forecast forecast(m_demand, m_limits.slots, now);
+    const state::time_point firstFree = plan.nextFree();
     std::size_t kept = 0;
     for (const waiting_work &work : m_waiting) {
         const state::time_point start = plan.nextFree();
-        if (fits(work, stretchedStart(start, now))) {
+        if (fits(work, forecast.startOf(work, start))) {
             plan.occupyUntil(start + work.cost);
             m_waiting[kept++] = work;
         } else if (fits(work, firstFree)) {
@@ -293,7 +322,13 @@
 
 void worth_density::noteEnd(const running_work &work, work_result result, state::time_point now)
 {
+    const auto planned = duration_cast<microseconds>(work.expectedEnd - work.startedAt);
+    const microseconds before = m_costs.estimate(work.key, planned);
     m_costs.learn({work.key, work.startedAt, now, result == work_result::answered});
+    const microseconds after = m_costs.estimate(work.key, planned);
+    if (after * 2 > before * 3 || before * 2 > after * 3) {
+        m_demand.forgetDensities();
+    }
     refreshCosts(work.key);
 }
 
--- a/coordination/tests/test_admission.cpp
+++ b/coordination/tests/test_admission.cpp
@@ -216,3 +216,15 @@
     cr_assert(isStarted(todo, 22));
     cr_assert(now < Start + 3s);
 }
+
+// Work that was noted as dense under a wrong hint must not count against the same work once its cost is known.
+Test(admission, keeps_waiting_work_when_its_cost_turns_out_higher)
+{
+    const auto policy = makePolicy("worth_density", {1, 64});
+    for (std::uint64_t sequence = 1; sequence <= 40; ++sequence) {
+        const state::time_point now = Start + sequence * 1ms;
+        policy->offer(makeItem(sequence, "a", 1, now + 1min, 50ms), now);
+    }
+    cr_assert(policy->finish({1, 1}, work_result::answered, Start + 501ms).refuse.empty());
+    cr_assert(policy->load(Start + 501ms).queued == 38U);
+}
