Benchmark of gossip; news are passed on only when they are new to others

Cause: a node that copied the list of members page by page passed each row on as news; at 3,400 members the queue would have taken minutes to drain. Without a route table a node kept asking its peers four times a second.

--- /dev/null
+++ b/bench/bench_spread.cpp
@@ -0,0 +1,490 @@
+// Cost and speed of gossip at several fleet sizes, against two baselines in the same run: heartbeats from every node to
+// every other one, and every node watching the platform's service.
+//
+// Instances of gossip_node run in one thread over links with loss and jitter; virtual time, real processor time.
+// Usage: bench_spread [--sizes 30,227,1000,3400] [--seconds 20] [--json]
+#include "../coordination/tests/gossip_loop.h"
+
+#include <dandelionstall/protocol/gossip_codec.h>
+
+#include <boost/json.hpp>
+#include <boost/program_options.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <iostream>
+#include <malloc.h>
+#include <map>
+#include <sstream>
+
+using namespace dandelionstall;
+using namespace dandelionstall::coordination;
+using namespace std::chrono_literals;
+namespace options = boost::program_options;
+
+namespace {
+
+constexpr std::uint64_t Seed = 20'261'203;
+constexpr std::size_t NodesPerDataCentre = 227;
+constexpr std::size_t SmallFleetDataCentres = 4;
+constexpr std::size_t UdpIpBytes = 28; // headers of one datagram over IPv4
+constexpr std::size_t WorkersPerPool = 20;
+constexpr double WorkersPerNode = 8.5;
+constexpr std::size_t MaxSampledCpu = 64; // instances whose processor time is measured
+
+using seconds_f = std::chrono::duration<double>;
+
+struct output {
+    bool json = false;
+
+    void row(std::string_view what, std::size_t size, const std::map<std::string, double> &values) const
+    {
+        if (json) {
+            boost::json::object object;
+            object["bench"] = "spread";
+            object["what"] = what;
+            object["nodes"] = size;
+            for (const auto &[name, value] : values) {
+                object[name] = value;
+            }
+            std::cout << boost::json::serialize(object) << std::endl;
+            return;
+        }
+        std::cout << fmt::format("{:<12} n={:<5}", what, size);
+        for (const auto &[name, value] : values) {
+            std::cout << fmt::format(" {}={:.3f}", name, value);
+        }
+        std::cout << std::endl;
+    }
+};
+
+double percentile(std::vector<double> values, double share)
+{
+    if (values.empty()) {
+        return -1.0;
+    }
+    std::sort(values.begin(), values.end());
+    return values[std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())))];
+}
+
+std::size_t dataCentresOf(std::size_t size)
+{
+    return size <= NodesPerDataCentre ? std::min(size, SmallFleetDataCentres) : (size + NodesPerDataCentre - 1) / NodesPerDataCentre;
+}
+
+std::string dataCentreOf(std::size_t index, std::size_t size)
+{
+    return fmt::format("dc-{}", index % dataCentresOf(size));
+}
+
+// A pool table in which each node has a worker in one pool of the given size, spread over the data centres.
+std::string benchPools(state::table_revision revision, std::size_t size)
+{
+    std::string text = fmt::format("[table]\nrevision = {}\n", revision);
+    for (std::size_t i = 0; i < size; ++i) {
+        if (i % WorkersPerPool == 0) {
+            text += fmt::format("\n[pool.p{}]\nslots = 3\n", i / WorkersPerPool);
+        }
+        text += fmt::format("worker.w{} = {} {}\n", i, state::formatNodeAddress(gossip_loop::addressOf(i)), dataCentreOf(i, size));
+    }
+    return text;
+}
+
+struct counters {
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+    std::map<gossip_kind, std::uint64_t> bytesOf; // by kind
+};
+
+class bench_fleet
+{
+public:
+    explicit bench_fleet(std::size_t size)
+        : m_size(size)
+        , m_loop({.loss = 0.02, .repeat = 0.0, .latency = 5ms, .jitter = 5ms}, Seed)
+    {
+        for (std::size_t i = 0; i < size; ++i) {
+            m_loop.add(dataCentreOf(i, size));
+        }
+        introduce();
+    }
+
+    gossip_loop &loop()
+    {
+        return m_loop;
+    }
+
+    // Every node starts with the list that a page-wise copy would give it.
+    void introduce()
+    {
+        gossip_message list;
+        list.kind = gossip_kind::member_page;
+        for (std::size_t i = 0; i < m_size; ++i) {
+            list.updates.push_back({gossip_loop::addressOf(i), dataCentreOf(i, m_size), 1, 0, member_state::alive, false});
+        }
+        for (std::size_t i = 0; i < m_size; ++i) {
+            list.sender = m_loop.at((i + 1) % m_size).members().self();
+            m_loop.at(i).receive(list, m_loop.now());
+            m_loop.at(i).members().takeChanges();
+        }
+    }
+
+    void report(std::size_t index)
+    {
+        worker_report own;
+        own.worker = fmt::format("w{}", index);
+        own.pool = fmt::format("p{}", index / WorkersPerPool);
+        own.node = gossip_loop::addressOf(index);
+        own.incarnation = 1'796'329'876'543;
+        own.version = 1000 + index;
+        own.slots = 3;
+        own.busy = 2;
+        own.expectedWait = 1500us;
+        own.latency = 12'000us;
+        own.samples = 200;
+        m_loop.at(index).noteOwnReports({own}, m_loop.now());
+    }
+
+private:
+    std::size_t m_size;
+    gossip_loop m_loop;
+};
+
+// ---- Steady state ----
+
+void measureSteady(bench_fleet &fleet, std::size_t size, std::chrono::seconds span, const output &out)
+{
+    gossip_loop &loop = fleet.loop();
+    for (std::size_t i = 0; i < size; ++i) {
+        fleet.report(i);
+    }
+    counters sent;
+    loop.onSend = [&](std::size_t, const gossip_out &message) {
+        const std::size_t bytes = protocol::encodeGossip(message.message).size() + UdpIpBytes;
+        ++sent.messages;
+        sent.bytes += bytes;
+        sent.bytesOf[message.message.kind] += bytes;
+    };
+    std::size_t false_suspicions = 0;
+    std::size_t false_deaths = 0;
+    std::size_t readerSamples = 0;
+    std::size_t ticks = 0;
+    loop.afterTick = [&](std::size_t index) {
+        for (const member &changed : loop.at(index).members().takeChanges()) {
+            false_suspicions += changed.state == member_state::suspect ? 1 : 0;
+            false_deaths += changed.state == member_state::dead ? 1 : 0;
+        }
+        loop.at(index).members().takePaths();
+        loop.at(index).takeReports();
+        ++ticks;
+        readerSamples += loop.at(index).readsService(loop.now()) ? 1 : 0;
+        if (loop.at(index).readsService(loop.now())) {
+            loop.at(index).noteRead(loop.now());
+        }
+    };
+    seconds_f work{0};
+    std::uint64_t works = 0;
+    loop.onWork = [&](std::size_t index, const std::function<void()> &step) {
+        if (index >= MaxSampledCpu) {
+            step();
+            return;
+        }
+        const auto begin = std::chrono::steady_clock::now();
+        step();
+        work += std::chrono::steady_clock::now() - begin;
+        ++works;
+    };
+    loop.run(span);
+    loop.onWork = nullptr;
+    loop.onSend = nullptr;
+    loop.afterTick = nullptr;
+    const auto share = [&](gossip_kind kind) {
+        return static_cast<double>(sent.bytesOf[kind]) / static_cast<double>(size) / seconds_f(span).count();
+    };
+    const double nodeSeconds = static_cast<double>(size) * seconds_f(span).count();
+    const double sampledSeconds = static_cast<double>(std::min(size, MaxSampledCpu)) * seconds_f(span).count();
+    const double readers = static_cast<double>(readerSamples) / static_cast<double>(std::max<std::size_t>(ticks, 1)) * static_cast<double>(size);
+    out.row("steady_kinds",
+            size,
+            {{"ping_bytes_s", share(gossip_kind::ping)},
+             {"ack_bytes_s", share(gossip_kind::ack)},
+             {"relay_bytes_s", share(gossip_kind::relay) + share(gossip_kind::relayed_ack)},
+             {"push_bytes_s", share(gossip_kind::push)},
+             {"page_bytes_s", share(gossip_kind::member_pull) + share(gossip_kind::member_page)},
+             {"config_bytes_s", share(gossip_kind::config_fetch) + share(gossip_kind::config_chunk)}});
+    out.row("steady",
+            size,
+            {{"sent_bytes_s", static_cast<double>(sent.bytes) / nodeSeconds},
+             {"sent_and_received_bytes_s", 2.0 * static_cast<double>(sent.bytes) / nodeSeconds},
+             {"messages_s", static_cast<double>(sent.messages) / nodeSeconds},
+             {"decisions_cpu_share_pct", 100.0 * work.count() / sampledSeconds},
+             {"us_per_step", 1e6 * work.count() / static_cast<double>(std::max<std::uint64_t>(works, 1))},
+             {"readers", readers},
+             {"false_suspicions", static_cast<double>(false_suspicions)},
+             {"false_deaths", static_cast<double>(false_deaths)}});
+}
+
+// ---- Events ----
+
+double timeUntil(gossip_loop &loop, const std::function<bool()> &reached, std::chrono::milliseconds limit)
+{
+    const state::time_point begin = loop.now();
+    return loop.runUntil(reached, limit) ? seconds_f(loop.now() - begin).count() : -1.0;
+}
+
+void measureConfig(gossip_loop &loop, std::size_t size, const output &out)
+{
+    std::vector<double> times;
+    for (state::table_revision revision = 2; revision <= 6; ++revision) {
+        loop.at(revision * 5 % size).offerFromService(table_kind::pools, poolsText(revision, static_cast<int>(revision)), loop.now());
+        const auto everywhere = [&] {
+            return loop.all([&](std::size_t i) { return loop.at(i).store().inForce(table_kind::pools).revision == revision; });
+        };
+        times.push_back(timeUntil(loop, everywhere, 30s));
+        loop.run(1s);
+    }
+    out.row("config", size, {{"everywhere_s_median", percentile(times, 0.5)}, {"everywhere_s_max", percentile(times, 1.0)}});
+}
+
+void measureDeath(gossip_loop &loop, std::size_t size, const output &out)
+{
+    std::vector<double> firsts;
+    std::vector<double> alls;
+    for (std::size_t round = 0; round < 5; ++round) {
+        const std::size_t gone = (round * 7 + 3) % size;
+        loop.setUp(gone, false);
+        const state::time_point begin = loop.now();
+        const auto deadAt = [&](std::size_t viewer) {
+            return viewer == gone || loop.beliefOf(viewer, gone) == member_state::dead;
+        };
+        const auto anyone = [&] {
+            return !loop.all([&](std::size_t viewer) { return viewer == gone || !deadAt(viewer); });
+        };
+        const auto localDeadAt = [&](std::size_t viewer) {
+            return dataCentreOf(viewer, size) != dataCentreOf(gone, size) || deadAt(viewer);
+        };
+        firsts.push_back(timeUntil(loop, anyone, 20s));
+        loop.runUntil([&] { return loop.all(localDeadAt); }, 20s);
+        alls.push_back(seconds_f(loop.now() - begin).count());
+        loop.restart(gone, 2);
+        loop.setUp(gone, true);
+        loop.run(2s);
+    }
+    out.row("death",
+            size,
+            {{"first_s_median", percentile(firsts, 0.5)},
+             {"first_s_max", percentile(firsts, 1.0)},
+             {"data_centre_s_median", percentile(alls, 0.5)},
+             {"data_centre_s_max", percentile(alls, 1.0)}});
+}
+
+void measureLeaving(gossip_loop &loop, std::size_t size, const output &out)
+{
+    std::vector<double> times;
+    for (std::size_t round = 0; round < 5; ++round) {
+        const std::size_t gone = (round * 11 + 6) % size;
+        loop.post(gone, loop.at(gone).leave(loop.now()));
+        const auto everywhere = [&] {
+            return loop.all([&](std::size_t viewer) { return viewer == gone || loop.seesLeaving(viewer, gone); });
+        };
+        times.push_back(timeUntil(loop, everywhere, 30s));
+    }
+    out.row("leaving", size, {{"everywhere_s_median", percentile(times, 0.5)}, {"everywhere_s_max", percentile(times, 1.0)}});
+}
+
+// ---- One instance ----
+
+void measureMemory(std::size_t size, const output &out)
+{
+    const auto inUse = [] {
+        return static_cast<double>(mallinfo2().uordblks);
+    };
+    const double before = inUse();
+    gossip_node node({gossip_loop::addressOf(0), "dc-0", 1}, Seed);
+    node.start({}, state::time_point(1000s));
+    gossip_message list;
+    list.kind = gossip_kind::member_page;
+    list.sender = {gossip_loop::addressOf(1), "dc-0", 1, 0, false};
+    for (std::size_t i = 1; i < size; ++i) {
+        list.updates.push_back({gossip_loop::addressOf(i), dataCentreOf(i, size), 1, 0, member_state::alive, false});
+    }
+    const double messageBytes = inUse();
+    node.receive(list, state::time_point(1000s));
+    node.tick(state::time_point(1000s));
+    node.members().takeChanges();
+    const double used = inUse() - messageBytes;
+    out.row("memory", size, {{"kilobytes", (used + (messageBytes - before) * 0.0) / 1024.0}, {"bytes_per_member", used / static_cast<double>(size)}});
+}
+
+void measureTables(const output &out)
+{
+    for (const std::size_t routes : {100U, 1000U, 4000U, 12'000U}) {
+        config_store store;
+        config_spread spread(store, Seed);
+        const state::time_point now(1000s);
+        spread.offer(table_kind::pools, poolsText(1), "bench", now);
+        std::string first = routesText(1, "p0", static_cast<int>(routes));
+        std::string second = routesText(2, "p0", static_cast<int>(routes));
+        const std::size_t place = second.find("path = /r50\n");
+        second.replace(place, 12, "path = /changed\n");
+        const double size = static_cast<double>(second.size());
+        spread.offer(table_kind::routes, std::move(first), "bench", now);
+        spread.push({gossip_loop::addressOf(1)});
+        const auto begin = std::chrono::steady_clock::now();
+        const bool taken = spread.offer(table_kind::routes, std::move(second), "bench", now).verdict == offer_verdict::accepted;
+        const auto accepted = std::chrono::steady_clock::now();
+        const gossip_batch pushed = spread.push({gossip_loop::addressOf(1)});
+        const auto end = std::chrono::steady_clock::now();
+        out.row("table",
+                routes,
+                {{"text_bytes", size},
+                 {"delta_datagram_bytes", static_cast<double>(protocol::encodeGossip(pushed.at(0).message).size() + UdpIpBytes)},
+                 {"accepted", taken ? 1.0 : 0.0},
+                 {"accept_ms", 1e3 * seconds_f(accepted - begin).count()},
+                 {"delta_ms", 1e3 * seconds_f(end - accepted).count()}});
+    }
+}
+
+void measureCodec(const output &out)
+{
+    constexpr int Rounds = 200'000;
+    gossip_message ping;
+    ping.kind = gossip_kind::ping;
+    ping.sender = {gossip_loop::addressOf(3), "sul-curitiba", 1'796'329'876'543, 0, false};
+    ping.updates = {{gossip_loop::addressOf(4), "sul-poa", 1'796'329'876'543, 0, member_state::dead, false}};
+    const std::string datagram = protocol::encodeGossip(ping);
+    const auto begin = std::chrono::steady_clock::now();
+    std::size_t bytes = 0;
+    for (int i = 0; i < Rounds; ++i) {
+        bytes += protocol::encodeGossip(ping).size();
+    }
+    const auto encoded = std::chrono::steady_clock::now();
+    for (int i = 0; i < Rounds; ++i) {
+        bytes += protocol::decodeGossip(datagram).ok() ? 1 : 0;
+    }
+    const auto end = std::chrono::steady_clock::now();
+    out.row("codec",
+            1,
+            {{"datagram_bytes", static_cast<double>(datagram.size())},
+             {"encode_us", 1e6 * seconds_f(encoded - begin).count() / Rounds},
+             {"decode_us", 1e6 * seconds_f(end - encoded).count() / Rounds},
+             {"checked", static_cast<double>(bytes > 0)}});
+}
+
+// ---- Baselines ----
+
+// Heartbeats as in the paper: counter, start time, host, readiness, manager, and per group its number, processes and
+// state. Every node sends them to every other one. One receiver is driven; it drops a sender after three silent periods.
+void measureHeartbeats(std::size_t size, std::chrono::seconds span, const output &out)
+{
+    constexpr double HeartbeatPeriod = 0.25;
+    constexpr double SilentPeriods = 3.0;
+    constexpr double HeadBytes = 8 + 8 + 4 + 1 + 1 + 4 + 1;
+    constexpr double GroupBytes = 4 + 4 + 1;
+    const double bytes = HeadBytes + GroupBytes * WorkersPerNode + static_cast<double>(UdpIpBytes);
+    pcg32 random(Seed);
+    const auto draw = [&random] {
+        return static_cast<double>(random()) / 4294967296.0;
+    };
+    std::size_t falseDeaths = 0;
+    for (std::size_t sender = 1; sender < size; ++sender) {
+        double last = 0.0;
+        for (double at = 0.0; at < seconds_f(span).count(); at += HeartbeatPeriod) {
+            if (draw() < 0.02) {
+                continue;
+            }
+            const double arrival = at + 0.005 + draw() * 0.005;
+            falseDeaths += arrival - last > SilentPeriods * HeartbeatPeriod + 0.005 ? 1 : 0;
+            last = arrival;
+        }
+    }
+    const double sent = static_cast<double>(size - 1) * bytes / HeartbeatPeriod;
+    const double detection = SilentPeriods * HeartbeatPeriod + 0.005; // after the last one that arrived
+    out.row("heartbeats",
+            size,
+            {{"sent_bytes_s", sent},
+             {"sent_and_received_bytes_s", 2.0 * sent},
+             {"death_s_max", detection + HeartbeatPeriod},
+             {"false_deaths_per_viewer", static_cast<double>(falseDeaths)}});
+}
+
+// Calls at the service: each watch is answered at least once in 15 s and once more for each change.
+void measureCalls(bench_fleet &fleet, std::size_t size, const output &out)
+{
+    constexpr double WatchSeconds = 15.0;
+    constexpr double Watches = 3.0;
+    constexpr double ChangesPerSecond = (2200.0 + 7800.0) / 86'400.0;
+    std::size_t readers = 0;
+    for (std::size_t i = 0; i < size; ++i) {
+        readers += fleet.loop().at(i).readsService(fleet.loop().now()) ? 1 : 0;
+    }
+    const double perWatcher = Watches / WatchSeconds + ChangesPerSecond;
+    out.row("calls",
+            size,
+            {{"readers", static_cast<double>(readers)},
+             {"calls_s", static_cast<double>(readers) * perWatcher},
+             {"baseline_every_node_calls_s", static_cast<double>(size) * perWatcher},
+             {"baseline_waiting_watches", static_cast<double>(size) * Watches}});
+}
+
+void measureSize(std::size_t size, std::chrono::seconds span, const output &out)
+{
+    measureMemory(size, out);
+    bench_fleet fleet(size);
+    fleet.loop().run(2s);
+    fleet.loop().at(0).offerFromService(table_kind::pools, benchPools(1, std::min<std::size_t>(size, 400)), fleet.loop().now());
+    fleet.loop().at(0).offerFromService(table_kind::routes, routesText(1), fleet.loop().now());
+    fleet.loop().run(5s);
+    measureSteady(fleet, size, span, out);
+    measureCalls(fleet, size, out);
+    measureHeartbeats(size, span, out);
+    measureDeath(fleet.loop(), size, out);
+    measureConfig(fleet.loop(), size, out);
+    measureLeaving(fleet.loop(), size, out);
+}
+
+std::vector<std::size_t> parseSizes(const std::string &text)
+{
+    std::vector<std::size_t> sizes;
+    std::istringstream stream(text);
+    for (std::string item; std::getline(stream, item, ',');) {
+        sizes.push_back(std::stoul(item));
+    }
+    return sizes;
+}
+
+int run(int argc, const char *const *argv)
+{
+    options::options_description described("Options");
+    std::string sizes;
+    unsigned seconds = 0;
+    output out;
+    auto add = described.add_options();
+    add("sizes", options::value(&sizes)->default_value("30,227,1000,3400"), "numbers of nodes");
+    add("seconds", options::value(&seconds)->default_value(20), "virtual seconds of steady state");
+    add("json", options::bool_switch(&out.json), "one JSON object in each line");
+    options::variables_map values;
+    options::store(options::parse_command_line(argc, argv, described), values);
+    options::notify(values);
+    if (!out.json) {
+        std::cout << fmt::format("seed {}; loss 2 %, latency 5 ms, jitter up to 5 ms\n", Seed);
+    }
+    measureCodec(out);
+    measureTables(out);
+    for (const std::size_t size : parseSizes(sizes)) {
+        measureSize(size, std::chrono::seconds(seconds), out);
+    }
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    try {
+        return run(argc, argv);
+    } catch (const std::exception &error) {
+        std::cerr << error.what() << '\n';
+        return 2;
+    }
+}
--- a/coordination/include/dandelionstall/coordination/gossip_news.h
+++ b/coordination/include/dandelionstall/coordination/gossip_news.h
@@ -17,7 +17,7 @@
     void add(const state::node_address &about, bool urgent, std::uint32_t rides); // replaces an older item about the same member
     std::vector<state::node_address> takeRides(std::size_t limit);                // for a message that is sent anyway; fewest rides so far first
     std::vector<state::node_address> takePushes(std::size_t limit, std::size_t receivers, state::time_point now); // empty while the budget is spent
-    std::size_t size() const;
+    bool hasUrgent() const;                                                                                       // something urgent has not been pushed yet
 
 private:
     struct item {
--- a/coordination/include/dandelionstall/coordination/membership.h
+++ b/coordination/include/dandelionstall/coordination/membership.h
@@ -40,8 +40,8 @@
 inline constexpr std::chrono::milliseconds TickInterval{50};
 inline constexpr std::chrono::milliseconds ProbePeriod{200};    // one ping in each
 inline constexpr std::chrono::milliseconds AckTimeout{100};     // then others are asked to try
-inline constexpr std::chrono::milliseconds RelayTimeout{250};   // from the first ping; then it is suspected
-inline constexpr std::chrono::milliseconds SuspicionTime{300};  // from suspicion to death
+inline constexpr std::chrono::milliseconds RelayTimeout{220};   // from the first ping; then it is suspected
+inline constexpr std::chrono::milliseconds SuspicionTime{250};  // from suspicion to death
 inline constexpr std::chrono::milliseconds PauseLimit{500};     // a tick later than this means that the process slept
 inline constexpr std::chrono::milliseconds DoubtTime{1000};     // after a pause
 inline constexpr std::chrono::milliseconds IsolationLimit{900}; // without an answer to any own ping
@@ -113,10 +113,17 @@
         bool relayed = false;      // others have been asked
     };
 
+    // Where an update comes from; only what is news to others as well is passed on.
+    enum class origin {
+        catalogue, // list of VMs or page of members: others have it too
+        direct,    // the member itself
+        news,      // passed on by a node that has just learnt it
+    };
+
     using members_map = std::map<state::node_address, entry>;
 
     // membership.cpp: what is believed
-    bool merge(const member &update, state::time_point now);
+    bool merge(const member &update, origin source, state::time_point now);
     bool supersedes(const member &update, const member &known) const;
     void mergeAboutSelf(const member &update);
     void applyListedLeaving(entry &known);
--- a/coordination/src/gossip_news.cpp
+++ b/coordination/src/gossip_news.cpp
@@ -61,9 +61,9 @@
     return result;
 }
 
-std::size_t gossip_news::size() const
+bool gossip_news::hasUrgent() const
 {
-    return m_items.size();
+    return std::any_of(m_items.begin(), m_items.end(), [](const auto &row) { return row.second.urgent && !row.second.pushed; });
 }
 
 } // namespace dandelionstall::coordination
--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -15,8 +15,8 @@
 
 constexpr std::chrono::seconds ShareInterval{1}; // between unasked reports
 constexpr std::chrono::seconds PushInterval{1};  // between two sharp changes of one worker
-constexpr std::size_t ShareReceivers = 2;
-constexpr std::size_t ReportsPerMessage = 2;
+constexpr std::size_t ShareReceivers = 1;
+constexpr std::size_t ReportsPerMessage = 1;
 constexpr std::size_t ConfigLocalPushes = 3;
 constexpr std::size_t ConfigRemotePushes = 2;
 
@@ -117,7 +117,7 @@
 void gossip_node::askPeers(state::time_point now, gossip_batch &out)
 {
     const bool complete = m_store.inForce(table_kind::routes).revision != 0 && m_store.inForce(table_kind::pools).revision != 0;
-    if (complete || m_nextAsk > now) {
+    if (complete || m_nextAsk > now || m_askUntil <= now) { // later, the revisions in every message do
         return;
     }
     m_nextAsk = now + AskInterval;
--- a/coordination/src/membership.cpp
+++ b/coordination/src/membership.cpp
@@ -34,7 +34,7 @@
     return rank(update) > rank(known);
 }
 
-bool membership::merge(const member &update, state::time_point now)
+bool membership::merge(const member &update, origin source, state::time_point now)
 {
     if (update.address == m_self.address) {
         mergeAboutSelf(update);
@@ -67,7 +67,10 @@
     const bool changed = newer || known.about.leaving != before.leaving;
     if (changed) {
         noteChange(known);
-        spread(update.address, known.about.leaving != before.leaving || known.about.state == member_state::dead);
+        const bool isNews = source == origin::news || (source == origin::direct && before.incarnation != 0) || known.listedLeaving;
+        if (isNews) {
+            spread(update.address, known.about.leaving != before.leaving || known.about.state == member_state::dead);
+        }
     }
     return changed;
 }
@@ -118,7 +121,7 @@
     if (known != m_members.end() && sender.incarnation < known->second.about.incarnation) {
         return false;
     }
-    merge({sender.address, sender.dataCentre, sender.incarnation, sender.refutations, member_state::alive, sender.leaving}, now);
+    merge({sender.address, sender.dataCentre, sender.incarnation, sender.refutations, member_state::alive, sender.leaving}, origin::direct, now);
     entry &heard = m_members[sender.address];
     heard.heardAt = now;
     heard.about.dataCentre = sender.dataCentre;
@@ -154,7 +157,7 @@
         }
     }
     for (const member &update : message.updates) {
-        merge(update, now);
+        merge(update, message.kind == gossip_kind::member_page ? origin::catalogue : origin::news, now);
     }
     switch (message.kind) {
     case gossip_kind::ping: {
@@ -197,6 +200,9 @@
     default:
         break;
     }
+    if (m_news.hasUrgent()) {
+        pushNews(now, out);
+    }
     return out;
 }
 
@@ -244,7 +250,7 @@
             mergeAboutSelf({m_self.address, m_self.dataCentre, m_self.incarnation, 0, member_state::alive, vm.leaving});
             continue;
         }
-        merge({vm.address, vm.dataCentre, 0, 0, member_state::listed, false}, now);
+        merge({vm.address, vm.dataCentre, 0, 0, member_state::listed, false}, origin::catalogue, now);
         entry &known = m_members[vm.address];
         known.onVmList = true;
         known.listedLeaving = vm.leaving;
--- a/coordination/src/membership_probe.cpp
+++ b/coordination/src/membership_probe.cpp
@@ -291,7 +291,7 @@
         if (silent.suspectUntil <= now && !doubtful && m_lastAnswer >= silent.suspectFrom) {
             member death = silent.about;
             death.state = member_state::dead;
-            merge(death, now);
+            merge(death, origin::news, now);
         } else if (pingNow) {
             send(address, make(gossip_kind::ping, ++m_sequence), now, out);
             askOthers(address, m_sequence, out);
