Members and revisions per node in the admin API

Cause: /v1/members and /v1/config answered 404 on a node, since its description came through a callback while the admin API asks on the same thread. The description is now returned directly, and its type stands once, in protocol/admin_json.h, where it stood twice before.

Ruled out: asynchronous handlers in the admin server, which nothing else needs.

--- a/programs/dandelionstall/control.cpp
+++ b/programs/dandelionstall/control.cpp
@@ -78,7 +78,7 @@
     void notePath(const state::node_address &node, bool ok);
     void noteInterest(const std::string &pool);
     void beginShutdown();
-    control_description describe() const;
+    protocol::fleet_description describe() const;
     coordination::snapshot_ptr current() const;
 
 private:
@@ -378,12 +378,12 @@
     afterInput(state::clock::now());
 }
 
-control_description control::detail::describe() const
+protocol::fleet_description control::detail::describe() const
 {
     const auto describeTable = [this](table_kind kind) {
-        return described_table{m_node.store().inForce(kind), m_node.store().known(kind), m_lastRefusals[static_cast<std::size_t>(kind)]};
+        return protocol::described_table{m_node.store().inForce(kind), m_node.store().known(kind), m_lastRefusals[static_cast<std::size_t>(kind)]};
     };
-    control_description result;
+    protocol::fleet_description result;
     result.self = m_settings.advertise;
     result.incarnation = m_own;
     result.dataCentre = m_settings.dataCentre;
@@ -446,9 +446,9 @@
     return m_detail->current();
 }
 
-void control::describe(description_handler handler)
+protocol::fleet_description control::describe() const
 {
-    m_detail->post([this, handler = std::move(handler)] { handler(m_detail->describe()); });
+    return m_detail->describe();
 }
 
 } // namespace dandelionstall
--- a/programs/dandelionstall/node.cpp
+++ b/programs/dandelionstall/node.cpp
@@ -99,6 +99,9 @@
     providers.settings = [this]() -> const state::settings & {
         return m_settings;
     };
+    providers.fleet = [this] {
+        return m_control->describe();
+    };
     providers.metrics = [this] {
         return m_counters.expose();
     };
