Workers without recent requests are described so

Cause: an idle worker read "100.0 % of 0 recent requests succeeded". The fuzz targets also follow the linter now: ignored results are named, and the entry point's name is marked as given by libFuzzer.

Conclusion: the reason of a state says what it rests on.

--- a/fuzz/fuzz_node_messages.cpp
+++ b/fuzz/fuzz_node_messages.cpp
@@ -7,6 +7,8 @@
 #include <dandelionstall/protocol/messages.h>
 #include <dandelionstall/protocol/platform.h>
 
+#include <tuple>
+
 using namespace dandelionstall;
 
 namespace {
@@ -15,25 +17,25 @@
 {
     switch (frame.type) {
     case protocol::frame_type::attempt_head:
-        (void)protocol::decodeAttemptHead(frame.payload);
+        std::ignore = protocol::decodeAttemptHead(frame.payload);
         return;
     case protocol::frame_type::answer_head:
-        (void)protocol::decodeAnswerHead(frame.payload);
+        std::ignore = protocol::decodeAnswerHead(frame.payload);
         return;
     case protocol::frame_type::answer_end:
-        (void)protocol::decodeAnswerEnd(frame.payload);
+        std::ignore = protocol::decodeAnswerEnd(frame.payload);
         return;
     case protocol::frame_type::query:
-        (void)protocol::decodeAttemptQuery(frame.payload);
+        std::ignore = protocol::decodeAttemptQuery(frame.payload);
         return;
     case protocol::frame_type::acknowledge:
-        (void)protocol::decodeAttemptAcknowledge(frame.payload);
+        std::ignore = protocol::decodeAttemptAcknowledge(frame.payload);
         return;
     case protocol::frame_type::clock_request:
-        (void)protocol::decodeClockRequest(frame.payload);
+        std::ignore = protocol::decodeClockRequest(frame.payload);
         return;
     case protocol::frame_type::clock_reply:
-        (void)protocol::decodeClockReply(frame.payload);
+        std::ignore = protocol::decodeClockReply(frame.payload);
         return;
     case protocol::frame_type::body:
     case protocol::frame_type::attempt_end:
@@ -59,7 +61,7 @@
 
 } // namespace
 
-extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size) // NOLINT(readability-identifier-naming): name given by libFuzzer
 {
     if (size == 0) {
         return 0;
@@ -71,13 +73,13 @@
         decodeStream(bytes);
         break;
     case 1:
-        (void)protocol::decodeGossip(bytes);
+        std::ignore = protocol::decodeGossip(bytes);
         break;
     case 2:
-        (void)protocol::parseVmList(bytes);
+        std::ignore = protocol::parseVmList(bytes);
         break;
     default:
-        (void)protocol::parseManifest(bytes);
+        std::ignore = protocol::parseManifest(bytes);
     }
     return 0;
 }
--- a/fuzz/fuzz_route_table.cpp
+++ b/fuzz/fuzz_route_table.cpp
@@ -5,7 +5,7 @@
 
 using namespace dandelionstall;
 
-extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size) // NOLINT(readability-identifier-naming): name given by libFuzzer
 {
     const absl::StatusOr<state::route_table> table = state::parseRouteTable(fuzz::asText(data, size), fuzz::Source);
     fuzz::requirePlace(table.status());
--- a/protocol/src/admin_json.cpp
+++ b/protocol/src/admin_json.cpp
@@ -105,6 +105,23 @@
     };
 }
 
+std::string describeEvidence(const coordination::worker_report &report, state::duration age)
+{
+    if (report.version == 0) {
+        return "no report yet";
+    }
+    const auto ageMs = std::chrono::duration_cast<milliseconds>(age).count();
+    if (report.samples == 0) {
+        return fmt::format("no recent requests, reported {} ms ago", ageMs);
+    }
+    return fmt::format("{:.1f} % of {} recent requests succeeded, run time {:.1f} times the expected, oldest overdue by {} ms, reported {} ms ago",
+                       report.successShare * 100,
+                       report.samples,
+                       report.slowness,
+                       std::chrono::duration_cast<milliseconds>(report.oldestRunning).count(),
+                       ageMs);
+}
+
 json::object workerJson(const worker_view &worker, state::time_point now)
 {
     json::object line{
@@ -285,17 +302,7 @@
 
 std::string describeWorker(const worker_view &worker, state::time_point now)
 {
-    const coordination::worker_report &report = worker.report;
-    const auto age = std::chrono::duration_cast<milliseconds>(now - worker.heardAt).count();
-    const std::string evidence
-        = report.version == 0
-              ? std::string("no report yet")
-              : fmt::format("{:.1f} % of {} recent requests succeeded, run time {:.1f} times the expected, oldest overdue by {} ms, reported {} ms ago",
-                            report.successShare * 100,
-                            report.samples,
-                            report.slowness,
-                            std::chrono::duration_cast<milliseconds>(report.oldestRunning).count(),
-                            age);
+    std::string evidence = describeEvidence(worker.report, now - worker.heardAt);
     switch (worker.state) {
     case worker_state::unknown:
         return evidence;
