A request was not run only when none of its attempts was

Cause: refusals told the run state of the last attempt alone: a first attempt that ran at a worker and broke, followed by a retry that was refused, gave the caller "not run" (found by the checker: late_frame, low_worth, path_down, retry_budget_empty after a start). Ruled out: the sidecar's records (each attempt's own state was right). Conclusion: combineRuns() folds the states of all attempts; property-tested.

--- a/coordination/src/reasons.cpp
+++ b/coordination/src/reasons.cpp
@@ -56,6 +56,14 @@
 
 } // namespace
 
+run_state combineRuns(run_state earlier, run_state later)
+{
+    if (earlier == run_state::ran || later == run_state::ran) {
+        return run_state::ran;
+    }
+    return earlier == run_state::unknown ? earlier : later;
+}
+
 std::string_view reasonName(refusal_reason reason)
 {
     return findName(RefusalNames, reason);
--- /dev/null
+++ b/coordination/tests/test_reasons.cpp
@@ -0,0 +1,32 @@
+// Tests of coordination/reasons.h.
+#include <dandelionstall/coordination/reasons.h>
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+#include <array>
+
+using namespace dandelionstall::coordination;
+
+Test(reasons, a_request_was_not_run_only_when_no_attempt_was)
+{
+    constexpr std::array States{run_state::not_run, run_state::unknown, run_state::ran};
+    for (const run_state a : States) {
+        for (const run_state b : States) {
+            const bool bothNot = a == run_state::not_run && b == run_state::not_run;
+            const bool combinedNot = combineRuns(a, b) == run_state::not_run;
+            cr_assert(combinedNot == bothNot);
+            cr_assert(combineRuns(a, b) == combineRuns(b, a));
+        }
+    }
+    cr_assert(combineRuns(run_state::unknown, run_state::ran) == run_state::ran);
+}
+
+Test(reasons, names_can_be_read_back)
+{
+    for (int i = 0; i <= static_cast<int>(refusal_reason::unknown_outcome); ++i) {
+        const auto reason = static_cast<refusal_reason>(i);
+        cr_assert(parseRefusalReason(reasonName(reason)) == reason);
+    }
+    cr_assert(parseRefusalReason("fenced") == refusal_reason::none);
+}
--- a/programs/dandelionstall/request_run.cpp
+++ b/programs/dandelionstall/request_run.cpp
@@ -184,7 +184,7 @@
         if (index == coordination::NoWorker) {
             const bool tried = m_attempts > 0;
             const refusal_reason reason = !m_ticket.empty() ? refusal_reason::unknown_outcome : (tried ? last.refusal : refusal_reason::no_capacity);
-            const run_state run = !m_ticket.empty() ? run_state::unknown : (tried ? last.run : run_state::not_run);
+            const run_state run = !m_ticket.empty() ? run_state::unknown : m_run;
             co_return co_await refuse(reason, run, state::clock::now() + NoCapacityRetryAfter);
         }
         const coordination::worker_view &worker = view->workers[index];
@@ -196,13 +196,14 @@
             co_return outcome.end == attempt_end::delivered;
         }
         last = outcome.failure;
+        m_run = coordination::combineRuns(m_run, last.run);
         if (!m_ticket.empty()) {
-            co_return co_await refuse(last.refusal, last.run, std::max(last.retryAt, state::clock::now() + OutcomeRetryAfter));
+            co_return co_await refuse(last.refusal, m_run, std::max(last.retryAt, state::clock::now() + OutcomeRetryAfter));
         }
         if (!outcome.retryDecided) {
             const coordination::retry_verdict verdict = retry.decide(last, state::clock::now());
             if (!verdict.again) {
-                co_return co_await refuse(verdict.refusal, last.run, verdict.retryAt);
+                co_return co_await refuse(verdict.refusal, m_run, verdict.retryAt);
             }
         }
         m_owner.counters().countRetry(last.kind);
--- a/programs/dandelionstall/request_run.h
+++ b/programs/dandelionstall/request_run.h
@@ -70,14 +70,15 @@
     caller_request &m_request;
     const state::route *m_route = nullptr;
     const state::pool *m_pool = nullptr;
-    coordination::snapshot_ptr m_hold;       // keeps the tables of this request
-    state::time_point m_deadline;            // of the request
-    std::string m_ticket;                    // as given by the caller; empty when none
-    state::ticket m_ticketFields;            // parsed ticket
-    std::vector<std::string> m_tried;        // workers tried
-    std::uint32_t m_attempts = 0;            // attempts made
-    std::shared_ptr<stream_reader> m_reader; // of the running attempt
-    bool m_callerGone = false;               // the caller closed its connection
+    coordination::snapshot_ptr m_hold;                                // keeps the tables of this request
+    state::time_point m_deadline;                                     // of the request
+    std::string m_ticket;                                             // as given by the caller; empty when none
+    state::ticket m_ticketFields;                                     // parsed ticket
+    std::vector<std::string> m_tried;                                 // workers tried
+    std::uint32_t m_attempts = 0;                                     // attempts made
+    coordination::run_state m_run = coordination::run_state::not_run; // of the request, over all its attempts
+    std::shared_ptr<stream_reader> m_reader;                          // of the running attempt
+    bool m_callerGone = false;                                        // the caller closed its connection
 };
 
 } // namespace dandelionstall
