A class that has never ended costs at least what its running items have taken

A worker that had not yet seen the end of a manual fetch took it for work of typical cost and started several before the first came to an end.

--- a/coordination/src/admission_worth_density.cpp
+++ b/coordination/src/admission_worth_density.cpp
@@ -57,6 +57,7 @@
     bool isLong(const waiting_work &work) const override;
 
 private:
+    microseconds expectedCost(const work_item &item, cost_key key, state::time_point now) const;
     bool isTrial(cost_key key, state::time_point now);
     void insert(const waiting_work &work);
     void refreshCosts(cost_key key);
@@ -171,7 +172,7 @@
 {
     waiting_work work = makeWaiting(item, now);
     work.key = costKey(item.route, item.statedBytes);
-    work.cost = m_costs.estimate(work.key, item.costHint);
+    work.cost = expectedCost(item, work.key, now);
     work.density = densityOf(item.worth, work.cost);
     m_demand.noteOffer({work.cost, work.worth, work.density, isLong(work)}, now);
     m_offered = work.arrival;
@@ -181,6 +182,21 @@
     insert(work);
 }
 
+// A class of which nothing has ended yet costs at least the time for which its running items have run.
+microseconds worth_density::expectedCost(const work_item &item, cost_key key, state::time_point now) const
+{
+    microseconds cost = m_costs.estimate(key, item.costHint);
+    if (m_costs.learnedAt(key) != state::time_point{}) {
+        return cost;
+    }
+    for (const auto &[id, work] : m_running) {
+        if (work.key == key) {
+            cost = std::max(cost, duration_cast<microseconds>(now - work.startedAt));
+        }
+    }
+    return cost;
+}
+
 // An estimate that refuses all work of a class would never be corrected, so that now and then one item runs nevertheless.
 bool worth_density::isTrial(cost_key key, state::time_point now)
 {
