--- a/bench/bench_admission.cpp
+++ b/bench/bench_admission.cpp
@@ -1,7 +1,8 @@
-// Admission policies compared on the same seeded load: worth answered at a crest, short work behind long work, and
-// what retries add under total failure. Prints a table, or rows of JSON with --json.
+// Admission policies compared on the same seeded load: worth answered at a crest, short work behind long work,
+// what retries add under total failure, and what an organisation gets of its rate. Prints a table, or rows of JSON with --json.
 #include "bench_admission_model.h"
 
+#include <dandelionstall/coordination/limits.h>
 #include <dandelionstall/coordination/retry.h>
 
 #include <boost/json.hpp>
@@ -179,6 +180,41 @@
     }
 }
 
+// Share of its rate that an organisation gets when it asks for three times as much. Its requests reach the limiters of
+// some of the nodes, each limiter holding the share of one node of all.
+double measureLimit(std::uint32_t nodes, std::uint32_t reached, std::uint64_t seed)
+{
+    constexpr double Rate = 20.0;
+    constexpr duration Length = 120s;
+    std::vector<std::unique_ptr<coordination::organisation_limiter>> limiters;
+    limiters.reserve(reached);
+    for (std::uint32_t node = 0; node < reached; ++node) {
+        limiters.push_back(coordination::makeOrganisationLimiter(16, seed));
+    }
+    pcg64 random(seed);
+    std::exponential_distribution<double> gap(3.0 * Rate);
+    double admitted = 0.0;
+    for (time_point now{1h}; now < time_point{1h + Length}; now += std::chrono::duration_cast<duration>(std::chrono::duration<double>(gap(random)))) {
+        admitted += limiters[random(reached)]->admit({"organisation", "route", Rate, nodes}, now).admitted ? 1.0 : 0.0;
+    }
+    return admitted / (Rate * std::chrono::duration<double>(Length).count());
+}
+
+void reportLimits(report &out)
+{
+    struct reach {
+        std::uint32_t nodes;
+        std::uint32_t reached;
+    };
+    for (const auto &[nodes, reached] : {reach{15, 15}, reach{15, 2}, reach{23, 23}, reach{23, 2}, reach{3400, 3400}, reach{3400, 15}}) {
+        spread share;
+        for (const std::uint64_t seed : Seeds) {
+            share.add(measureLimit(nodes, reached, seed));
+        }
+        out.add(fmt::format("organisation at {} of {} nodes", reached, nodes), "limiter", "admitted share of its rate", share);
+    }
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -207,5 +243,6 @@
         reportShortBehindLong(out, pool, 0.5, true, HiddenStragglers);
     }
     reportRetries(out);
+    reportLimits(out);
     return 0;
 }
