--- /dev/null
+++ b/bench/bench_health_fleet.h
@@ -0,0 +1,481 @@
+// A pool under load for bench_health: workers with faults, sidecars that report, and observers that balance and eject.
+//
+// No cluster is simulated: one loop in fixed steps feeds outcomes into worker_evidence, hands the reports to each
+// observer's pool_tracker with the delay, jitter and loss of the deployment, and lets balancers choose from the views.
+//
+// Index:
+//   [SECTION] Options
+//   [SECTION] Fleet
+#pragma once
+
+#include <dandelionstall/coordination/balancer.h>
+#include <dandelionstall/coordination/evidence.h>
+#include <dandelionstall/coordination/pool_tracker.h>
+
+#include <fmt/format.h>
+#include <pcg_random.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <random>
+
+namespace bench_health {
+
+using namespace dandelionstall;
+using namespace dandelionstall::coordination;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+// [SECTION] Options
+
+struct deployment {
+    std::string pool;
+    int workers = 0;
+    std::uint32_t slots = 0;
+    int dataCentres = 0;
+    milliseconds oneWay{0}; // between data centres
+};
+
+inline const std::vector<deployment> deployments{
+    {"dressing-order", 15, 3, 3, milliseconds{4}},
+    {"catalogue", 6, 3, 3, milliseconds{4}},
+    {"tagdesk", 23, 5, 4, milliseconds{5}},
+    {"baykeeper", 8, 5, 4, milliseconds{5}},
+};
+
+enum class worker_fault {
+    none,
+    dead,       // takes no connections; probes fail
+    silent,     // takes work and never answers; probes fail
+    half_alive, // takes work and never answers; probes succeed
+    gray,       // fails 30 % of its work; probes succeed
+    slow,       // runs 5 times as long; probes succeed
+};
+
+enum class evidence_source {
+    shared,      // sidecars report to all observers
+    per_ingress, // each observer knows only the outcomes of its own requests
+};
+
+struct fleet_options {
+    deployment place;
+    std::string balancer = "least_wait";
+    std::string ejector = "peer_outlier";
+    evidence_source source = evidence_source::shared;
+    microseconds spacing{300000};  // mean time between two requests at one worker
+    milliseconds cost{50};         // mean run time of short work
+    double stragglerShare = 0.005; // of short work, runs StragglerFactor times as long; nothing tells beforehand
+    double longShare = 0.0;        // of work that is known to be long
+    double loss = 0.02;            // of reports between data centres
+    double spikeShare = 0.01;      // of reports that are late by Spike
+    bool hints = true;             // the table has costs
+};
+
+inline constexpr double StragglerFactor = 20.0;
+inline constexpr double LongFactor = 20.0;
+inline constexpr double GrayFailureShare = 0.3;
+inline constexpr double SlowFault = 5.0;
+inline constexpr milliseconds Step{5};
+inline constexpr milliseconds ReportPeriod{200};
+inline constexpr milliseconds JudgePeriod{100};
+inline constexpr milliseconds ProbePeriod{250};
+inline constexpr milliseconds JitterMean{3};
+inline constexpr milliseconds Spike{300};
+inline constexpr milliseconds Timeout{2000};
+
+// [SECTION] Fleet
+
+struct request_record {
+    state::attempt_id id;
+    state::time_point arrivedAt;
+    state::time_point startedAt;
+    state::time_point endsAt; // of the run
+    std::size_t observer = 0;
+    bool isLong = false;
+    bool fails = false;
+};
+
+// Times that requests took from arrival to answer.
+struct service_record {
+    std::vector<double> shortMs;
+    std::vector<double> longMs;
+    std::uint64_t failed = 0; // failed or late
+};
+
+using ejection_counts = std::map<ejection_reason, std::uint64_t>;
+
+class fleet
+{
+public:
+    fleet(fleet_options options, std::uint64_t seed)
+        : m_options(std::move(options))
+        , m_random(seed)
+    {
+        const auto table = makeTable();
+        for (int i = 0; i < m_options.place.workers; ++i) {
+            m_workers.emplace_back();
+            m_workers.back().evidence = makeWorkerEvidence();
+            addObserver(i, table);
+        }
+    }
+
+    void setFault(std::size_t worker, worker_fault fault)
+    {
+        m_workers[worker].fault = fault;
+        m_faulty = worker;
+    }
+
+    void run(milliseconds span)
+    {
+        for (const state::time_point until = m_now + span; m_now < until; m_now += Step) {
+            deliver();
+            admitArrivals();
+            runWorkers();
+            runSidecars();
+            runObservers();
+        }
+    }
+
+    state::time_point now() const
+    {
+        return m_now;
+    }
+
+    // Share of the observers that have the worker ejected.
+    double ejectedShare(std::size_t worker) const
+    {
+        const auto count = std::count_if(
+            m_observers.begin(), m_observers.end(), [worker](const observer_record &row) { return row.view->workers[worker].state == worker_state::ejected; });
+        return static_cast<double>(count) / static_cast<double>(m_observers.size());
+    }
+
+    const ejection_counts &falseEjections() const // ejections of workers without a fault, summed over observers
+    {
+        return m_falseEjections;
+    }
+
+    const service_record &service() const
+    {
+        return m_service;
+    }
+
+private:
+    struct worker_record {
+        worker_fault fault = worker_fault::none;
+        std::unique_ptr<worker_evidence> evidence;
+        std::deque<request_record> queue;
+        std::vector<request_record> running;
+        std::uint64_t version = 0;
+    };
+
+    struct observer_record {
+        std::string dataCentre;
+        std::unique_ptr<balancer> policy;
+        std::unique_ptr<pool_tracker> tracker;
+        std::shared_ptr<const pool_view> view;
+        std::vector<std::uint32_t> inFlight;
+        std::vector<std::unique_ptr<worker_evidence>> evidence; // per worker, for per_ingress
+        std::vector<std::uint64_t> versions;
+    };
+
+    struct message {
+        std::size_t observer = 0;
+        worker_report report;
+    };
+
+    static state::node_address nodeOf(int index)
+    {
+        return {"10.0.0.1", static_cast<std::uint16_t>(7000 + index)};
+    }
+
+    std::string dataCentreOf(int index) const
+    {
+        return fmt::format("dc{}", index % m_options.place.dataCentres);
+    }
+
+    std::shared_ptr<const state::pool_table> makeTable() const
+    {
+        auto table = std::make_shared<state::pool_table>();
+        state::pool pool;
+        pool.name = m_options.place.pool;
+        pool.ejector = m_options.ejector;
+        for (int i = 0; i < m_options.place.workers; ++i) {
+            pool.workers.push_back({fmt::format("w{}", i), dataCentreOf(i), nodeOf(i), m_options.place.slots});
+        }
+        table->pools.push_back(std::move(pool));
+        return table;
+    }
+
+    void addObserver(int index, const std::shared_ptr<const state::pool_table> &table)
+    {
+        observer_record row;
+        row.dataCentre = dataCentreOf(index);
+        row.policy = std::move(*makeBalancer(m_options.balancer));
+        row.tracker = std::make_unique<pool_tracker>(static_cast<std::uint64_t>(index), row.dataCentre);
+        row.tracker->setTable(table, m_now);
+        row.tracker->noteOwnPool(m_options.place.pool);
+        row.view = row.tracker->views().begin()->second;
+        row.inFlight.assign(static_cast<std::size_t>(m_options.place.workers), 0);
+        row.versions = std::vector<std::uint64_t>(row.inFlight.size(), 0);
+        for (std::size_t i = 0; i < row.inFlight.size(); ++i) {
+            row.evidence.push_back(makeWorkerEvidence());
+        }
+        m_observers.push_back(std::move(row));
+    }
+
+    bool isDue(milliseconds period, std::size_t index) const // once per period, staggered over the indices
+    {
+        const auto steps = static_cast<std::uint64_t>(m_now.time_since_epoch() / Step);
+        return (steps + index * 7) % static_cast<std::uint64_t>(period / Step) == 0;
+    }
+
+    double chance()
+    {
+        return std::uniform_real_distribution<double>(0.0, 1.0)(m_random);
+    }
+
+    void admitArrivals()
+    {
+        const double mean = static_cast<double>(m_workers.size()) * std::chrono::duration<double>(Step) / m_options.spacing;
+        const int arrivals = std::poisson_distribution<int>(mean)(m_random);
+        for (int i = 0; i < arrivals; ++i) {
+            admit();
+        }
+    }
+
+    void admit()
+    {
+        request_record item;
+        item.id = {1, ++m_sequence};
+        item.arrivedAt = m_now;
+        item.observer = m_random() % m_observers.size();
+        item.isLong = chance() < m_options.longShare;
+        observer_record &observer = m_observers[item.observer];
+        pick_request request;
+        request.dataCentre = observer.dataCentre;
+        request.inFlight = observer.inFlight;
+        request.isLong = item.isLong;
+        request.random = m_random();
+        request.now = m_now;
+        const std::size_t index = observer.policy->pick(*observer.view, request);
+        if (index == NoWorker) {
+            ++m_service.failed;
+            return;
+        }
+        ++observer.inFlight[index];
+        observer.evidence[index]->noteStart(item.id, routeOf(item), m_now);
+        m_workers[index].queue.push_back(item);
+    }
+
+    static const char *routeOf(const request_record &item)
+    {
+        return item.isLong ? "long" : "short";
+    }
+
+    microseconds costOf(bool isLong) const
+    {
+        return isLong ? microseconds(m_options.cost) * static_cast<int>(LongFactor) : microseconds(m_options.cost);
+    }
+
+    microseconds drawRunTime(const request_record &item, worker_fault fault)
+    {
+        double factor = std::lognormal_distribution<double>(-0.08, 0.4)(m_random);
+        factor *= !item.isLong && chance() < m_options.stragglerShare ? StragglerFactor : 1.0;
+        factor *= fault == worker_fault::slow ? SlowFault : 1.0;
+        return std::chrono::duration_cast<microseconds>(costOf(item.isLong) * factor);
+    }
+
+    void startWork(worker_record &worker, request_record item)
+    {
+        item.startedAt = m_now;
+        item.endsAt = m_now + drawRunTime(item, worker.fault);
+        if (worker.fault == worker_fault::dead) {
+            item.endsAt = m_now + milliseconds{1};
+            item.fails = true;
+        } else if (worker.fault == worker_fault::silent || worker.fault == worker_fault::half_alive) {
+            item.endsAt = state::time_point::max();
+        } else if (worker.fault == worker_fault::gray) {
+            item.fails = chance() < GrayFailureShare;
+        }
+        worker.evidence->noteStart(item.id, routeOf(item), m_now);
+        worker.running.push_back(item);
+    }
+
+    void runWorkers()
+    {
+        for (std::size_t index = 0; index < m_workers.size(); ++index) {
+            worker_record &worker = m_workers[index];
+            std::erase_if(worker.running, [&](const request_record &item) { return endWork(index, item); });
+            while (worker.running.size() < m_options.place.slots && startNext(worker)) { }
+        }
+    }
+
+    // Long work never takes the last slot, as under admission; apart from that the order is that of arrival.
+    bool startNext(worker_record &worker)
+    {
+        const bool shortOnly = worker.running.size() + 1 >= m_options.place.slots;
+        const auto next
+            = std::find_if(worker.queue.begin(), worker.queue.end(), [shortOnly](const request_record &item) { return !shortOnly || !item.isLong; });
+        if (next == worker.queue.end()) {
+            return false;
+        }
+        const request_record item = *next;
+        worker.queue.erase(next);
+        startWork(worker, item);
+        return true;
+    }
+
+    bool endWork(std::size_t index, const request_record &item)
+    {
+        const state::time_point deadline = std::max(item.startedAt, item.arrivedAt + deadlineOf(item));
+        const state::time_point endedAt = std::min(item.endsAt, deadline);
+        if (endedAt > m_now) {
+            return false;
+        }
+        work_outcome outcome = item.fails ? work_outcome::failed : work_outcome::answered;
+        outcome = item.endsAt > deadline ? work_outcome::timed_out : outcome;
+        const microseconds hint = m_options.hints ? costOf(item.isLong) : microseconds{0};
+        m_workers[index].evidence->noteEnd(item.id, {routeOf(item), outcome, item.startedAt, endedAt, hint});
+        observer_record &observer = m_observers[item.observer];
+        observer.evidence[index]->noteEnd(item.id, {routeOf(item), outcome, item.arrivedAt, endedAt, hint});
+        --observer.inFlight[index];
+        recordService(item, outcome, endedAt);
+        sendReport(index, item.observer); // an answer carries the worker's load
+        return true;
+    }
+
+    static milliseconds deadlineOf(const request_record &item)
+    {
+        return item.isLong ? 5 * Timeout : Timeout;
+    }
+
+    void recordService(const request_record &item, work_outcome outcome, state::time_point endedAt)
+    {
+        if (outcome != work_outcome::answered) {
+            ++m_service.failed;
+            return;
+        }
+        const double took = std::chrono::duration<double, std::milli>(endedAt - item.arrivedAt).count();
+        (item.isLong ? m_service.longMs : m_service.shortMs).push_back(took);
+    }
+
+    void runSidecars()
+    {
+        for (std::size_t index = 0; index < m_workers.size(); ++index) {
+            worker_record &worker = m_workers[index];
+            if (isDue(ProbePeriod, index)) {
+                worker.evidence->noteProbe(worker.fault != worker_fault::dead && worker.fault != worker_fault::silent, m_now);
+            }
+            if (isDue(ReportPeriod, index)) {
+                for (std::size_t to = 0; to < m_observers.size(); ++to) {
+                    const bool lost = m_observers[to].dataCentre != m_observers[index].dataCentre && chance() < m_options.loss;
+                    if (!lost) {
+                        sendReport(index, to);
+                    }
+                }
+            }
+        }
+    }
+
+    worker_report makeReport(std::size_t index)
+    {
+        worker_record &worker = m_workers[index];
+        worker_report report;
+        report.worker = fmt::format("w{}", index);
+        report.pool = m_options.place.pool;
+        report.node = nodeOf(static_cast<int>(index));
+        report.incarnation = 1;
+        report.version = ++worker.version;
+        report.slots = m_options.place.slots;
+        report.busy = static_cast<std::uint32_t>(worker.running.size());
+        report.queued = static_cast<std::uint32_t>(worker.queue.size());
+        report.expectedWait = expectedWait(worker);
+        worker.evidence->fill(report, m_now);
+        return report;
+    }
+
+    // As the owner of the slots knows it: from the expected costs of what runs and waits.
+    microseconds expectedWait(const worker_record &worker) const
+    {
+        if (worker.running.size() < m_options.place.slots) {
+            return microseconds{0};
+        }
+        microseconds next = microseconds::max();
+        for (const request_record &item : worker.running) {
+            const auto ran = std::chrono::duration_cast<microseconds>(m_now - item.startedAt);
+            next = std::min(next, std::max(costOf(item.isLong) - ran, microseconds(m_options.cost) / 4));
+        }
+        microseconds waiting{0};
+        for (const request_record &item : worker.queue) {
+            waiting += costOf(item.isLong);
+        }
+        return next + waiting / m_options.place.slots;
+    }
+
+    void sendReport(std::size_t from, std::size_t to)
+    {
+        const bool far = m_observers[to].dataCentre != m_observers[from].dataCentre;
+        const double jitterMs = std::exponential_distribution<double>(1.0 / static_cast<double>(JitterMean.count()))(m_random);
+        const double spikeMs = chance() < m_options.spikeShare ? static_cast<double>(Spike.count()) : 0.0;
+        const auto late = std::chrono::duration_cast<state::duration>(std::chrono::duration<double, std::milli>(jitterMs + spikeMs));
+        m_messages.emplace(m_now + (far ? m_options.place.oneWay : milliseconds{0}) + late, message{to, makeReport(from)});
+    }
+
+    void deliver()
+    {
+        while (!m_messages.empty() && m_messages.begin()->first <= m_now) {
+            const message &next = m_messages.begin()->second;
+            if (m_options.source == evidence_source::shared) {
+                m_observers[next.observer].tracker->noteReport(next.report, m_now);
+            } else {
+                noteOwnEvidence(m_observers[next.observer], next.report);
+            }
+            m_messages.erase(m_messages.begin());
+        }
+    }
+
+    // Load still comes from the sidecar; health only from the observer's own requests.
+    void noteOwnEvidence(observer_record &observer, worker_report report)
+    {
+        const auto index = static_cast<std::size_t>(std::stoul(report.worker.substr(1)));
+        observer.evidence[index]->fill(report, m_now);
+        report.version = ++observer.versions[index];
+        observer.tracker->noteReport(report, m_now);
+    }
+
+    void runObservers()
+    {
+        for (std::size_t i = 0; i < m_observers.size(); ++i) {
+            if (!isDue(JudgePeriod, i) || m_observers[i].tracker->judge(m_now).empty()) {
+                continue;
+            }
+            const std::shared_ptr<const pool_view> view = m_observers[i].tracker->views().begin()->second;
+            countFalseEjections(m_observers[i], *view);
+            m_observers[i].view = view;
+        }
+    }
+
+    void countFalseEjections(const observer_record &observer, const pool_view &after)
+    {
+        for (std::size_t i = 0; i < after.workers.size(); ++i) {
+            const bool newly = after.workers[i].state == worker_state::ejected && observer.view->workers[i].state != worker_state::ejected;
+            if (newly && i != m_faulty) {
+                ++m_falseEjections[observer.tracker->explain(after.name, m_now)[i].reason];
+            }
+        }
+    }
+
+    fleet_options m_options;
+    pcg32 m_random;
+    std::vector<worker_record> m_workers;
+    std::vector<observer_record> m_observers;
+    std::multimap<state::time_point, message> m_messages;
+    state::time_point m_now{std::chrono::hours{1}};
+    std::uint64_t m_sequence = 0;
+    ejection_counts m_falseEjections;
+    std::size_t m_faulty = static_cast<std::size_t>(-1);
+    service_record m_service;
+};
+
+} // namespace bench_health
