--- a/coordination/include/dandelionstall/coordination/ejector.h
+++ b/coordination/include/dandelionstall/coordination/ejector.h
@@ -27,7 +27,7 @@
 struct path_evidence {
     bool iHearIt = true;               // messages from it arrive
     bool itHearsMe = true;             // it says that mine arrive there
-    std::uint32_t recentFailures = 0;  // attempts that broke on the path lately
+    std::uint32_t recentFailures = 0;  // attempts that broke on the path since one came back
     std::uint32_t recentSuccesses = 0; // attempts that came back lately
 };
 
@@ -56,6 +56,7 @@
     std::map<std::string, path_evidence, std::less<>> paths; // by worker id; absent means nothing special
     self_condition self;                                     // trust in the own view
     std::uint64_t seed = 0;                                  // of the node; spreads the end of holds over the nodes
+    std::string_view dataCentre;                             // of the node; empty when not known
     state::time_point now;
 };
 
--- a/coordination/include/dandelionstall/coordination/pool_tracker.h
+++ b/coordination/include/dandelionstall/coordination/pool_tracker.h
@@ -80,7 +80,6 @@
         bool iHearIt = true;
         bool itHearsMe = true;
         std::vector<state::time_point> failures; // since the last success
-        state::time_point lastSuccess;
     };
 
     struct tracked_pool {
@@ -94,6 +93,7 @@
 
     tracked_pool *track(std::string_view pool, state::time_point expiresAt);
     void untrackExpired(state::time_point now);
+    bool hasWorkerAt(const state::node_address &node) const;
     ejection_input makeInput(const tracked_pool &pool, state::time_point now) const;
     void markNodes(tracked_pool &pool) const;
     bool judgePool(tracked_pool &pool, state::time_point now);
--- a/coordination/src/ejector_findings.cpp
+++ b/coordination/src/ejector_findings.cpp
@@ -24,7 +24,7 @@
 // Stall: running work makes no progress. The more items, the sooner it is proven.
 constexpr milliseconds StallProbeFailingMs{100}; // one item, and the probe fails too
 constexpr milliseconds StallThreeItemsMs{300};
-constexpr milliseconds StallTwoItemsMs{1000};
+constexpr milliseconds StallTwoItemsMs{1500};
 constexpr milliseconds StallOneItemMs{3000};
 
 constexpr std::uint32_t PathFailures = 3; // attempts broken on the path with none coming back
--- a/coordination/src/ejector_peer_outlier.cpp
+++ b/coordination/src/ejector_peer_outlier.cpp
@@ -199,8 +199,9 @@
     {
         std::vector<case_file> cases = openCases(input, before);
         const bool selfDoubt = input.now < input.self.trustedFrom || input.self.isolated;
-        const bool reportDoubt = selfDoubt || mostLookSick(cases, false);
-        const bool pathDoubt = selfDoubt || mostLookSick(cases, true);
+        const bool reportDoubt = selfDoubt || mostLookSick(cases, false, {});
+        // Cut off from other data centres is no reason for doubt as long as the own one is heard.
+        const bool pathDoubt = selfDoubt || mostLookSick(cases, true, input.dataCentre);
         for (case_file &entry : cases) {
             const bool doubt = entry.finding.fault == ejection_reason::path ? pathDoubt : reportDoubt;
             entry.wanted = !entry.marked && (entry.wasEjected ? staysEjected(entry, selfDoubt, input.now) : !doubt && entry.finding.severity > 0.0);
@@ -235,19 +236,25 @@
         return cases;
     }
 
+    static bool isSick(const case_file &entry, bool byPath)
+    {
+        return entry.finding.severity > 0.0 && (entry.finding.fault == ejection_reason::path) == byPath;
+    }
+
     // True when more than half of the workers in use show a fault of the kind: the cause is then not the workers.
-    static bool mostLookSick(const std::vector<case_file> &cases, bool byPath)
+    static bool mostLookSick(const std::vector<case_file> &cases, bool byPath, std::string_view dataCentre)
     {
         std::size_t inUse = 0;
         std::size_t sick = 0;
         for (const case_file &entry : cases) {
-            if (entry.marked || entry.wasEjected) {
+            if (entry.marked || entry.wasEjected || (!dataCentre.empty() && entry.worker->dataCentre != dataCentre)) {
                 continue;
             }
             ++inUse;
-            sick += entry.finding.severity > 0.0 && (entry.finding.fault == ejection_reason::path) == byPath ? 1 : 0;
+            sick += isSick(entry, byPath) ? 1 : 0;
         }
-        return sick * 2 > inUse;
+        const bool tooFew = inUse < 2 && !dataCentre.empty();
+        return tooFew ? mostLookSick(cases, byPath, {}) : sick * 2 > inUse;
     }
 
     static bool staysEjected(const case_file &entry, bool selfDoubt, state::time_point now)
--- a/coordination/src/pool_tracker.cpp
+++ b/coordination/src/pool_tracker.cpp
@@ -12,6 +12,7 @@
 constexpr std::chrono::minutes InterestTime{5}; // a pool is forgotten when it has not been used for this long
 constexpr milliseconds PauseDistrustMs{1500};   // after a pause, until fresh reports of all nodes had time to come
 constexpr milliseconds PathWindowMs{3000};      // path outcomes older than this are forgotten
+constexpr milliseconds PathFailureGapMs{100};   // failures closer than this count as one
 constexpr std::size_t MaxPathFailures = 8;      // remembered per node
 constexpr std::string_view DefaultEjector = "peer_outlier";
 
@@ -43,6 +44,18 @@
     }
 }
 
+// One connection that has gone silent fails all its attempts at once: these count as one failure.
+void noteFailure(std::vector<state::time_point> &failures, state::time_point now)
+{
+    if (!failures.empty() && now - failures.back() < PathFailureGapMs) {
+        return;
+    }
+    failures.push_back(now);
+    if (failures.size() > MaxPathFailures) {
+        failures.erase(failures.begin());
+    }
+}
+
 std::unique_ptr<ejector> makePolicy(const std::string &name)
 {
     auto policy = makeEjector(name);
@@ -134,7 +147,7 @@
 {
     const bool good = event == path_event::success || event == path_event::heard || event == path_event::hears_me;
     const auto known = m_paths.find(node);
-    if (known == m_paths.end() && good) {
+    if (known == m_paths.end() && (good || !hasWorkerAt(node))) {
         return;
     }
     path_record &path = known == m_paths.end() ? m_paths[node] : known->second;
@@ -143,13 +156,9 @@
         path.iHearIt = true;
         path.itHearsMe = true;
         path.failures.clear();
-        path.lastSuccess = now;
         break;
     case path_event::failure:
-        path.failures.push_back(now);
-        if (path.failures.size() > MaxPathFailures) {
-            path.failures.erase(path.failures.begin());
-        }
+        noteFailure(path.failures, now);
         break;
     case path_event::silent:
         path.iHearIt = false;
@@ -242,7 +251,20 @@
 
 void pool_tracker::untrackExpired(state::time_point now)
 {
-    std::erase_if(m_pools, [now](const auto &entry) { return entry.second.expiresAt <= now; });
+    if (std::erase_if(m_pools, [now](const auto &entry) { return entry.second.expiresAt <= now; }) > 0) {
+        std::erase_if(m_paths, [this](const auto &entry) { return !hasWorkerAt(entry.first); });
+    }
+}
+
+bool pool_tracker::hasWorkerAt(const state::node_address &node) const
+{
+    const auto isAt = [&node](const worker_view &worker) {
+        return worker.node == node;
+    };
+    return std::any_of(m_pools.begin(), m_pools.end(), [&isAt](const auto &entry) {
+        const std::vector<worker_view> &workers = entry.second.view.workers;
+        return std::any_of(workers.begin(), workers.end(), isAt);
+    });
 }
 
 // Leaving and dead nodes are facts, not verdicts: they override the ejector.
@@ -268,6 +290,7 @@
     input.view = &pool.view;
     input.self = m_self;
     input.seed = m_seed;
+    input.dataCentre = m_dataCentre;
     input.now = now;
     for (const worker_view &worker : pool.view.workers) {
         const auto known = m_paths.find(worker.node);
@@ -276,8 +299,7 @@
         }
         const path_record &path = known->second;
         const auto recent = std::count_if(path.failures.begin(), path.failures.end(), [now](state::time_point at) { return now - at <= PathWindowMs; });
-        const std::uint32_t successes = now - path.lastSuccess <= PathWindowMs ? 1 : 0;
-        input.paths.emplace(worker.id, path_evidence{path.iHearIt, path.itHearsMe, static_cast<std::uint32_t>(recent), successes});
+        input.paths.emplace(worker.id, path_evidence{path.iHearIt, path.itHearsMe, static_cast<std::uint32_t>(recent), 0});
     }
     return input;
 }
--- /dev/null
+++ b/coordination/tests/test_evidence.cpp
@@ -0,0 +1,127 @@
+// Tests of coordination/evidence.h.
+#include <dandelionstall/coordination/evidence.h>
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+using namespace dandelionstall;
+using namespace dandelionstall::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+// One worker whose requests run one after the other.
+struct worker_fixture {
+    std::unique_ptr<worker_evidence> evidence = makeWorkerEvidence();
+    state::time_point now{1000s};
+    std::uint64_t sequence = 0;
+
+    state::attempt_id start(const char *route = "lookup")
+    {
+        const state::attempt_id id{1, ++sequence};
+        evidence->noteStart(id, route, now);
+        return id;
+    }
+
+    void run(work_outcome outcome, std::chrono::milliseconds span = 50ms, const char *route = "lookup", std::chrono::milliseconds hint = 50ms)
+    {
+        const state::attempt_id id = start(route);
+        const state::time_point startedAt = now;
+        now += span;
+        evidence->noteEnd(id, {route, outcome, startedAt, now, hint});
+    }
+
+    worker_report report() const
+    {
+        worker_report result;
+        evidence->fill(result, now);
+        return result;
+    }
+};
+
+} // namespace
+
+Test(evidence, shows_failures_at_once_after_a_long_good_run)
+{
+    worker_fixture worker;
+    for (int i = 0; i < 60; ++i) {
+        worker.run(work_outcome::answered);
+    }
+    cr_assert(eq(dbl, worker.report().successShare, 1.0));
+    for (int i = 0; i < 12; ++i) {
+        worker.run(i % 3 == 0 ? work_outcome::failed : work_outcome::answered);
+    }
+    cr_assert(lt(dbl, worker.report().successShare, 0.75), "the good run before does not dilute the failures");
+}
+
+Test(evidence, forgets_old_outcomes_and_counts_no_refusals)
+{
+    worker_fixture worker;
+    worker.run(work_outcome::failed);
+    worker.run(work_outcome::refused);
+    cr_assert(eq(u32, worker.report().samples, 1));
+    worker.now += 1min;
+    cr_assert(eq(u32, worker.report().samples, 0));
+    cr_assert(eq(dbl, worker.report().successShare, 1.0));
+}
+
+Test(evidence, takes_long_work_for_long_and_not_for_slow)
+{
+    worker_fixture worker;
+    for (int i = 0; i < 9; ++i) {
+        worker.run(work_outcome::answered, 200ms, "manuals", 200ms);
+    }
+    cr_assert(epsilon_eq(dbl, worker.report().slowness, 1.0, 0.01));
+    for (int i = 0; i < 9; ++i) {
+        worker.run(work_outcome::answered, 250ms);
+    }
+    cr_assert(epsilon_eq(dbl, worker.report().slowness, 5.0, 0.01));
+}
+
+Test(evidence, learns_the_cost_of_routes_without_a_hint)
+{
+    worker_fixture worker;
+    for (int i = 0; i < 30; ++i) {
+        worker.run(work_outcome::answered, 50ms, "lookup", 0ms);
+    }
+    for (int i = 0; i < 9; ++i) {
+        worker.run(work_outcome::answered, 250ms, "lookup", 0ms);
+    }
+    cr_assert(gt(dbl, worker.report().slowness, 3.0));
+}
+
+Test(evidence, shows_a_silent_worker_before_its_requests_end)
+{
+    worker_fixture worker;
+    worker.run(work_outcome::answered);
+    worker.start();
+    worker.start();
+    worker.now += 400ms;
+    cr_assert(eq(u32, worker.report().overdue, 2));
+    cr_assert(worker.report().oldestRunning >= 300ms);
+}
+
+Test(evidence, takes_a_straggler_beside_answered_work_for_no_stall)
+{
+    worker_fixture worker;
+    worker.run(work_outcome::answered);
+    worker.start();
+    worker.now += 10ms;
+    worker.run(work_outcome::answered);
+    worker.now += 2s;
+    cr_assert(eq(u32, worker.report().overdue, 0));
+    cr_assert(worker.report().oldestRunning == 0us);
+}
+
+Test(evidence, drops_what_was_measured_across_a_pause)
+{
+    worker_fixture worker;
+    worker.run(work_outcome::failed);
+    const state::attempt_id id = worker.start();
+    const state::time_point startedAt = worker.now;
+    worker.now += 30s;
+    worker.evidence->notePause(worker.now);
+    cr_assert(eq(u32, worker.report().overdue, 0));
+    worker.evidence->noteEnd(id, {"lookup", work_outcome::timed_out, startedAt, worker.now, 50ms});
+    cr_assert(eq(u32, worker.report().samples, 0));
+}
