Returning workers come back into use even while the view is doubtful

A worker whose node had been leaving and came back while the node distrusted itself after a pause kept the old mark in the ejector's memory, so it counted towards the floor and was not in use.

Chosen: a worker that is no longer marked starts its growing share before the judgement, doubt or not; doubt holds back new ejections only.

The tracker also skips pools without news and without open cases for 500 ms.

--- a/coordination/include/dandelionstall/coordination/pool_tracker.h
+++ b/coordination/include/dandelionstall/coordination/pool_tracker.h
@@ -87,8 +87,10 @@
         ejection_memory memory; // of the ejector
         std::unique_ptr<ejector> policy;
         std::shared_ptr<const pool_view> published;
-        state::time_point expiresAt; // time_point::max() for own pools
-        bool changed = true;         // since it was published
+        state::time_point expiresAt;   // time_point::max() for own pools
+        bool changed = true;           // since it was published
+        std::uint64_t seenChanges = 0; // value of m_changes at the last judgement
+        state::time_point nextJudgeAt; // without news it is not judged before
     };
 
     tracked_pool *track(std::string_view pool, state::time_point expiresAt);
@@ -106,6 +108,7 @@
     std::map<state::node_address, path_record> m_paths;         // only nodes that something is known of
     std::map<state::node_address, node_condition> m_conditions; // leaving and dead nodes only
     self_condition m_self;
+    std::uint64_t m_changes = 0; // counts news of paths, nodes and of this node itself
 };
 
 } // namespace dandelionstall::coordination
--- a/coordination/src/ejector_peer_outlier.cpp
+++ b/coordination/src/ejector_peer_outlier.cpp
@@ -32,9 +32,9 @@
     bool wanted = false; // should be ejected if the floor allows it
 };
 
-bool isMarked(const worker_view &worker)
+bool isMark(worker_state state)
 {
-    return worker.state == worker_state::leaving || worker.state == worker_state::unreachable;
+    return state == worker_state::leaving || state == worker_state::unreachable;
 }
 
 bool isOnTrial(const ejection_record &record)
@@ -122,13 +122,12 @@
     const worker_report &report = entry.worker->report;
     ejection_record &record = entry.record;
     const bool restarted = record.incarnation != 0 && report.incarnation > record.incarnation;
-    const bool returned = record.state == worker_state::unreachable || record.state == worker_state::leaving;
     record.incarnation = std::max(record.incarnation, report.incarnation);
     if (record.state == worker_state::ejected) {
         beginProbation(record, ejection_reason::trial, now);
     } else if (record.state == worker_state::probation) {
         grow(entry, now);
-    } else if (restarted || returned || report.starting) {
+    } else if (restarted || report.starting) {
         beginProbation(record, ejection_reason::cold_start, now);
     } else {
         record.state = report.version != 0 ? worker_state::healthy : worker_state::unknown;
@@ -223,10 +222,13 @@
         for (const worker_view &worker : input.view->workers) {
             case_file entry;
             entry.worker = &worker;
-            entry.marked = isMarked(worker);
+            entry.marked = isMark(worker.state);
             if (const auto known = before.find(worker.id); known != before.end()) {
                 entry.record = known->second;
             }
+            if (!entry.marked && isMark(entry.record.state)) {
+                beginProbation(entry.record, ejection_reason::cold_start, input.now); // it has come back
+            }
             entry.wasEjected = entry.record.state == worker_state::ejected;
             const auto path = input.paths.find(worker.id);
             const scrutiny level = isOnTrial(entry.record) ? scrutiny::strict : scrutiny::normal;
--- a/coordination/src/pool_tracker.cpp
+++ b/coordination/src/pool_tracker.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::chrono::minutes InterestTime{5}; // a pool is forgotten when it has not been used for this long
 constexpr milliseconds PauseDistrustMs{1500};   // after a pause, until fresh reports of all nodes had time to come
+constexpr milliseconds QuietSpanMs{500};        // between two judgements of a pool without news and without open cases
 constexpr milliseconds PathWindowMs{3000};      // path outcomes older than this are forgotten
 constexpr milliseconds PathFailureGapMs{100};   // failures closer than this count as one
 constexpr std::size_t MaxPathFailures = 8;      // remembered per node
@@ -62,6 +63,13 @@
     return policy.ok() ? std::move(*policy) : std::move(*makeEjector(DefaultEjector));
 }
 
+bool hasOpenCase(const ejection_memory &memory)
+{
+    return std::any_of(memory.begin(), memory.end(), [](const auto &entry) {
+        return entry.second.state == worker_state::ejected || entry.second.state == worker_state::probation;
+    });
+}
+
 std::string describe(const worker_view &worker, const ejection_record &record, state::time_point now)
 {
     const auto heardAgo = std::chrono::duration_cast<milliseconds>(now - worker.heardAt).count();
@@ -150,6 +158,7 @@
     if (known == m_paths.end() && (good || !hasWorkerAt(node))) {
         return;
     }
+    ++m_changes;
     path_record &path = known == m_paths.end() ? m_paths[node] : known->second;
     switch (event) {
     case path_event::success:
@@ -177,6 +186,7 @@
 
 void pool_tracker::noteNode(const state::node_address &node, node_condition condition, state::time_point)
 {
+    ++m_changes;
     if (condition == node_condition::live) {
         m_conditions.erase(node);
     } else {
@@ -186,12 +196,14 @@
 
 void pool_tracker::notePause(state::time_point now)
 {
+    ++m_changes;
     m_self.trustedFrom = now + PauseDistrustMs;
     m_paths.clear();
 }
 
 void pool_tracker::setIsolated(bool isolated)
 {
+    m_changes += m_self.isolated != isolated ? 1 : 0;
     m_self.isolated = isolated;
 }
 
@@ -306,9 +318,14 @@
 
 bool pool_tracker::judgePool(tracked_pool &pool, state::time_point now)
 {
+    if (!pool.changed && pool.seenChanges == m_changes && now < pool.nextJudgeAt) {
+        return false;
+    }
+    pool.seenChanges = m_changes;
     markNodes(pool);
     pool.memory = pool.policy->judge(makeInput(pool, now), pool.memory);
     applyVerdicts(pool.memory, pool.view);
+    pool.nextJudgeAt = hasOpenCase(pool.memory) ? now : now + QuietSpanMs;
     const auto same = [](const worker_view &a, const worker_view &b) {
         return a.state == b.state && a.weight == b.weight;
     };
