--- /dev/null
+++ b/transport/src/events.cpp
@@ -0,0 +1,159 @@
+#include <dandelionstall/transport/events.h>
+
+#include <fmt/format.h>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+
+#include <algorithm>
+#include <array>
+
+namespace dandelionstall::transport {
+
+namespace {
+
+constexpr std::array Catalogue{
+    event_info{event::node_started, log_level::info, "node_started", "listening on all its addresses"},
+    event_info{event::node_stopping, log_level::info, "node_stopping", "graceful stop has begun"},
+    event_info{event::node_stopped, log_level::info, "node_stopped", "nothing in flight any more"},
+    event_info{event::settings_refused, log_level::error, "settings_refused", "the settings file cannot be used"},
+    event_info{event::listen_failed, log_level::error, "listen_failed", "an address cannot be bound"},
+    event_info{event::worker_draining, log_level::info, "worker_draining", "a worker has started or stopped refusing new work"},
+    event_info{event::config_accepted, log_level::info, "config_accepted", "a newer table is in force"},
+    event_info{event::config_held, log_level::warn, "config_held", "a newer table waits for the other one"},
+    event_info{event::config_refused, log_level::error, "config_refused", "a table cannot be parsed"},
+    event_info{event::config_stale, log_level::warn, "config_stale", "an older table than the known one was offered"},
+    event_info{event::config_conflict, log_level::error, "config_conflict", "other content under a known revision; operators must write a higher one"},
+    event_info{event::watch_failed, log_level::warn, "watch_failed", "the platform's service does not answer"},
+    event_info{event::watch_recovered, log_level::info, "watch_recovered", "the platform's service answers again"},
+    event_info{event::reader_changed, log_level::info, "reader_changed", "this node has become a reader of the service, or no longer is one"},
+    event_info{event::member_alive, log_level::info, "member_alive", "a node was heard for the first time or came back"},
+    event_info{event::member_suspected, log_level::info, "member_suspected", "a node does not answer"},
+    event_info{event::member_dead, log_level::warn, "member_dead", "a suspected node did not refute it"},
+    event_info{event::member_leaving, log_level::info, "member_leaving", "a node takes no new work"},
+    event_info{event::self_doubt, log_level::warn, "self_doubt", "this node slept or is isolated and declares nobody dead"},
+    event_info{event::self_trust, log_level::info, "self_trust", "this node trusts its view again"},
+    event_info{event::gossip_refused, log_level::warn, "gossip_refused", "datagrams that are no valid messages"},
+};
+
+struct level_name {
+    log_level level;
+    std::string_view name;
+};
+
+constexpr std::array LevelNames{
+    level_name{log_level::trace, "trace"},
+    level_name{log_level::debug, "debug"},
+    level_name{log_level::info, "info"},
+    level_name{log_level::warn, "warn"},
+    level_name{log_level::error, "error"},
+};
+
+log4cplus::LogLevel toLibraryLevel(log_level level)
+{
+    switch (level) {
+    case log_level::trace:
+        return log4cplus::TRACE_LOG_LEVEL;
+    case log_level::debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case log_level::info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case log_level::warn:
+        return log4cplus::WARN_LOG_LEVEL;
+    case log_level::error:
+        return log4cplus::ERROR_LOG_LEVEL;
+    }
+    return log4cplus::INFO_LOG_LEVEL;
+}
+
+log4cplus::LogLevel parseLibraryLevel(std::string_view level)
+{
+    const auto found = std::find_if(LevelNames.begin(), LevelNames.end(), [&](const level_name &known) { return known.name == level; });
+    return toLibraryLevel(found == LevelNames.end() ? log_level::info : found->level);
+}
+
+log4cplus::Logger logger()
+{
+    static log4cplus::Initializer initializer; // lives until exit, after the last event
+    return log4cplus::Logger::getInstance("dandelionstall");
+}
+
+bool needsQuotes(std::string_view value)
+{
+    const auto isPlain = [](char c) {
+        return c > ' ' && c != '"' && c != '=' && c != '\\' && c != '\x7f';
+    };
+    return value.empty() || !std::all_of(value.begin(), value.end(), isPlain);
+}
+
+// Quoted text with control characters escaped, so that one event stays one line whatever a peer sent.
+std::string quote(std::string_view value)
+{
+    std::string quoted = "\"";
+    for (const char c : value) {
+        if (c == '"' || c == '\\') {
+            quoted += '\\';
+            quoted += c;
+        } else if (c == '\n') {
+            quoted += "\\n";
+        } else if (static_cast<unsigned char>(c) < 0x20 || c == '\x7f') {
+            quoted += fmt::format("\\x{:02x}", static_cast<unsigned char>(c));
+        } else {
+            quoted += c;
+        }
+    }
+    return quoted + '"';
+}
+
+} // namespace
+
+std::string_view levelName(log_level level)
+{
+    return LevelNames.at(static_cast<std::size_t>(level)).name;
+}
+
+const event_info &eventInfo(event id)
+{
+    const auto found = std::find_if(Catalogue.begin(), Catalogue.end(), [&](const event_info &info) { return info.id == id; });
+    return found == Catalogue.end() ? Catalogue.front() : *found;
+}
+
+std::span<const event_info> eventCatalogue()
+{
+    return Catalogue;
+}
+
+void configureLog(std::string_view level, std::string_view nodeName)
+{
+    log4cplus::Logger target = logger();
+    const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true)); // to stderr, flushed after each line
+    std::string name(nodeName);
+    std::replace(name.begin(), name.end(), '%', '_'); // the pattern language of log4cplus
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(fmt::format("%D{{%Y-%m-%dT%H:%M:%S.%q}}Z %p node={} %m%n", name)));
+    target.removeAllAppenders();
+    target.setAdditivity(false);
+    target.addAppender(appender);
+    target.setLogLevel(parseLibraryLevel(level));
+}
+
+void logEvent(event id, std::initializer_list<log_field> fields)
+{
+    const log4cplus::LogLevel level = toLibraryLevel(eventInfo(id).level);
+    log4cplus::Logger target = logger();
+    if (target.isEnabledFor(level)) {
+        target.forcedLog(level, formatEvent(id, fields), __FILE__, __LINE__);
+    }
+}
+
+std::string formatEvent(event id, std::initializer_list<log_field> fields)
+{
+    const event_info &info = eventInfo(id);
+    std::string line = fmt::format("event={} name={}", static_cast<std::uint32_t>(info.id), info.name);
+    for (const log_field &field : fields) {
+        line += fmt::format(" {}={}", field.name, needsQuotes(field.value) ? quote(field.value) : field.value);
+    }
+    return line;
+}
+
+} // namespace dandelionstall::transport
