--- a/coordination/src/ejector_peer_outlier.cpp
+++ b/coordination/src/ejector_peer_outlier.cpp
@@ -32,9 +32,9 @@
     bool wanted = false; // should be ejected if the floor allows it
 };
 
-bool isMarked(const worker_view &worker)
+bool isMark(worker_state state)
 {
-    return worker.state == worker_state::leaving || worker.state == worker_state::unreachable;
+    return state == worker_state::leaving || state == worker_state::unreachable;
 }
 
 bool isOnTrial(const ejection_record &record)
@@ -122,13 +122,12 @@
     const worker_report &report = entry.worker->report;
     ejection_record &record = entry.record;
     const bool restarted = record.incarnation != 0 && report.incarnation > record.incarnation;
-    const bool returned = record.state == worker_state::unreachable || record.state == worker_state::leaving;
     record.incarnation = std::max(record.incarnation, report.incarnation);
     if (record.state == worker_state::ejected) {
         beginProbation(record, ejection_reason::trial, now);
     } else if (record.state == worker_state::probation) {
         grow(entry, now);
-    } else if (restarted || returned || report.starting) {
+    } else if (restarted || report.starting) {
         beginProbation(record, ejection_reason::cold_start, now);
     } else {
         record.state = report.version != 0 ? worker_state::healthy : worker_state::unknown;
@@ -199,8 +198,9 @@
     {
         std::vector<case_file> cases = openCases(input, before);
         const bool selfDoubt = input.now < input.self.trustedFrom || input.self.isolated;
-        const bool reportDoubt = selfDoubt || mostLookSick(cases, false);
-        const bool pathDoubt = selfDoubt || mostLookSick(cases, true);
+        const bool reportDoubt = selfDoubt || mostLookSick(cases, false, {});
+        // Cut off from other data centres is no reason for doubt as long as the own one is heard.
+        const bool pathDoubt = selfDoubt || mostLookSick(cases, true, input.dataCentre);
         for (case_file &entry : cases) {
             const bool doubt = entry.finding.fault == ejection_reason::path ? pathDoubt : reportDoubt;
             entry.wanted = !entry.marked && (entry.wasEjected ? staysEjected(entry, selfDoubt, input.now) : !doubt && entry.finding.severity > 0.0);
@@ -222,10 +222,13 @@
         for (const worker_view &worker : input.view->workers) {
             case_file entry;
             entry.worker = &worker;
-            entry.marked = isMarked(worker);
+            entry.marked = isMark(worker.state);
             if (const auto known = before.find(worker.id); known != before.end()) {
                 entry.record = known->second;
             }
+            if (!entry.marked && isMark(entry.record.state)) {
+                beginProbation(entry.record, ejection_reason::cold_start, input.now); // it has come back
+            }
             entry.wasEjected = entry.record.state == worker_state::ejected;
             const auto path = input.paths.find(worker.id);
             const scrutiny level = isOnTrial(entry.record) ? scrutiny::strict : scrutiny::normal;
@@ -235,19 +238,25 @@
         return cases;
     }
 
+    static bool isSick(const case_file &entry, bool byPath)
+    {
+        return entry.finding.severity > 0.0 && (entry.finding.fault == ejection_reason::path) == byPath;
+    }
+
     // True when more than half of the workers in use show a fault of the kind: the cause is then not the workers.
-    static bool mostLookSick(const std::vector<case_file> &cases, bool byPath)
+    static bool mostLookSick(const std::vector<case_file> &cases, bool byPath, std::string_view dataCentre)
     {
         std::size_t inUse = 0;
         std::size_t sick = 0;
         for (const case_file &entry : cases) {
-            if (entry.marked || entry.wasEjected) {
+            if (entry.marked || entry.wasEjected || (!dataCentre.empty() && entry.worker->dataCentre != dataCentre)) {
                 continue;
             }
             ++inUse;
-            sick += entry.finding.severity > 0.0 && (entry.finding.fault == ejection_reason::path) == byPath ? 1 : 0;
+            sick += isSick(entry, byPath) ? 1 : 0;
         }
-        return sick * 2 > inUse;
+        const bool tooFew = inUse < 2 && !dataCentre.empty();
+        return tooFew ? mostLookSick(cases, byPath, {}) : sick * 2 > inUse;
     }
 
     static bool staysEjected(const case_file &entry, bool selfDoubt, state::time_point now)
