--- a/tests/integration/test_promise_available.cpp
+++ b/tests/integration/test_promise_available.cpp
@@ -63,6 +63,23 @@
     expectAvoided("hang=1\nhealth=ok\nload=idle");
 }
 
+// Half of the pool is sick, each worker in another way; the healthy half has room for the whole load.
+Test(available, half_of_the_workers_are_sick_in_different_ways)
+{
+    fleet fleet(threeDataCentres());
+    fleet.start();
+    load_job load = fleet.startLoad(mixedLoad(8, 80));
+    fleet.awaitRuns(80);
+    fleet.setFault("kiambu-0", "hang=0.3");
+    fleet.setFault("thika-0", "fail=0.5\nhealth=ok");
+    fleet.setFault("ruiru-0", "reset=0.5");
+    const auto detected = steadyNow() + DetectionLimit;
+    check_input evidence = fleet.evidence(load.finish());
+    expectClean(fleet, evidence);
+    std::erase_if(evidence.calls, [&](const call_record &call) { return call.due < detected; });
+    expectUseful(evidence.calls, "lookup", 0.95);
+}
+
 Test(available, worker_is_killed)
 {
     fleet fleet(threeDataCentres());
