Benchmarks of the path and of the four measures with real processes

Cause: policies are to be compared on the same live traffic at both sites' sizes. Ruled out: detection time from workers' logs; a hanging worker starts nothing new by itself. It is read from what every node shows. A fluid schedule of the whole run is the bound now.

--- /dev/null
+++ b/bench/measures/experiments.cpp
@@ -0,0 +1,265 @@
+#include "experiments.h"
+
+#include "load_profile.h"
+#include "load_report.h"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+#include <set>
+#include <thread>
+
+namespace dandelionstall::measures {
+
+namespace json = boost::json;
+using namespace standins;
+using namespace testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr double LookupSeconds = 0.1;
+constexpr double BookSeconds = 0.2;
+constexpr double BookShare = 0.2;
+constexpr double MeanSeconds = LookupSeconds * (1 - BookShare) + BookSeconds * BookShare;
+constexpr double BookWorth = 5;
+constexpr double TodaysUse = 0.5; // share of the slots in use on an ordinary day
+constexpr double LightUse = 0.3;  // leaves room for the stragglers
+constexpr double CrestFactor = 3;
+constexpr milliseconds QuietLength{3000};
+constexpr milliseconds CrestLength{4000};
+constexpr milliseconds BudgetSpan{20};
+constexpr double JitterMs = 2;
+constexpr double LossShare = 0.01;
+constexpr milliseconds DetectionCap{12000};
+constexpr milliseconds PollInterval{50};
+constexpr milliseconds WarmUp{2000};
+constexpr milliseconds LookLength{4000};
+constexpr milliseconds StragglerLength{10000};
+constexpr milliseconds PauseLength{1500};
+constexpr double StragglerShare = 0.01;
+
+// Requests a second that keep this share of the slots busy.
+double rateFor(const site &place, double use)
+{
+    return measuredSlots(place) * use / MeanSeconds;
+}
+
+std::string phaseText(const std::string &name, milliseconds length, double rate)
+{
+    return fmt::format("[phase.{}]\nseconds={}\nrate={}\n", name, std::chrono::duration<double>(length).count(), rate);
+}
+
+std::string classesText(double stragglerShare)
+{
+    std::string text = fmt::format("[class.lookup]\nshare={}\npath=/lookup\nidempotent=yes\ncost_ms=100\ncost_sigma=0.3\ndeadline_ms=2000\n"
+                                   "[class.book]\nshare={}\npath=/book\nmethod=POST\nidempotent=no\ncost_ms=200\ncost_sigma=0.3\ndeadline_ms=2000\nworth={}\n",
+                                   1 - BookShare - stragglerShare,
+                                   BookShare,
+                                   BookWorth);
+    if (stragglerShare > 0) {
+        text += fmt::format("[class.manual]\nshare={}\npath=/manual\nidempotent=yes\ncost_ms=10000\ndeadline_ms=30000\n", stragglerShare);
+    }
+    return text;
+}
+
+struct running_site {
+    fleet processes;
+
+    explicit running_site(const experiment &setup)
+        : processes(planSite(setup.place, setup.policies, setup.seed))
+    {
+        processes.start();
+        processes.setPaths(pathRules(setup.place, processes, JitterMs, LossShare));
+    }
+};
+
+measurement describe(const experiment &setup, const std::string &measure, const std::string &variant, double value, const std::string &unit)
+{
+    return {measure, setup.place.name, setup.policies.name, variant, setup.seed, value, unit};
+}
+
+// State of each worker of a pool as one node shows it.
+std::map<std::string, std::string> shownStates(const fleet_node &node, const std::string &pool)
+{
+    std::map<std::string, std::string> states;
+    const http_outcome outcome = getHttp(node.admin, "/v1/pools/" + pool);
+    if (outcome.status != 200) {
+        return states;
+    }
+    const json::value body = json::parse(outcome.body);
+    for (const json::value &member : body.at("members").as_array()) {
+        states[json::value_to<std::string>(member.at("id"))] = json::value_to<std::string>(member.at("state"));
+    }
+    return states;
+}
+
+bool isOutOfUse(const std::map<std::string, std::string> &states, const std::string &worker)
+{
+    const auto state = states.find(worker);
+    return state != states.end() && (state->second == "ejected" || state->second == "unreachable");
+}
+
+std::vector<call_record> playLoad(const experiment &setup, const std::string &profile)
+{
+    running_site running(setup);
+    return running.processes.startLoad(profile).finish();
+}
+
+// Slot time left in each short span of a run, for a schedule in which work can be split at will.
+class slot_budget
+{
+public:
+    slot_budget(std::uint32_t slots, std::chrono::microseconds start)
+        : m_slots(slots)
+        , m_start(start)
+    { }
+
+    // Takes slot time within the window, earliest first; false, and nothing taken, when there is not enough.
+    bool take(std::chrono::microseconds from, std::chrono::microseconds to, std::chrono::microseconds work)
+    {
+        std::map<std::int64_t, std::int64_t> parts;
+        std::int64_t missing = work.count();
+        for (std::int64_t span = (from - m_start) / BudgetSpan; missing > 0 && span < (to - m_start) / BudgetSpan; ++span) {
+            const std::int64_t part = std::min(missing, left(span));
+            parts[span] = part;
+            missing -= part;
+        }
+        if (missing > 0) {
+            return false;
+        }
+        for (const auto &[span, part] : parts) {
+            m_left[span] = left(span) - part;
+        }
+        return true;
+    }
+
+private:
+    std::int64_t left(std::int64_t span) const
+    {
+        const auto found = m_left.find(span);
+        return found != m_left.end() ? found->second : m_slots * std::chrono::microseconds(BudgetSpan).count();
+    }
+
+    std::int64_t m_slots;
+    std::chrono::microseconds m_start;
+    std::map<std::int64_t, std::int64_t> m_left; // by span
+};
+
+// Requests that a scheduler with full knowledge answers in time: the best worth for its slot time first.
+std::set<std::string> achievableCalls(const experiment &setup, const std::vector<call_record> &calls, std::chrono::microseconds start)
+{
+    std::vector<const call_record *> offered;
+    for (const call_record &call : calls) {
+        offered.push_back(&call);
+    }
+    const auto density = [](const call_record *call) {
+        return call->worth / std::max(1.0, static_cast<double>(call->cost.count()));
+    };
+    std::sort(offered.begin(), offered.end(), [&](const call_record *a, const call_record *b) { return density(a) > density(b); });
+    slot_budget budget(measuredSlots(setup.place), start);
+    std::set<std::string> answered;
+    for (const call_record *call : offered) {
+        if (budget.take(call->due, call->due + call->deadline, call->cost)) {
+            answered.insert(call->id);
+        }
+    }
+    return answered;
+}
+
+std::chrono::microseconds shortP99(const std::vector<call_record> &calls)
+{
+    return summarize(calls).classes.at("lookup").p99;
+}
+
+} // namespace
+
+measurement measureDetection(const experiment &setup, const std::string &variant, const std::string &fault)
+{
+    running_site running(setup);
+    fleet &fleet = running.processes;
+    const std::string &pool = setup.place.pools.front().name;
+    const std::string sick = pool + "-1";
+    load_job load = fleet.startLoad(phaseText("all", DetectionCap + WarmUp + WarmUp, rateFor(setup.place, TodaysUse)) + classesText(0));
+    fleet.awaitRuns(static_cast<std::size_t>(std::chrono::duration<double>(WarmUp).count() * rateFor(setup.place, TodaysUse)));
+    if (fault == "killed") {
+        fleet.worker(sick).process.kill();
+    } else {
+        fleet.setFault(sick, fault);
+    }
+    const state::time_point start = state::clock::now();
+    const auto allKnow = [&] {
+        for (std::size_t i = 0; i < fleet.nodeCount(); ++i) {
+            if (!isOutOfUse(shownStates(fleet.node(i), pool), sick)) {
+                return false;
+            }
+        }
+        return true;
+    };
+    waitUntil(allKnow, DetectionCap);
+    const std::chrono::duration<double, std::milli> passed = state::clock::now() - start;
+    return describe(setup, "detection", variant, passed.count(), "ms");
+}
+
+measurement measureFalseEjections(const experiment &setup)
+{
+    running_site running(setup);
+    fleet &fleet = running.processes;
+    const std::string &pool = setup.place.pools.front().name;
+    load_job load = fleet.startLoad(phaseText("all", LookLength + LookLength + PauseLength, rateFor(setup.place, TodaysUse)) + classesText(0));
+    std::set<std::string> ejected;
+    const auto look = [&](milliseconds length) {
+        const state::time_point end = state::clock::now() + length;
+        while (state::clock::now() < end) {
+            for (std::size_t i = 0; i < fleet.nodeCount(); ++i) {
+                for (const auto &[worker, state] : shownStates(fleet.node(i), pool)) {
+                    if (state == "ejected") {
+                        ejected.insert(worker);
+                    }
+                }
+            }
+            std::this_thread::sleep_for(PollInterval);
+        }
+    };
+    look(LookLength);
+    fleet.node(0).process.signal(SIGSTOP);
+    std::this_thread::sleep_for(PauseLength);
+    fleet.node(0).process.signal(SIGCONT);
+    look(LookLength);
+    return describe(setup, "false_ejections", "jitter, loss and a paused node", static_cast<double>(ejected.size()), "workers");
+}
+
+measurement measureCrest(const experiment &setup)
+{
+    const double quiet = rateFor(setup.place, TodaysUse);
+    const std::string profile = phaseText("quiet", QuietLength, quiet) + phaseText("crest", CrestLength, rateFor(setup.place, CrestFactor))
+                                + phaseText("after", QuietLength, quiet) + classesText(0);
+    const std::vector<call_record> calls = playLoad(setup, profile);
+    std::chrono::microseconds first = calls.front().due;
+    for (const call_record &call : calls) {
+        first = std::min(first, call.due);
+    }
+    const auto from = first + std::chrono::microseconds(QuietLength);
+    const auto to = from + std::chrono::microseconds(CrestLength);
+    const std::set<std::string> achievable = achievableCalls(setup, calls, first);
+    double worth = 0;
+    double best = 0;
+    for (const call_record &call : calls) {
+        const bool atCrest = call.due >= from && call.due < to;
+        worth += atCrest && isUseful(call) ? call.worth : 0;
+        best += atCrest && achievable.contains(call.id) ? call.worth : 0;
+    }
+    return describe(setup, "crest", "three times the capacity", worth / best, "share");
+}
+
+measurement measureShortBehindLong(const experiment &setup)
+{
+    const std::string load = phaseText("all", StragglerLength, rateFor(setup.place, LightUse));
+    const auto without = shortP99(playLoad(setup, load + classesText(0)));
+    const auto with = shortP99(playLoad(setup, load + classesText(StragglerShare)));
+    return describe(setup, "short_behind_long", "p99 with over p99 without", static_cast<double>(with.count()) / static_cast<double>(without.count()), "ratio");
+}
+
+} // namespace dandelionstall::measures
