--- a/coordination/include/dandelionstall/coordination/gossip_node.h
+++ b/coordination/include/dandelionstall/coordination/gossip_node.h
@@ -54,6 +54,7 @@
     };
 
     void refreshPools();
+    void refreshReader();
     void askPeers(state::time_point now, gossip_batch &out);
     void shareReport(state::time_point now, gossip_batch &out);
     void attachReports(gossip_out &out);
@@ -70,6 +71,9 @@
     std::vector<worker_report> m_reports;
     std::shared_ptr<const state::pool_table> m_poolsSeen;
     std::size_t m_nextReport = 0;
+    std::uint64_t m_readerVersion = 0; // of membership, when m_isReader was worked out
+    std::uint32_t m_readerRound = 0;   // likewise
+    bool m_isReader = false;
     bool m_hasPeers = false;
     state::time_point m_askUntil;    // the service is not trusted before, while a peer is ahead
     state::time_point m_trustedFrom; // without any answer of a peer
--- a/coordination/include/dandelionstall/coordination/membership.h
+++ b/coordination/include/dandelionstall/coordination/membership.h
@@ -82,6 +82,7 @@
     std::size_t countLive() const;                                                     // alive or suspect and not leaving, this node included
     std::vector<state::node_address> candidates(std::string_view dataCentre) const;    // alive, not leaving; this node included; by address
     std::vector<state::node_address> drawPeers(std::size_t local, std::size_t remote); // random alive members, remote ones from other data centres
+    std::uint64_t version() const;                                                     // grows with every change of a member or of this node
     bool isLeaving() const;                                                            // by leave() or because the list of VMs says so
     bool doubtsItself(state::time_point now) const;                                    // paused lately or isolated
     bool isIsolated(state::time_point now) const;                                      // no answers to own pings although members are alive
@@ -168,6 +169,7 @@
     std::vector<std::pair<std::uint64_t, state::node_address>> m_ring; // live members of the own data centre by hash
     std::vector<state::node_address> m_remote;                         // live members of other data centres
     std::vector<state::node_address> m_absent;                         // listed and dead members
+    std::uint64_t m_version = 0;
     bool m_indexStale = true;
     bool m_paused = false;
     std::uint64_t m_sequence = 0;
--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -69,6 +69,7 @@
     }
     askPeers(now, out);
     refreshPools();
+    refreshReader();
     shareReport(now, out);
     return stamp(std::move(out), now);
 }
@@ -157,8 +158,18 @@
 
 bool gossip_node::readsService(state::time_point now) const
 {
+    return m_isReader && trustsService(now);
+}
+
+void gossip_node::refreshReader()
+{
+    if (m_readerVersion == m_members.version() + 1 && m_readerRound == m_readers.round()) {
+        return;
+    }
     const gossip_sender &self = m_members.self();
-    return trustsService(now) && isReader(self.address, m_members.candidates(self.dataCentre), m_readers.round());
+    m_isReader = isReader(self.address, m_members.candidates(self.dataCentre), m_readers.round());
+    m_readerVersion = m_members.version() + 1; // 0 stands for never
+    m_readerRound = m_readers.round();
 }
 
 // ---- Reports ----
--- a/coordination/src/membership.cpp
+++ b/coordination/src/membership.cpp
@@ -88,6 +88,7 @@
     }
     if (update.leaving && !m_self.leaving) {
         m_self.leaving = true;
+        ++m_version;
         spread(m_self.address, true);
     }
     if (update.state == member_state::dead && update.refutations >= m_self.refutations) {
@@ -106,6 +107,7 @@
 void membership::noteChange(const entry &known)
 {
     m_changed.insert(known.about.address);
+    ++m_version;
     m_indexStale = true;
 }
 
@@ -210,6 +212,7 @@
 {
     gossip_batch out;
     m_self.leaving = true;
+    ++m_version;
     spread(m_self.address, true);
     for (const state::node_address &sibling : m_siblings) {
         send(sibling, make(gossip_kind::push), now, out);
@@ -316,6 +319,11 @@
     return result;
 }
 
+std::uint64_t membership::version() const
+{
+    return m_version;
+}
+
 bool membership::isLeaving() const
 {
     return m_self.leaving;
--- a/coordination/src/membership_probe.cpp
+++ b/coordination/src/membership_probe.cpp
@@ -277,6 +277,7 @@
     silent.suspectUntil = now + SuspicionTime;
     m_suspects.insert(failed.target);
     m_changed.insert(failed.target);
+    ++m_version;
 }
 
 void membership::checkSuspects(state::time_point now, gossip_batch &out)
