Split the control state into its facade and its gossip part

Ruled out: a class of its own for what follows from gossip; it would share every member of the present one.

Conclusion: no change of behaviour.

--- a/bench/bench_spread.cpp
+++ b/bench/bench_spread.cpp
@@ -165,14 +165,14 @@
         sent.bytes += bytes;
         sent.bytesOf[message.message.kind] += bytes;
     };
-    std::size_t false_suspicions = 0;
-    std::size_t false_deaths = 0;
+    std::size_t falseSuspicions = 0;
+    std::size_t falseDeaths = 0;
     std::size_t readerSamples = 0;
     std::size_t ticks = 0;
     loop.afterTick = [&](std::size_t index) {
         for (const member &changed : loop.at(index).members().takeChanges()) {
-            false_suspicions += changed.state == member_state::suspect ? 1 : 0;
-            false_deaths += changed.state == member_state::dead ? 1 : 0;
+            falseSuspicions += changed.state == member_state::suspect ? 1 : 0;
+            falseDeaths += changed.state == member_state::dead ? 1 : 0;
         }
         loop.at(index).members().takePaths();
         loop.at(index).takeReports();
@@ -220,8 +220,8 @@
              {"decisions_cpu_share_pct", 100.0 * work.count() / sampledSeconds},
              {"us_per_step", 1e6 * work.count() / static_cast<double>(std::max<std::uint64_t>(works, 1))},
              {"readers", readers},
-             {"false_suspicions", static_cast<double>(false_suspicions)},
-             {"false_deaths", static_cast<double>(false_deaths)}});
+             {"false_suspicions", static_cast<double>(falseSuspicions)},
+             {"false_deaths", static_cast<double>(falseDeaths)}});
 }
 
 // ---- Events ----
@@ -434,7 +434,7 @@
     fleet.loop().run(2s);
     fleet.loop().at(0).offerFromService(table_kind::pools, benchPools(1, std::min<std::size_t>(size, 400)), fleet.loop().now());
     fleet.loop().at(0).offerFromService(table_kind::routes, routesText(1), fleet.loop().now());
-    fleet.loop().run(5s);
+    fleet.loop().run(5s + std::chrono::milliseconds(size * 5)); // until the first copy of the list of members is complete
     measureSteady(fleet, size, span, out);
     measureCalls(fleet, size, out);
     measureHeartbeats(size, span, out);
--- a/coordination/tests/gossip_loop.h
+++ b/coordination/tests/gossip_loop.h
@@ -44,11 +44,7 @@
         slot &target = m_nodes[index];
         target.life = life;
         target.node = std::make_unique<gossip_node>(self_identity{target.address, target.dataCentre, life}, m_random());
-        std::vector<state::node_address> seeds;
-        for (std::size_t i = 0; i < 3; ++i) {
-            seeds.push_back(addressOf(i));
-        }
-        target.node->start(seeds, m_now);
+        target.node->start({addressOf(0), addressOf(1), addressOf(2)}, m_now);
     }
 
     void run(std::chrono::milliseconds span)
--- /dev/null
+++ b/programs/dandelionstall/control_detail.h
@@ -0,0 +1,73 @@
+// Inner state of control; see control.h for its use.
+#pragma once
+
+#include "control.h"
+#include "control_sources.h"
+
+#include <dandelionstall/coordination/gossip_node.h>
+#include <dandelionstall/coordination/pool_tracker.h>
+#include <dandelionstall/transport/gossip_socket.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <mutex>
+
+namespace dandelionstall {
+
+class control::detail
+{
+public:
+    detail(boost::asio::io_context &io, const state::settings &settings, state::incarnation own, transport::metrics &metrics);
+
+    void subscribe(subscriber handler);
+    void start();
+    void post(std::function<void()> task); // runs it on the control thread
+    void noteReports(const std::vector<coordination::worker_report> &reports);
+    void notePath(const state::node_address &node, bool ok);
+    void noteInterest(const std::string &pool);
+    void beginShutdown();
+    control_description describe() const;
+    coordination::snapshot_ptr current() const;
+
+private:
+    source_events sourceEvents();
+    void publish();
+
+    // control_gossip.cpp: gossip, and what follows from it and from the platform
+    void scheduleTick();
+    void tick();
+    void receive(std::string_view datagram);
+    void send(const coordination::gossip_batch &batch);
+    void afterInput(state::time_point now);
+    void takeTables();
+    void takeMembers(state::time_point now);
+    void takePaths(state::time_point now);
+    void takeReports(state::time_point now);
+    void noteTrust(state::time_point now);
+    void noteReader(state::time_point now);
+    void noteAccepted(coordination::table_kind kind, state::table_revision before);
+    void noteRefusal(coordination::table_kind kind, coordination::offer_verdict verdict, const absl::Status &reason, const std::string &source);
+
+    boost::asio::io_context &m_io;
+    state::settings m_settings;
+    state::incarnation m_own;
+    transport::metrics &m_metrics;
+    coordination::gossip_node m_node;
+    coordination::pool_tracker m_tracker;
+    transport::gossip_socket m_socket;
+    control_sources m_sources;
+    boost::asio::steady_timer m_tickTimer;
+    std::array<std::string, coordination::TableKinds.size()> m_lastRefusals;
+    std::vector<subscriber> m_subscribers;
+    state::time_point m_nextJudgement;
+    bool m_reader = false;
+    bool m_doubts = false;
+    bool m_vmListRead = false;
+    bool m_publishDue = false;
+    std::uint64_t m_generation = 0;
+    mutable std::mutex m_currentMutex; // guards m_current
+    coordination::snapshot_ptr m_current = std::make_shared<coordination::fleet_snapshot>();
+};
+
+} // namespace dandelionstall
--- /dev/null
+++ b/programs/dandelionstall/control_gossip.cpp
@@ -0,0 +1,212 @@
+#include "control_detail.h"
+
+#include <dandelionstall/protocol/gossip_codec.h>
+#include <dandelionstall/state/text.h>
+#include <dandelionstall/transport/events.h>
+
+#include <boost/asio.hpp>
+#include <fmt/format.h>
+
+namespace dandelionstall {
+
+using coordination::member;
+using coordination::member_state;
+using coordination::node_condition;
+using coordination::path_event;
+using coordination::table_kind;
+using transport::event;
+using transport::logEvent;
+
+namespace {
+
+constexpr std::chrono::milliseconds JudgeInterval{100}; // between two judgements of the pools
+
+event eventOf(coordination::offer_verdict verdict)
+{
+    switch (verdict) {
+    case coordination::offer_verdict::held:
+        return event::config_held;
+    case coordination::offer_verdict::stale:
+        return event::config_stale;
+    case coordination::offer_verdict::conflict:
+        return event::config_conflict;
+    case coordination::offer_verdict::broken:
+        return event::config_refused;
+    default:
+        return event::config_accepted;
+    }
+}
+
+event eventOf(const member &changed)
+{
+    if (changed.state == member_state::dead) {
+        return event::member_dead;
+    }
+    if (changed.state == member_state::suspect) {
+        return event::member_suspected;
+    }
+    return changed.leaving ? event::member_leaving : event::member_alive;
+}
+
+node_condition conditionOf(const member &changed)
+{
+    if (changed.state == member_state::dead) {
+        return node_condition::dead;
+    }
+    return changed.leaving ? node_condition::leaving : node_condition::live;
+}
+
+} // namespace
+
+// ---- Gossip ----
+
+void control::detail::scheduleTick()
+{
+    m_tickTimer.expires_after(coordination::TickInterval);
+    m_tickTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+void control::detail::tick()
+{
+    const state::time_point now = state::clock::now();
+    send(m_node.tick(now));
+    noteTrust(now);
+    noteReader(now);
+    afterInput(now);
+    if (m_nextJudgement <= now) {
+        m_nextJudgement = now + JudgeInterval;
+        m_publishDue = !m_tracker.judge(now).empty() || m_publishDue;
+    }
+    if (std::exchange(m_publishDue, false)) {
+        publish();
+    }
+    scheduleTick();
+}
+
+void control::detail::receive(std::string_view datagram)
+{
+    m_metrics.countNamed("gossip_received");
+    const absl::StatusOr<coordination::gossip_message> message = protocol::decodeGossip(datagram);
+    if (!message.ok()) {
+        m_metrics.countNamed("gossip_refused");
+        logEvent(event::gossip_refused, {{"reason", std::string(state::messageOf(message.status()))}});
+        return;
+    }
+    const state::time_point now = state::clock::now();
+    send(m_node.receive(*message, now));
+    afterInput(now);
+}
+
+void control::detail::send(const coordination::gossip_batch &batch)
+{
+    for (const coordination::gossip_out &out : batch) {
+        m_metrics.countNamed(m_socket.send(out.to, protocol::encodeGossip(out.message)) ? "gossip_sent" : "gossip_send_failed");
+    }
+}
+
+// ---- What follows from gossip and from the platform ----
+
+void control::detail::afterInput(state::time_point now)
+{
+    takeTables();
+    takeMembers(now);
+    takePaths(now);
+    takeReports(now);
+    if (m_node.members().isLeaving() != current()->leaving) {
+        publish();
+    }
+}
+
+void control::detail::takeTables()
+{
+    for (const coordination::offered_table &offered : m_node.takeResults()) {
+        if (offered.result.verdict != coordination::offer_verdict::accepted) {
+            noteRefusal(offered.kind, offered.result.verdict, offered.result.reason, offered.source);
+        }
+    }
+    const coordination::snapshot_ptr before = current();
+    if (m_node.store().pools() != before->pools) {
+        m_tracker.setTable(m_node.store().pools(), state::clock::now());
+    }
+    if (m_node.store().pools() != before->pools || m_node.store().routes() != before->routes) {
+        noteAccepted(table_kind::routes, before->routes ? before->routes->revision : 0);
+        noteAccepted(table_kind::pools, before->pools ? before->pools->revision : 0);
+        publish();
+    }
+}
+
+void control::detail::noteAccepted(table_kind kind, state::table_revision before)
+{
+    const state::table_revision revision = m_node.store().inForce(kind).revision;
+    if (revision != before) {
+        m_metrics.countNamed("config_accepted");
+        m_metrics.setGauge(fmt::format("config_{}_revision", tableName(kind)), static_cast<double>(revision));
+        logEvent(event::config_accepted, {{"table", std::string(tableName(kind))}, {"revision", fmt::to_string(revision)}});
+    }
+}
+
+void control::detail::noteRefusal(table_kind kind, coordination::offer_verdict verdict, const absl::Status &reason, const std::string &source)
+{
+    m_metrics.countNamed(fmt::format("config_{}", verdictName(verdict)));
+    std::string text = reason.ok() ? fmt::format("{} knows other content under the revision in force", source) : std::string(state::messageOf(reason));
+    std::string &last = m_lastRefusals[static_cast<std::size_t>(kind)];
+    if (last != text) { // repeated by every message of that node
+        logEvent(eventOf(verdict), {{"table", std::string(tableName(kind))}, {"source", source}, {"reason", text}});
+        last = std::move(text);
+    }
+}
+
+void control::detail::takeMembers(state::time_point now)
+{
+    for (const member &changed : m_node.members().takeChanges()) {
+        m_tracker.noteNode(changed.address, conditionOf(changed), now);
+        logEvent(eventOf(changed), {{"member", state::formatNodeAddress(changed.address)}, {"incarnation", fmt::to_string(changed.incarnation)}});
+        m_publishDue = true;
+    }
+}
+
+void control::detail::takePaths(state::time_point now)
+{
+    for (const coordination::path_observation &path : m_node.members().takePaths()) {
+        m_tracker.notePath(path.node, path.iHearIt ? path_event::heard : path_event::silent, now);
+        if (path.iHearIt) {
+            m_tracker.notePath(path.node, path.itHearsMe ? path_event::hears_me : path_event::hears_me_not, now);
+        }
+    }
+}
+
+void control::detail::takeReports(state::time_point now)
+{
+    for (const coordination::worker_report &report : m_node.takeReports()) {
+        m_tracker.noteReport(report, now);
+    }
+}
+
+void control::detail::noteTrust(state::time_point now)
+{
+    if (m_node.members().takePause()) {
+        m_metrics.countNamed("pauses_noticed");
+        m_tracker.notePause(now);
+    }
+    m_tracker.setIsolated(m_node.members().isIsolated(now));
+    const bool doubts = m_node.members().doubtsItself(now);
+    if (std::exchange(m_doubts, doubts) != doubts) {
+        logEvent(doubts ? event::self_doubt : event::self_trust, {});
+    }
+}
+
+void control::detail::noteReader(state::time_point now)
+{
+    const bool reader = m_node.readsService(now);
+    if (std::exchange(m_reader, reader) != reader) {
+        logEvent(event::reader_changed, {{"reader", reader ? "yes" : "no"}});
+        m_metrics.setGauge("service_reader", reader ? 1 : 0);
+    }
+    m_sources.setActive(reader, reader || !m_vmListRead);
+}
+
+} // namespace dandelionstall
