Readers of a long list of VMs watch only its leaving rows

Ruled out: a pause between reads that grows with the list; leaving VMs would then be noticed minutes late.

The filter itself has been tried against no real service: the stand-in ignores it and sends all rows, which is taken as well.

Conclusion: lists over 32 KB are read as a whole every ten minutes, else only through a filter.

--- a/coordination/include/dandelionstall/coordination/gossip_node.h
+++ b/coordination/include/dandelionstall/coordination/gossip_node.h
@@ -34,9 +34,10 @@
 
     offer_result offerFromService(table_kind kind, std::string text, state::time_point now);
     void setVmList(const std::vector<vm_record> &vms, state::time_point now);
-    void noteRead(state::time_point now);            // a call at the platform's service has succeeded
-    bool readsService(state::time_point now) const;  // this node is a reader now
-    bool trustsService(state::time_point now) const; // peers have been asked, or nobody answers
+    void addLeavingVms(const std::vector<vm_record> &vms, state::time_point now); // a part of the list
+    void noteRead(state::time_point now);                                         // a call at the platform's service has succeeded
+    bool readsService(state::time_point now) const;                               // this node is a reader now
+    bool trustsService(state::time_point now) const;                              // peers have been asked, or nobody answers
 
     membership &members();
     const membership &members() const;
--- a/coordination/include/dandelionstall/coordination/membership.h
+++ b/coordination/include/dandelionstall/coordination/membership.h
@@ -70,12 +70,13 @@
 public:
     membership(const self_identity &identity, std::uint64_t seed);
 
-    gossip_batch tick(state::time_point now);                                   // every TickInterval
-    gossip_batch receive(const gossip_message &message, state::time_point now); // one that has been decoded
-    gossip_batch leave(state::time_point now);                                  // this node takes no new work; final
-    void addSeeds(const std::vector<state::node_address> &seeds);               // nodes to contact first
-    void setVmList(const std::vector<vm_record> &vms, state::time_point now);   // adds names, marks leaving ones; never kills
-    void setSiblings(std::vector<state::node_address> nodes);                   // nodes that share a pool with this one
+    gossip_batch tick(state::time_point now);                                     // every TickInterval
+    gossip_batch receive(const gossip_message &message, state::time_point now);   // one that has been decoded
+    gossip_batch leave(state::time_point now);                                    // this node takes no new work; final
+    void addSeeds(const std::vector<state::node_address> &seeds);                 // nodes to contact first
+    void setVmList(const std::vector<vm_record> &vms, state::time_point now);     // adds names, marks leaving ones; never kills
+    void addLeavingVms(const std::vector<vm_record> &vms, state::time_point now); // a part of that list; says nothing about the others
+    void setSiblings(std::vector<state::node_address> nodes);                     // nodes that share a pool with this one
 
     std::vector<member> members() const;                                               // without this node, by address
     const member *find(const state::node_address &address) const;                      // nullptr when unknown
@@ -128,6 +129,7 @@
     bool supersedes(const member &update, const member &known) const;
     void mergeAboutSelf(const member &update);
     void applyListedLeaving(entry &known);
+    void noteVm(const vm_record &vm, state::time_point now);
     void noteChange(const entry &known);
     void spread(const state::node_address &about, bool urgent);
     bool noteHeard(const gossip_message &message, state::time_point now); // false when it comes from an earlier life
--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -145,6 +145,11 @@
     m_hasPeers = m_hasPeers || !m_members.members().empty();
 }
 
+void gossip_node::addLeavingVms(const std::vector<vm_record> &vms, state::time_point now)
+{
+    m_members.addLeavingVms(vms, now);
+}
+
 void gossip_node::noteRead(state::time_point now)
 {
     m_readers.noteRead(now);
--- a/coordination/src/membership.cpp
+++ b/coordination/src/membership.cpp
@@ -249,23 +249,37 @@
         known.listedLeaving = false;
     }
     for (const vm_record &vm : vms) {
-        if (vm.address == m_self.address) {
-            mergeAboutSelf({m_self.address, m_self.dataCentre, m_self.incarnation, 0, member_state::alive, vm.leaving});
-            continue;
-        }
-        merge({vm.address, vm.dataCentre, 0, 0, member_state::listed, false}, origin::catalogue, now);
-        entry &known = m_members[vm.address];
-        known.onVmList = true;
-        known.listedLeaving = vm.leaving;
-        const bool before = known.about.leaving;
-        applyListedLeaving(known);
-        if (known.about.leaving != before) {
-            noteChange(known);
-            spread(vm.address, true);
+        noteVm(vm, now);
+    }
+}
+
+void membership::addLeavingVms(const std::vector<vm_record> &vms, state::time_point now)
+{
+    for (const vm_record &vm : vms) {
+        if (vm.leaving) {
+            noteVm(vm, now);
         }
     }
 }
 
+void membership::noteVm(const vm_record &vm, state::time_point now)
+{
+    if (vm.address == m_self.address) {
+        mergeAboutSelf({m_self.address, m_self.dataCentre, m_self.incarnation, 0, member_state::alive, vm.leaving});
+        return;
+    }
+    merge({vm.address, vm.dataCentre, 0, 0, member_state::listed, false}, origin::catalogue, now);
+    entry &known = m_members[vm.address];
+    known.onVmList = true;
+    known.listedLeaving = vm.leaving;
+    const bool before = known.about.leaving;
+    applyListedLeaving(known);
+    if (known.about.leaving != before) {
+        noteChange(known);
+        spread(vm.address, true);
+    }
+}
+
 void membership::setSiblings(std::vector<state::node_address> nodes)
 {
     std::erase(nodes, m_self.address);
--- a/coordination/tests/test_membership.cpp
+++ b/coordination/tests/test_membership.cpp
@@ -141,6 +141,10 @@
     }
     fleet.at(2).setVmList(vms, fleet.now()); // one reader knows the list
     cr_assert(fleet.runUntil([&] { return allSeeLeaving(9) && fleet.at(9).members().isLeaving(); }, 3s));
+
+    fleet.at(4).addLeavingVms({{gossip_loop::addressOf(11), "ruiru", true}}, fleet.now()); // only a part of the list
+    cr_assert(fleet.runUntil([&] { return allSeeLeaving(11) && fleet.at(11).members().isLeaving(); }, 3s));
+    cr_assert(not(fleet.seesLeaving(4, 12)));
 }
 
 Test(membership, the_list_of_vms_kills_nobody)
--- a/programs/dandelionstall/control.cpp
+++ b/programs/dandelionstall/control.cpp
@@ -42,6 +42,10 @@
         m_node.setVmList(vms, state::clock::now());
         afterInput(state::clock::now());
     };
+    events.leavingVms = [this](const std::vector<coordination::vm_record> &vms) {
+        m_node.addLeavingVms(vms, state::clock::now());
+        afterInput(state::clock::now());
+    };
     events.read = [this] {
         m_node.noteRead(state::clock::now());
     };
--- a/programs/dandelionstall/control_sources.cpp
+++ b/programs/dandelionstall/control_sources.cpp
@@ -11,7 +11,9 @@
 
 namespace {
 
-constexpr std::chrono::seconds PartDeadline{5};           // for one part of a split table
+constexpr std::chrono::seconds PartDeadline{5}; // for one part of a split table
+constexpr std::size_t LongListBytes = 32'768;
+constexpr std::chrono::minutes WholeListInterval{10};     // of a long list
 constexpr std::chrono::milliseconds VmListInterval{1000}; // between two reads of the list
 
 watch_options watchKey(table_kind kind, const std::string &key)
@@ -28,7 +30,7 @@
     , m_vms(settings.vmList.port != 0 ? settings.vmList : settings.configService, settings.listen.ip)
     , m_routesWatch(io, m_tables, metrics, watchKey(table_kind::routes, settings.routesKey), seed)
     , m_poolsWatch(io, m_tables, metrics, watchKey(table_kind::pools, settings.poolsKey), seed + 1)
-    , m_vmWatch(io, m_vms, metrics, {"vm_list", protocol::vmListTarget, VmListInterval}, seed + 2)
+    , m_vmWatch(io, m_vms, metrics, {"vm_list", [this](auto index, auto wait) { return nextVmTarget(index, wait); }, VmListInterval}, seed + 2)
 { }
 
 void control_sources::start()
@@ -92,15 +94,29 @@
     co_return whole;
 }
 
+std::string control_sources::nextVmTarget(std::uint64_t index, std::chrono::seconds wait)
+{
+    m_leavingOnly = m_vmListBytes > LongListBytes && state::clock::now() < m_nextWholeList;
+    return m_leavingOnly ? protocol::leavingVmsTarget(index, wait) : protocol::vmListTarget(index, wait);
+}
+
 asio::awaitable<void> control_sources::takeVmList(std::string json)
 {
     m_events.read();
     if (json.empty()) { // nothing has changed
         co_return;
     }
-    if (absl::StatusOr<std::vector<coordination::vm_record>> vms = protocol::parseVmList(json); vms.ok()) {
-        m_events.vmList(*std::move(vms));
+    absl::StatusOr<std::vector<coordination::vm_record>> vms = protocol::parseVmList(json);
+    if (!vms.ok()) {
+        co_return;
+    }
+    if (m_leavingOnly) {
+        m_events.leavingVms(*std::move(vms));
+        co_return;
     }
+    m_vmListBytes = json.size();
+    m_nextWholeList = state::clock::now() + WholeListInterval;
+    m_events.vmList(*std::move(vms));
 }
 
 } // namespace dandelionstall
--- a/programs/dandelionstall/control_sources.h
+++ b/programs/dandelionstall/control_sources.h
@@ -1,6 +1,7 @@
 // What a node reads from the platform: the two tables and the list of VMs, each by a watch of its own.
 //
-// Split tables are put together here; a set of parts that are not all of the manifest's revision is refused.
+// A long list of VMs is read as a whole now and then; in between only its leaving rows are watched. Split tables are put together here; a set of parts that are
+// not all of the manifest's revision is refused.
 #pragma once
 
 #include "control_watch.h"
@@ -19,6 +20,7 @@
     std::function<void(coordination::table_kind kind, std::string text)> table;            // whole text of a table
     std::function<void(coordination::table_kind kind, const absl::Status &reason)> broken; // a split table that does not fit together
     std::function<void(std::vector<coordination::vm_record> vms)> vmList;                  // the whole list
+    std::function<void(std::vector<coordination::vm_record> vms)> leavingVms;              // only its leaving rows
     std::function<void()> read;                                                            // a call has succeeded
 };
 
@@ -36,6 +38,8 @@
     boost::asio::awaitable<absl::StatusOr<std::string>> joinParts(std::string manifestText);
     boost::asio::awaitable<void> takeVmList(std::string json);
 
+    std::string nextVmTarget(std::uint64_t index, std::chrono::seconds wait);
+
     transport::metrics &m_metrics;
     source_events m_events;
     transport::platform_client m_tables;
@@ -43,6 +47,9 @@
     control_watch m_routesWatch;
     control_watch m_poolsWatch;
     control_watch m_vmWatch;
+    std::size_t m_vmListBytes = 0;     // of the latest whole list
+    state::time_point m_nextWholeList; // while the list is long
+    bool m_leavingOnly = false;        // the call under way asks for leaving rows
 };
 
 } // namespace dandelionstall
--- a/protocol/include/dandelionstall/protocol/platform.h
+++ b/protocol/include/dandelionstall/protocol/platform.h
@@ -22,7 +22,8 @@
 // Targets of blocking queries. Index 0 answers at once, another one when the value has changed or the wait is over.
 std::string tableTarget(std::string_view key, std::uint64_t index, std::chrono::seconds wait);
 std::string vmListTarget(std::uint64_t index, std::chrono::seconds wait);
-std::uint64_t nextIndex(std::uint64_t current, std::uint64_t answered); // starts over when the service's index went back
+std::string leavingVmsTarget(std::uint64_t index, std::chrono::seconds wait); // only rows that are leaving; a service without filters sends all
+std::uint64_t nextIndex(std::uint64_t current, std::uint64_t answered);       // starts over when the service's index went back
 
 struct manifest_part {
     std::string key;          // where the part is
--- a/protocol/src/platform.cpp
+++ b/protocol/src/platform.cpp
@@ -116,6 +116,12 @@
     return fmt::format("/v1/catalog/nodes{}{}", query.empty() ? "" : "?", query);
 }
 
+std::string leavingVmsTarget(std::uint64_t index, std::chrono::seconds wait)
+{
+    const std::string query = blockingQuery(index, wait);
+    return fmt::format("/v1/catalog/nodes?filter=Meta.state%20%3D%3D%20%22leaving%22{}{}", query.empty() ? "" : "&", query);
+}
+
 std::uint64_t nextIndex(std::uint64_t current, std::uint64_t answered)
 {
     return answered < current ? 0 : std::max(answered, FirstIndex);
--- a/protocol/tests/test_platform.cpp
+++ b/protocol/tests/test_platform.cpp
@@ -14,6 +14,7 @@
     cr_assert(tableTarget("dandelionstall/routes", 0, std::chrono::seconds(20)) == "/v1/kv/dandelionstall/routes?raw");
     cr_assert(tableTarget("dandelionstall/routes", 7, std::chrono::seconds(20)) == "/v1/kv/dandelionstall/routes?raw&index=7&wait=20s");
     cr_assert(vmListTarget(0, std::chrono::seconds(20)) == "/v1/catalog/nodes");
+    cr_assert(leavingVmsTarget(9, std::chrono::seconds(20)) == "/v1/catalog/nodes?filter=Meta.state%20%3D%3D%20%22leaving%22&index=9&wait=20s");
     cr_assert(vmListTarget(9, std::chrono::seconds(20)) == "/v1/catalog/nodes?index=9&wait=20s");
 }
 
