A split table whose parts are not there yet is read again

Cause: when a part was missing or of another revision, the watch waited for the next change of the manifest; the table would have been left out until an operator wrote it again.

Ruled out: a blocking query for each part, which would add a waiting call for each part and reader.

Conclusion: the longest pause of a watch is now 5 s instead of 10 s.

--- a/programs/dandelionstall/control_sources.cpp
+++ b/programs/dandelionstall/control_sources.cpp
@@ -54,22 +54,23 @@
     };
 }
 
-asio::awaitable<void> control_sources::takeTable(table_kind kind, std::string text)
+asio::awaitable<bool> control_sources::takeTable(table_kind kind, std::string text)
 {
     m_events.read();
     if (text.empty()) { // nothing has changed
-        co_return;
+        co_return true;
     }
     if (!protocol::isManifest(text)) {
         m_events.table(kind, std::move(text));
-        co_return;
+        co_return true;
     }
     absl::StatusOr<std::string> whole = co_await joinParts(std::move(text));
-    if (whole.ok()) {
-        m_events.table(kind, *std::move(whole));
-    } else {
+    if (!whole.ok()) {
         m_events.broken(kind, whole.status());
+        co_return false;
     }
+    m_events.table(kind, *std::move(whole));
+    co_return true;
 }
 
 asio::awaitable<absl::StatusOr<std::string>> control_sources::joinParts(std::string manifestText)
@@ -100,23 +101,24 @@
     return m_leavingOnly ? protocol::leavingVmsTarget(index, wait) : protocol::vmListTarget(index, wait);
 }
 
-asio::awaitable<void> control_sources::takeVmList(std::string json)
+asio::awaitable<bool> control_sources::takeVmList(std::string json)
 {
     m_events.read();
     if (json.empty()) { // nothing has changed
-        co_return;
+        co_return true;
     }
     absl::StatusOr<std::vector<coordination::vm_record>> vms = protocol::parseVmList(json);
     if (!vms.ok()) {
-        co_return;
+        co_return false;
     }
     if (m_leavingOnly) {
         m_events.leavingVms(*std::move(vms));
-        co_return;
+        co_return true;
     }
     m_vmListBytes = json.size();
     m_nextWholeList = state::clock::now() + WholeListInterval;
     m_events.vmList(*std::move(vms));
+    co_return true;
 }
 
 } // namespace dandelionstall
--- a/programs/dandelionstall/control_sources.h
+++ b/programs/dandelionstall/control_sources.h
@@ -34,9 +34,9 @@
 
 private:
     control_watch::answer_handler tableHandler(coordination::table_kind kind);
-    boost::asio::awaitable<void> takeTable(coordination::table_kind kind, std::string text);
+    boost::asio::awaitable<bool> takeTable(coordination::table_kind kind, std::string text); // false when a part is missing
     boost::asio::awaitable<absl::StatusOr<std::string>> joinParts(std::string manifestText);
-    boost::asio::awaitable<void> takeVmList(std::string json);
+    boost::asio::awaitable<bool> takeVmList(std::string json);
 
     std::string nextVmTarget(std::uint64_t index, std::chrono::seconds wait);
 
--- a/programs/dandelionstall/control_watch.cpp
+++ b/programs/dandelionstall/control_watch.cpp
@@ -17,7 +17,7 @@
 constexpr std::chrono::seconds MaxWait{15};          // a blocking query is answered after this at the latest
 constexpr std::chrono::seconds AnswerGrace{4};       // on top of the wait
 constexpr std::chrono::milliseconds FirstPause{200}; // after one failure
-constexpr std::chrono::milliseconds LongestPause{10'000};
+constexpr std::chrono::milliseconds LongestPause{5'000};
 constexpr std::uint32_t MaxDoublings = 6;
 
 } // namespace
@@ -79,8 +79,10 @@
     if (index != 0 && m_index == index) {
         answer->body.clear();
     }
-    co_await handler(*std::move(answer));
-    co_return true;
+    const bool taken = co_await handler(*std::move(answer));
+    m_untaken = taken ? 0 : m_untaken + 1;
+    m_index = taken ? m_index : 0;
+    co_return taken;
 }
 
 asio::awaitable<void> control_watch::pauseUntil(state::time_point until)
@@ -109,7 +111,7 @@
 
 std::chrono::milliseconds control_watch::drawPause()
 {
-    const auto longest = std::min(LongestPause, FirstPause * (1U << std::min(m_failures, MaxDoublings)));
+    const auto longest = std::min(LongestPause, FirstPause * (1U << std::min(std::max(m_failures, m_untaken), MaxDoublings)));
     const auto half = static_cast<std::uint32_t>(longest.count() / 2);
     return std::chrono::milliseconds(half + m_random(half + 1));
 }
--- a/programs/dandelionstall/control_watch.h
+++ b/programs/dandelionstall/control_watch.h
@@ -26,7 +26,7 @@
 class control_watch
 {
 public:
-    using answer_handler = std::function<boost::asio::awaitable<void>(transport::platform_answer)>; // runs before the next call
+    using answer_handler = std::function<boost::asio::awaitable<bool>(transport::platform_answer)>; // runs before the next call; false asks again soon
 
     control_watch(
         boost::asio::io_context &io, const transport::platform_client &client, transport::metrics &metrics, watch_options options, std::uint64_t seed);
@@ -48,7 +48,8 @@
     boost::asio::steady_timer m_timer;
     pcg32 m_random;
     std::uint64_t m_index = 0;
-    std::uint32_t m_failures = 0; // in a row
+    std::uint32_t m_failures = 0; // calls without an answer in a row
+    std::uint32_t m_untaken = 0;  // answers in a row that the handler could not use
     bool m_active = true;
     bool m_stopped = false;
 };
