--- a/coordination/include/dandelionstall/coordination/gossip_node.h
+++ b/coordination/include/dandelionstall/coordination/gossip_node.h
@@ -34,9 +34,10 @@
 
     offer_result offerFromService(table_kind kind, std::string text, state::time_point now);
     void setVmList(const std::vector<vm_record> &vms, state::time_point now);
-    void noteRead(state::time_point now);            // a call at the platform's service has succeeded
-    bool readsService(state::time_point now) const;  // this node is a reader now
-    bool trustsService(state::time_point now) const; // peers have been asked, or nobody answers
+    void addLeavingVms(const std::vector<vm_record> &vms, state::time_point now); // a part of the list
+    void noteRead(state::time_point now);                                         // a call at the platform's service has succeeded
+    bool readsService(state::time_point now) const;                               // this node is a reader now
+    bool trustsService(state::time_point now) const;                              // peers have been asked, or nobody answers
 
     membership &members();
     const membership &members() const;
@@ -54,6 +55,7 @@
     };
 
     void refreshPools();
+    void refreshReader();
     void askPeers(state::time_point now, gossip_batch &out);
     void shareReport(state::time_point now, gossip_batch &out);
     void attachReports(gossip_out &out);
@@ -70,6 +72,9 @@
     std::vector<worker_report> m_reports;
     std::shared_ptr<const state::pool_table> m_poolsSeen;
     std::size_t m_nextReport = 0;
+    std::uint64_t m_readerVersion = 0; // of membership, when m_isReader was worked out
+    std::uint32_t m_readerRound = 0;   // likewise
+    bool m_isReader = false;
     bool m_hasPeers = false;
     state::time_point m_askUntil;    // the service is not trusted before, while a peer is ahead
     state::time_point m_trustedFrom; // without any answer of a peer
