--- a/coordination/include/dandelionstall/coordination/membership.h
+++ b/coordination/include/dandelionstall/coordination/membership.h
@@ -70,18 +70,20 @@
 public:
     membership(const self_identity &identity, std::uint64_t seed);
 
-    gossip_batch tick(state::time_point now);                                   // every TickInterval
-    gossip_batch receive(const gossip_message &message, state::time_point now); // one that has been decoded
-    gossip_batch leave(state::time_point now);                                  // this node takes no new work; final
-    void addSeeds(const std::vector<state::node_address> &seeds);               // nodes to contact first
-    void setVmList(const std::vector<vm_record> &vms, state::time_point now);   // adds names, marks leaving ones; never kills
-    void setSiblings(std::vector<state::node_address> nodes);                   // nodes that share a pool with this one
+    gossip_batch tick(state::time_point now);                                     // every TickInterval
+    gossip_batch receive(const gossip_message &message, state::time_point now);   // one that has been decoded
+    gossip_batch leave(state::time_point now);                                    // this node takes no new work; final
+    void addSeeds(const std::vector<state::node_address> &seeds);                 // nodes to contact first
+    void setVmList(const std::vector<vm_record> &vms, state::time_point now);     // adds names, marks leaving ones; never kills
+    void addLeavingVms(const std::vector<vm_record> &vms, state::time_point now); // a part of that list; says nothing about the others
+    void setSiblings(std::vector<state::node_address> nodes);                     // nodes that share a pool with this one
 
     std::vector<member> members() const;                                               // without this node, by address
     const member *find(const state::node_address &address) const;                      // nullptr when unknown
     std::size_t countLive() const;                                                     // alive or suspect and not leaving, this node included
     std::vector<state::node_address> candidates(std::string_view dataCentre) const;    // alive, not leaving; this node included; by address
     std::vector<state::node_address> drawPeers(std::size_t local, std::size_t remote); // random alive members, remote ones from other data centres
+    std::uint64_t version() const;                                                     // grows with every change of a member or of this node
     bool isLeaving() const;                                                            // by leave() or because the list of VMs says so
     bool doubtsItself(state::time_point now) const;                                    // paused lately or isolated
     bool isIsolated(state::time_point now) const;                                      // no answers to own pings although members are alive
@@ -127,6 +129,7 @@
     bool supersedes(const member &update, const member &known) const;
     void mergeAboutSelf(const member &update);
     void applyListedLeaving(entry &known);
+    void noteVm(const vm_record &vm, state::time_point now);
     void noteChange(const entry &known);
     void spread(const state::node_address &about, bool urgent);
     bool noteHeard(const gossip_message &message, state::time_point now); // false when it comes from an earlier life
@@ -168,6 +171,7 @@
     std::vector<std::pair<std::uint64_t, state::node_address>> m_ring; // live members of the own data centre by hash
     std::vector<state::node_address> m_remote;                         // live members of other data centres
     std::vector<state::node_address> m_absent;                         // listed and dead members
+    std::uint64_t m_version = 0;
     bool m_indexStale = true;
     bool m_paused = false;
     std::uint64_t m_sequence = 0;
--- a/coordination/src/membership.cpp
+++ b/coordination/src/membership.cpp
@@ -88,6 +88,7 @@
     }
     if (update.leaving && !m_self.leaving) {
         m_self.leaving = true;
+        ++m_version;
         spread(m_self.address, true);
     }
     if (update.state == member_state::dead && update.refutations >= m_self.refutations) {
@@ -106,6 +107,7 @@
 void membership::noteChange(const entry &known)
 {
     m_changed.insert(known.about.address);
+    ++m_version;
     m_indexStale = true;
 }
 
@@ -210,6 +212,7 @@
 {
     gossip_batch out;
     m_self.leaving = true;
+    ++m_version;
     spread(m_self.address, true);
     for (const state::node_address &sibling : m_siblings) {
         send(sibling, make(gossip_kind::push), now, out);
@@ -246,23 +249,37 @@
         known.listedLeaving = false;
     }
     for (const vm_record &vm : vms) {
-        if (vm.address == m_self.address) {
-            mergeAboutSelf({m_self.address, m_self.dataCentre, m_self.incarnation, 0, member_state::alive, vm.leaving});
-            continue;
-        }
-        merge({vm.address, vm.dataCentre, 0, 0, member_state::listed, false}, origin::catalogue, now);
-        entry &known = m_members[vm.address];
-        known.onVmList = true;
-        known.listedLeaving = vm.leaving;
-        const bool before = known.about.leaving;
-        applyListedLeaving(known);
-        if (known.about.leaving != before) {
-            noteChange(known);
-            spread(vm.address, true);
+        noteVm(vm, now);
+    }
+}
+
+void membership::addLeavingVms(const std::vector<vm_record> &vms, state::time_point now)
+{
+    for (const vm_record &vm : vms) {
+        if (vm.leaving) {
+            noteVm(vm, now);
         }
     }
 }
 
+void membership::noteVm(const vm_record &vm, state::time_point now)
+{
+    if (vm.address == m_self.address) {
+        mergeAboutSelf({m_self.address, m_self.dataCentre, m_self.incarnation, 0, member_state::alive, vm.leaving});
+        return;
+    }
+    merge({vm.address, vm.dataCentre, 0, 0, member_state::listed, false}, origin::catalogue, now);
+    entry &known = m_members[vm.address];
+    known.onVmList = true;
+    known.listedLeaving = vm.leaving;
+    const bool before = known.about.leaving;
+    applyListedLeaving(known);
+    if (known.about.leaving != before) {
+        noteChange(known);
+        spread(vm.address, true);
+    }
+}
+
 void membership::setSiblings(std::vector<state::node_address> nodes)
 {
     std::erase(nodes, m_self.address);
@@ -316,6 +333,11 @@
     return result;
 }
 
+std::uint64_t membership::version() const
+{
+    return m_version;
+}
+
 bool membership::isLeaving() const
 {
     return m_self.leaving;
