--- a/coordination/src/pool_tracker.cpp
+++ b/coordination/src/pool_tracker.cpp
@@ -23,12 +23,6 @@
     return found == view.workers.end() ? nullptr : &*found;
 }
 
-const state::pool *findRow(const state::pool_table &table, std::string_view name)
-{
-    const auto found = std::find_if(table.pools.begin(), table.pools.end(), [name](const state::pool &row) { return row.name == name; });
-    return found == table.pools.end() ? nullptr : &*found;
-}
-
 // Takes over what is known of workers that are still at the same place.
 void carryOver(const pool_view &before, pool_view &after)
 {
@@ -249,7 +243,7 @@
         known->second.expiresAt = std::max(known->second.expiresAt, expiresAt);
         return &known->second;
     }
-    const state::pool *row = m_table == nullptr ? nullptr : findRow(*m_table, pool);
+    const state::pool *row = m_table == nullptr ? nullptr : state::findPool(*m_table, pool);
     if (row == nullptr) {
         return nullptr;
     }
