Retries after failures have a budget of their own; a leaving node refuses work itself

Cause: requests on connections that went silent were refused with retry_budget_empty although healthy workers were free: refusals under load and faults of one path shared one budget. The sidecar ignored that its node was listed as leaving. Ruled out: no budget for failures at all (a fleet whose workers all fail would triple its load). Conclusion: two buckets, each with its bound as a property; the former bound for refusals is unchanged. Routes are matched through the index.

--- a/coordination/src/retry.cpp
+++ b/coordination/src/retry.cpp
@@ -12,9 +12,11 @@
 namespace {
 
 constexpr std::uint32_t MaxAttempts = 3;
-constexpr double TokensPerRequest = 0.1;
-constexpr double TokensPerSecond = 0.5; // lets a node that sees few requests retry too
-constexpr double MaxTokens = 10.0;
+constexpr double RefusalTokensPerRequest = 0.1; // refusals mean load: retries must stay few
+constexpr double FailureTokensPerRequest = 0.5; // failures of one worker or path: another one can do the work
+constexpr double TokensPerSecond = 0.5;         // lets a node that sees few requests retry too
+constexpr double MaxRefusalTokens = 10.0;
+constexpr double MaxFailureTokens = 50.0;
 constexpr std::chrono::milliseconds MinRetryDelay{500};
 constexpr std::uint32_t RetrySpreadMs = 1000;
 
@@ -113,45 +115,81 @@
     }
 };
 
-// Attempts are paid from a token bucket that fills with the requests seen, so that retries stay a share of them.
-class budgeted final : public retry_base
+// Tokens that fill with the requests seen, so that what is paid from them stays a share of the requests.
+class token_bucket
 {
 public:
-    using retry_base::retry_base;
+    token_bucket(double perRequest, double maxTokens)
+        : m_perRequest(perRequest)
+        , m_maxTokens(maxTokens)
+        , m_tokens(maxTokens)
+    { }
 
-    void noteRequest(state::time_point now) override
+    void noteRequest(state::time_point now)
     {
         refill(now);
-        m_tokens = std::min(MaxTokens, m_tokens + TokensPerRequest);
+        m_tokens = std::min(m_maxTokens, m_tokens + m_perRequest);
     }
 
-protected:
-    retry_verdict decideSafe(const failed_attempt &failure, state::time_point now) override
+    bool take(state::time_point now)
     {
         refill(now);
-        if (now + failure.expectedCost >= failure.deadline) {
-            return giveUp(failure, refusal_reason::deadline_unreachable, now);
-        }
         if (m_tokens < 1.0) {
-            return giveUp(failure, refusal_reason::retry_budget_empty, now);
+            return false;
         }
         m_tokens -= 1.0;
-        return tryAgain();
+        return true;
     }
 
 private:
     void refill(state::time_point now)
     {
         if (m_refilledAt != state::time_point{} && now > m_refilledAt) {
-            m_tokens = std::min(MaxTokens, m_tokens + std::chrono::duration<double>(now - m_refilledAt).count() * TokensPerSecond);
+            m_tokens = std::min(m_maxTokens, m_tokens + std::chrono::duration<double>(now - m_refilledAt).count() * TokensPerSecond);
         }
         m_refilledAt = std::max(m_refilledAt, now);
     }
 
-    double m_tokens = MaxTokens;
+    double m_perRequest;
+    double m_maxTokens;
+    double m_tokens;
     state::time_point m_refilledAt; // epoch before the first call
 };
 
+// Refusals are a sign of load; the other kinds are faults of one worker or path.
+bool isRefusal(retry_reason kind)
+{
+    return kind == retry_reason::refused || kind == retry_reason::worker_refused || kind == retry_reason::none;
+}
+
+// Attempts after refusals and attempts after failures are paid from buckets of their own: a fault must not use up what
+// overload may spend, and overload must not keep a request from a healthy worker.
+class budgeted final : public retry_base
+{
+public:
+    using retry_base::retry_base;
+
+    void noteRequest(state::time_point now) override
+    {
+        m_refusals.noteRequest(now);
+        m_failures.noteRequest(now);
+    }
+
+protected:
+    retry_verdict decideSafe(const failed_attempt &failure, state::time_point now) override
+    {
+        if (now + failure.expectedCost >= failure.deadline) {
+            return giveUp(failure, refusal_reason::deadline_unreachable, now);
+        }
+        token_bucket &bucket = isRefusal(failure.kind) ? m_refusals : m_failures;
+        return bucket.take(now) ? tryAgain() : giveUp(failure, refusal_reason::retry_budget_empty, now);
+    }
+
+private:
+    token_bucket m_refusals{RefusalTokensPerRequest, MaxRefusalTokens};
+    token_bucket m_failures{FailureTokensPerRequest, MaxFailureTokens};
+};
+
 } // namespace
 
 absl::StatusOr<std::unique_ptr<retry_policy>> makeRetryPolicy(std::string_view name, std::uint64_t seed)
--- a/programs/dandelionstall/ingress.cpp
+++ b/programs/dandelionstall/ingress.cpp
@@ -138,6 +138,9 @@
 
 void ingress::applySnapshot(coordination::snapshot_ptr snapshot)
 {
+    if (snapshot->routes && (!m_routes || &m_routes->table() != snapshot->routes.get())) {
+        m_routes = std::make_unique<state::route_index>(snapshot->routes);
+    }
     m_snapshot = std::move(snapshot);
     if (m_snapshot->pools && m_snapshot->pools->revision != m_ownViewsRevision) {
         m_ownViews.clear();
@@ -150,6 +153,11 @@
     return m_snapshot && m_snapshot->routes && m_snapshot->pools ? m_snapshot : nullptr;
 }
 
+const state::route_index &ingress::routes() const
+{
+    return *m_routes;
+}
+
 std::shared_ptr<const coordination::pool_view> ingress::viewOf(const state::pool &pool)
 {
     const state::time_point now = state::clock::now();
--- a/programs/dandelionstall/ingress.h
+++ b/programs/dandelionstall/ingress.h
@@ -14,6 +14,7 @@
 #include <dandelionstall/coordination/limits.h>
 #include <dandelionstall/coordination/retry.h>
 #include <dandelionstall/state/settings.h>
+#include <dandelionstall/state/tables_index.h>
 #include <dandelionstall/transport/metrics.h>
 
 #include <pcg_random.hpp>
@@ -50,6 +51,7 @@
     // For request_run.
     const state::settings &settings() const;
     coordination::snapshot_ptr snapshot() const; // null before the first configuration
+    const state::route_index &routes() const;    // of that snapshot; needs one
     std::shared_ptr<const coordination::pool_view> viewOf(const state::pool &pool);
     coordination::balancer &balancerOf(const coordination::pool_view &view);
     coordination::retry_policy &retryOf(const coordination::pool_view &view);
@@ -79,6 +81,7 @@
     std::uint64_t m_origin;
     std::uint64_t m_sequence = 0;
     coordination::snapshot_ptr m_snapshot;
+    std::unique_ptr<state::route_index> m_routes;                                                  // over the snapshot's routes; null without them
     std::map<std::string, std::shared_ptr<const coordination::pool_view>, std::less<>> m_ownViews; // pools without a published view
     state::table_revision m_ownViewsRevision = 0;
     std::map<std::string, state::time_point, std::less<>> m_interestDueAt;
--- a/programs/dandelionstall/request_attempt.cpp
+++ b/programs/dandelionstall/request_attempt.cpp
@@ -85,6 +85,7 @@
     state::incarnation home = 0;      // which life of the sidecar
     bool tracked = false;             // the sidecar keeps its outcome
     bool headArrived = false;         // an answer head has come
+    bool recovering = false;          // its outcome is being asked for
     answer_state answer;              // what has arrived
 };
 
@@ -214,7 +215,7 @@
         m_owner.events().reports(head->reports);
     }
     if (head->status == 0) {
-        co_return sent.answer.streaming ? cutAnswer(sent) : refusedBy(*head);
+        co_return sent.answer.streaming ? cutAnswer(sent) : refusedBy(sent, *head);
     }
     const bool mayRetry = m_route->idempotent && m_ticket.empty() && !sent.answer.streaming;
     if (mayRetry && isServerError(head->status)) {
@@ -326,6 +327,7 @@
         m_reader = std::make_shared<stream_reader>(m_owner.io().get_executor());
         sent.link = *link;
         sent.headArrived = false;
+        sent.recovering = true;
         sent.answer.restart();
         sent.stream = sent.link->session->open("/control", m_reader);
         if (sent.stream < 0) {
@@ -345,11 +347,13 @@
 
 // [SECTION] Failures
 
-attempt_outcome request_run::refusedBy(const protocol::answer_head &head)
+attempt_outcome request_run::refusedBy(const sent_attempt &sent, const protocol::answer_head &head)
 {
     retry_reason kind = retry_reason::refused;
     refusal_reason reason = head.refusal;
-    if (reason == refusal_reason::worker_shed) {
+    if (sent.recovering && head.run == run_state::not_run) {
+        kind = retry_reason::path_silent; // the path failed, and the sidecar has fenced the attempt
+    } else if (reason == refusal_reason::worker_shed) {
         kind = retry_reason::worker_refused;
     } else if (head.run != run_state::not_run) {
         kind = retry_reason::worker_failed;
--- a/programs/dandelionstall/request_run.cpp
+++ b/programs/dandelionstall/request_run.cpp
@@ -72,7 +72,7 @@
     if (path == protocol::TicketTarget) {
         co_return co_await giveTicket();
     }
-    if (const absl::Status found = findRoute(*m_hold->routes, path, m_request.method); !found.ok()) {
+    if (const absl::Status found = findRoute(path, m_request.method); !found.ok()) {
         co_return co_await refuse(refusal_reason::no_route, run_state::not_run, now);
     }
     m_deadline = m_request.arrivedAt + statedDeadline(m_request.headers, m_route->timeout);
@@ -87,9 +87,9 @@
     co_return co_await runAttempts();
 }
 
-absl::Status request_run::findRoute(const state::route_table &routes, std::string_view path, std::string_view method)
+absl::Status request_run::findRoute(std::string_view path, std::string_view method)
 {
-    m_route = state::matchRoute(routes, m_request.host, path, method);
+    m_route = m_owner.routes().match(m_request.host, path, method);
     m_pool = m_route == nullptr ? nullptr : state::findPool(*m_hold->pools, m_route->pool);
     return m_pool != nullptr ? absl::OkStatus() : state::makeError(state::state_error::unresolved, "no route takes the request");
 }
@@ -119,7 +119,7 @@
     if (m_request.method != "POST" || path.empty()) {
         co_return co_await refuse(refusal_reason::bad_request, run_state::not_run, now);
     }
-    if (const absl::Status found = findRoute(*m_hold->routes, protocol::pathOf(path), method.empty() ? "POST" : method); !found.ok()) {
+    if (const absl::Status found = findRoute(protocol::pathOf(path), method.empty() ? "POST" : method); !found.ok()) {
         co_return co_await refuse(refusal_reason::no_route, run_state::not_run, now);
     }
     m_deadline = m_request.arrivedAt + m_route->timeout;
--- a/programs/dandelionstall/request_run.h
+++ b/programs/dandelionstall/request_run.h
@@ -49,7 +49,7 @@
     boost::asio::awaitable<bool> giveTicket();
     boost::asio::awaitable<bool> refuse(coordination::refusal_reason reason, coordination::run_state run, state::time_point retryAt);
 
-    absl::Status findRoute(const state::route_table &routes, std::string_view path, std::string_view method); // sets m_route and m_pool
+    absl::Status findRoute(std::string_view path, std::string_view method); // sets m_route and m_pool
     coordination::refusal_reason readTicket();
     std::size_t chooseWorker(const coordination::pool_view &view, const std::string &preferred);
     protocol::attempt_head makeHead(const coordination::worker_view &worker, const peer_link &link);
@@ -60,7 +60,7 @@
     boost::asio::awaitable<std::optional<attempt_outcome>> takeHead(sent_attempt &sent, const protocol::frame &frame);
     boost::asio::awaitable<bool> takeBody(sent_attempt &sent, std::string_view bytes);
     boost::asio::awaitable<attempt_outcome> takeEnd(sent_attempt &sent, const protocol::answer_end &end);
-    attempt_outcome refusedBy(const protocol::answer_head &head);
+    attempt_outcome refusedBy(const sent_attempt &sent, const protocol::answer_head &head);
     attempt_outcome failedBy(coordination::retry_reason kind, coordination::refusal_reason reason, coordination::run_state run) const;
     attempt_outcome cutAnswer(const sent_attempt &sent);
     void acknowledge(const sent_attempt &sent);
--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -142,9 +142,17 @@
 void sidecar::applySnapshot(coordination::snapshot_ptr snapshot)
 {
     m_snapshot = std::move(snapshot);
+    const bool wasLeaving = m_leaving;
+    m_leaving = m_snapshot->leaving;
     for (auto &[id, worker] : m_workers) {
+        if (wasLeaving && !m_leaving) {
+            worker.admissionName.clear(); // a drained policy is replaced once it is idle
+        }
         configureWorker(worker);
     }
+    if (m_leaving && !wasLeaving) {
+        drainAll();
+    }
 }
 
 void sidecar::configureWorker(served_worker &worker)
@@ -168,7 +176,7 @@
         worker.admission = *std::move(policy);
         worker.admissionName = pool->admission;
         worker.slots = slots;
-        if (worker.draining || m_stopping) {
+        if (refusesWork(worker)) {
             applyActions(worker, worker.admission->drain(now));
         }
     } else if (worker.slots != slots) {
@@ -240,7 +248,7 @@
         report.expectedWait = load.expectedWait;
     }
     worker.evidence->fill(report, now);
-    report.leaving = worker.draining || m_stopping;
+    report.leaving = refusesWork(worker);
     return report;
 }
 
@@ -263,6 +271,11 @@
 void sidecar::beginShutdown()
 {
     m_stopping = true;
+    drainAll();
+}
+
+void sidecar::drainAll()
+{
     for (auto &[id, worker] : m_workers) {
         if (worker.admission) {
             applyActions(worker, worker.admission->drain(state::clock::now()));
@@ -271,6 +284,11 @@
     publishReports();
 }
 
+bool sidecar::refusesWork(const served_worker &worker) const
+{
+    return worker.draining || m_leaving || m_stopping;
+}
+
 bool sidecar::isIdle() const
 {
     return m_attempts.empty();
--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar.h
@@ -82,6 +82,8 @@
     boost::asio::awaitable<void> probe(served_worker &worker);
     void configureWorker(served_worker &worker);
     void setDraining(served_worker &worker, bool draining);
+    bool refusesWork(const served_worker &worker) const; // it, or this node, takes no new work
+    void drainAll();
     served_worker *findWorker(std::string_view id);
 
     coordination::refusal_reason checkAttempt(const protocol::attempt_head &head, state::time_point now);
@@ -116,6 +118,7 @@
     state::attempt_registry m_registry;
     std::unordered_map<state::attempt_id, local_attempt> m_attempts;
     std::vector<std::weak_ptr<transport::node_session>> m_sessions;
+    bool m_leaving = false; // the fleet says that this node is leaving
     bool m_stopping = false;
 };
 
--- a/programs/dandelionstall/sidecar_attempts.cpp
+++ b/programs/dandelionstall/sidecar_attempts.cpp
@@ -157,7 +157,7 @@
             return refusal_reason::stale_incarnation;
         }
     }
-    if (m_stopping || worker->draining) {
+    if (refusesWork(*worker)) {
         const bool known = !head.ticket.empty() && m_registry.findTicket(head.ticket) != nullptr;
         return known ? refusal_reason::none : refusal_reason::draining;
     }
