--- a/tests/integration/support/fleet_plan.cpp
+++ b/tests/integration/support/fleet_plan.cpp
@@ -2,6 +2,10 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cstdlib>
+#include <sstream>
+
 namespace dandelionstall::testing {
 
 namespace {
@@ -17,12 +21,25 @@
     return text;
 }
 
+// Policies to try a test against, from the environment: "ejector=consecutive_failures admission=fifo".
+std::map<std::string, std::string> poolSettingsToTry()
+{
+    const char *text = std::getenv("DANDELIONSTALL_TEST_POOL");
+    std::map<std::string, std::string> settings;
+    std::istringstream words(text != nullptr ? text : "");
+    for (std::string word; words >> word;) {
+        const std::size_t equals = std::min(word.find('='), word.size() - 1);
+        settings[word.substr(0, equals)] = word.substr(equals + 1);
+    }
+    return settings;
+}
+
 } // namespace
 
 fleet_plan threeDataCentres()
 {
     fleet_plan plan;
-    plan.pools = {{"orders", 3, 0.5, {}}};
+    plan.pools = {{"orders", 3, 0.5, poolSettingsToTry()}};
     plan.routes = {{"lookup", "/lookup", "orders", true, 1.0, {}}, {"book", "/book", "orders", false, 5.0, {}}};
     for (const char *dataCentre : {"kiambu", "thika", "ruiru"}) {
         for (unsigned i = 0; i < NodesPerDataCentre; ++i) {
