--- a/bench/measures/experiments.cpp
+++ b/bench/measures/experiments.cpp
@@ -155,6 +155,7 @@
 std::set<std::string> achievableCalls(const experiment &setup, const std::vector<call_record> &calls, std::chrono::microseconds start)
 {
     std::vector<const call_record *> offered;
+    offered.reserve(calls.size());
     for (const call_record &call : calls) {
         offered.push_back(&call);
     }
--- a/bench/plots.gp
+++ b/bench/plots.gp
@@ -10,7 +10,8 @@
 set boxwidth 0.35
 set grid ytics
 set xtics rotate by -20 font ",9" noenhanced
-set key top right
+set key outside top right horizontal
+set bmargin 9
 set yrange [0:*]
 
 # Rows of the closing table: measure, site, variant, policy, median, least, most, runs.
