--- a/programs/dandelionstall/control.cpp
+++ b/programs/dandelionstall/control.cpp
@@ -127,12 +127,12 @@
     afterInput(state::clock::now());
 }
 
-control_description control::detail::describe() const
+protocol::fleet_description control::detail::describe() const
 {
     const auto describeTable = [this](table_kind kind) {
-        return described_table{m_node.store().inForce(kind), m_node.store().known(kind), m_lastRefusals[static_cast<std::size_t>(kind)]};
+        return protocol::described_table{m_node.store().inForce(kind), m_node.store().known(kind), m_lastRefusals[static_cast<std::size_t>(kind)]};
     };
-    control_description result;
+    protocol::fleet_description result;
     result.self = m_settings.advertise;
     result.incarnation = m_own;
     result.dataCentre = m_settings.dataCentre;
@@ -195,9 +195,9 @@
     return m_detail->current();
 }
 
-void control::describe(description_handler handler)
+protocol::fleet_description control::describe() const
 {
-    m_detail->post([this, handler = std::move(handler)] { handler(m_detail->describe()); });
+    return m_detail->describe();
 }
 
 } // namespace dandelionstall
--- a/programs/dandelionstall/control_detail.h
+++ b/programs/dandelionstall/control_detail.h
@@ -27,7 +27,7 @@
     void notePath(const state::node_address &node, bool ok);
     void noteInterest(const std::string &pool);
     void beginShutdown();
-    control_description describe() const;
+    protocol::fleet_description describe() const;
     coordination::snapshot_ptr current() const;
 
 private:
