Connections of a thread share their read buffer

Cause: each connection between nodes held a read buffer of 64 KB although its bytes are used up before the next read. Ruled out: smaller buffers per connection (more system calls for long answers).

--- a/transport/include/dandelionstall/transport/node_session.h
+++ b/transport/include/dandelionstall/transport/node_session.h
@@ -112,6 +112,7 @@
     node_session(boost::asio::ip::tcp::socket socket, session_role role, const session_options &options);
     void initialize();
     void readMore();
+    void receive();
     void flush();
     void watch();
     void checkSilence();
@@ -126,7 +127,6 @@
     nghttp2_session *m_session = nullptr;
     std::unordered_map<stream_id, stream_state> m_streams;
     std::unordered_map<stream_id, std::string> m_paths; // server side: until the headers are complete
-    std::string m_readBuffer;
     std::string m_writeBuffer;
     bool m_writing = false;
     bool m_inReceive = false;
--- a/transport/src/node_session.cpp
+++ b/transport/src/node_session.cpp
@@ -133,7 +133,6 @@
     , m_timer(m_socket.get_executor())
     , m_role(role)
     , m_options(options)
-    , m_readBuffer(ReadChunkBytes, '\0')
     , m_lastHeardAt(state::clock::now())
     , m_idleSince(m_lastHeardAt)
 { }
@@ -147,6 +146,7 @@
 {
     boost::system::error_code ignored;
     m_socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored);
 
     nghttp2_session_callbacks *table = nullptr;
     nghttp2_session_callbacks_new(&table);
@@ -320,31 +320,48 @@
 
 void node_session::readMore()
 {
-    m_socket.async_read_some(boost::asio::buffer(m_readBuffer), [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
-        if (error) {
-            self->close(stream_end::connection_lost);
-            return;
-        }
-        self->m_lastHeardAt = state::clock::now();
-        self->m_inReceive = true;
-        const ssize_t used = nghttp2_session_mem_recv(self->m_session, reinterpret_cast<const std::uint8_t *>(self->m_readBuffer.data()), bytes);
-        self->m_inReceive = false;
-        if (used < 0 || !self->m_open) {
-            self->close(stream_end::connection_lost);
-            return;
-        }
-        self->flush();
-        const bool finished = nghttp2_session_want_read(self->m_session) == 0 && nghttp2_session_want_write(self->m_session) == 0;
-        if (finished && !self->m_writing) {
+    m_socket.async_wait(boost::asio::socket_base::wait_read, [self = shared_from_this()](const boost::system::error_code &error) {
+        if (error || !self->m_open) {
             self->close(stream_end::connection_lost);
             return;
         }
-        if (self->m_open) {
-            self->readMore();
-        }
+        self->receive();
     });
 }
 
+void node_session::receive()
+{
+    // Bytes are used up before this function returns, so all connections of a thread share one buffer.
+    thread_local std::array<char, ReadChunkBytes> buffer;
+    boost::system::error_code error;
+    const std::size_t bytes = m_socket.read_some(boost::asio::buffer(buffer), error);
+    if (error == boost::asio::error::would_block) {
+        readMore();
+        return;
+    }
+    if (error) {
+        close(stream_end::connection_lost);
+        return;
+    }
+    m_lastHeardAt = state::clock::now();
+    m_inReceive = true;
+    const ssize_t used = nghttp2_session_mem_recv(m_session, reinterpret_cast<const std::uint8_t *>(buffer.data()), bytes);
+    m_inReceive = false;
+    if (used < 0 || !m_open) {
+        close(stream_end::connection_lost);
+        return;
+    }
+    flush();
+    const bool finished = nghttp2_session_want_read(m_session) == 0 && nghttp2_session_want_write(m_session) == 0;
+    if (finished && !m_writing) {
+        close(stream_end::connection_lost);
+        return;
+    }
+    if (m_open) {
+        readMore();
+    }
+}
+
 void node_session::flush()
 {
     if (!m_open || m_writing || m_inReceive) {
