--- a/bench/bench_path_state.cpp
+++ b/bench/bench_path_state.cpp
@@ -115,7 +115,7 @@
     const double answerNs = nanosecondsPer(CodecRounds, [&](int) { whole += protocol::decodeAnswerHead(protocol::encode(answer)).ok() ? 1 : 0; });
     rows.push_back({"encode and decode an attempt head", 1, attemptNs, "ns"});
     rows.push_back({"encode and decode an answer head", 1, answerNs, "ns"});
-    rows.push_back({"messages decoded whole", 2 * CodecRounds, static_cast<double>(whole) / (2 * CodecRounds), "share"});
+    rows.push_back({"messages decoded whole", std::size_t{2} * CodecRounds, static_cast<double>(whole) / (2 * CodecRounds), "share"});
 }
 
 // Both ends of each connection are in this process: the figure is divided by two.
