Pools without news are judged every 20 s

Cause: a node that routes to all 1,400 services judged each of them twice a second although nothing new had come about them. Own pools keep 0.5 s; the six tests of the tracker pass.

--- a/coordination/src/pool_tracker.cpp
+++ b/coordination/src/pool_tracker.cpp
@@ -11,7 +11,8 @@
 
 constexpr std::chrono::minutes InterestTime{5}; // a pool is forgotten when it has not been used for this long
 constexpr milliseconds PauseDistrustMs{1500};   // after a pause, until fresh reports of all nodes had time to come
-constexpr milliseconds QuietSpanMs{500};        // between two judgements of a pool without news and without open cases
+constexpr milliseconds QuietSpanOwn{500};       // between two judgements of an own pool without news and without open cases
+constexpr milliseconds QuietSpanOther{20'000};  // the same for a pool that is only routed to: its news come with answers
 constexpr milliseconds PathWindowMs{3000};      // path outcomes older than this are forgotten
 constexpr milliseconds PathFailureGapMs{100};   // failures closer than this count as one
 constexpr std::size_t MaxPathFailures = 8;      // remembered per node
@@ -319,7 +320,8 @@
     markNodes(pool);
     pool.memory = pool.policy->judge(makeInput(pool, now), pool.memory);
     applyVerdicts(pool.memory, pool.view);
-    pool.nextJudgeAt = hasOpenCase(pool.memory) ? now : now + QuietSpanMs;
+    const bool own = pool.expiresAt == state::time_point::max();
+    pool.nextJudgeAt = hasOpenCase(pool.memory) ? now : now + (own ? QuietSpanOwn : QuietSpanOther);
     const auto same = [](const worker_view &a, const worker_view &b) {
         return a.state == b.state && a.weight == b.weight;
     };
