A worker's own refusals are paid from the budget of failures

Cause: with one worker shedding 70 % of its work the budget for refusals under load was spent: 171 of 469 requests ended as retry_budget_empty while two healthy workers had room. Ruled out: ejecting a shedding worker (its refusals are documented and no fault). The at-most-once test is unchanged.

--- a/coordination/src/retry.cpp
+++ b/coordination/src/retry.cpp
@@ -156,10 +156,11 @@
     state::time_point m_refilledAt; // epoch before the first call
 };
 
-// Refusals are a sign of load; the other kinds are faults of one worker or path.
+// A sidecar's refusal is a sign of load. The other kinds are faults of one worker or path; so is a worker's own refusal,
+// since its sidecar sends it no more than its slots hold.
 bool isRefusal(retry_reason kind)
 {
-    return kind == retry_reason::refused || kind == retry_reason::worker_refused || kind == retry_reason::none;
+    return kind == retry_reason::refused || kind == retry_reason::none;
 }
 
 // Attempts after refusals and attempts after failures are paid from buckets of their own: a fault must not use up what
--- /dev/null
+++ b/tests/integration/test_sick_majority.cpp
@@ -0,0 +1,25 @@
+// Availability while four of six workers are sick, each in another way, from the start of the load on.
+//
+// Mechanisms: retries after failures and ejection down to the floor of one half. The two healthy workers have room for
+// the load; at least one sick worker stays in use.
+#include "expect.h"
+
+#include <criterion/criterion.h>
+
+using namespace dandelionstall::testing;
+using namespace dandelionstall::standins;
+
+Test(sick_majority, idempotent_work_is_answered)
+{
+    fleet fleet(threeDataCentres());
+    fleet.start();
+    load_job load = fleet.startLoad(phase(6, 80) + lookups() + bookings({{"share", "0.8"}, {"cost_ms", "60"}}));
+    fleet.setFault("kiambu-0", "hang=0.3");
+    fleet.setFault("thika-0", "fail=0.5\nhealth=ok");
+    fleet.setFault("ruiru-0", "reset=0.5");
+    fleet.setFault("ruiru-1", "shed=0.7");
+    const check_input evidence = fleet.evidence(load.finish());
+    expectStarted(evidence, 200);
+    expectClean(fleet, evidence);
+    expectUseful(evidence.calls, "lookup", 0.9);
+}
