Quiet pools are judged at a bounded rate in place of a fixed span

Cause: 20 s between judgements of a quiet pool suits 1,400 pools, not two. Ruled out as the cause of late knowledge at nine tenths of the nodes: the quiet span (with 0.5 s for two pools it stays late). Before: 20 s at any size.

--- a/coordination/include/dandelionstall/coordination/pool_tracker.h
+++ b/coordination/include/dandelionstall/coordination/pool_tracker.h
@@ -98,6 +98,7 @@
     bool hasWorkerAt(const state::node_address &node) const;
     ejection_input makeInput(const tracked_pool &pool, state::time_point now) const;
     void markNodes(tracked_pool &pool) const;
+    std::chrono::milliseconds quietSpan(const tracked_pool &pool) const;
     bool judgePool(tracked_pool &pool, state::time_point now);
 
     std::uint64_t m_seed;
--- a/coordination/src/pool_tracker.cpp
+++ b/coordination/src/pool_tracker.cpp
@@ -11,8 +11,8 @@
 
 constexpr std::chrono::minutes InterestTime{5}; // a pool is forgotten when it has not been used for this long
 constexpr milliseconds PauseDistrustMs{1500};   // after a pause, until fresh reports of all nodes had time to come
-constexpr milliseconds QuietSpanOwn{500};       // between two judgements of an own pool without news and without open cases
-constexpr milliseconds QuietSpanOther{20'000};  // the same for a pool that is only routed to: its news come with answers
+constexpr milliseconds QuietSpanMs{500};        // between two judgements of a pool without news and without open cases
+constexpr milliseconds QuietSpanPerPoolMs{14};  // the same per tracked pool, unless it is an own one: bounds the judgements a second
 constexpr milliseconds PathWindowMs{3000};      // path outcomes older than this are forgotten
 constexpr milliseconds PathFailureGapMs{100};   // failures closer than this count as one
 constexpr std::size_t MaxPathFailures = 8;      // remembered per node
@@ -311,6 +311,13 @@
     return input;
 }
 
+milliseconds pool_tracker::quietSpan(const tracked_pool &pool) const
+{
+    const bool own = pool.expiresAt == state::time_point::max();
+    const milliseconds shared = QuietSpanPerPoolMs * static_cast<std::int64_t>(m_pools.size());
+    return own ? QuietSpanMs : std::max(QuietSpanMs, shared);
+}
+
 bool pool_tracker::judgePool(tracked_pool &pool, state::time_point now)
 {
     if (!pool.changed && pool.seenChanges == m_changes && now < pool.nextJudgeAt) {
@@ -320,8 +327,7 @@
     markNodes(pool);
     pool.memory = pool.policy->judge(makeInput(pool, now), pool.memory);
     applyVerdicts(pool.memory, pool.view);
-    const bool own = pool.expiresAt == state::time_point::max();
-    pool.nextJudgeAt = hasOpenCase(pool.memory) ? now : now + (own ? QuietSpanOwn : QuietSpanOther);
+    pool.nextJudgeAt = hasOpenCase(pool.memory) ? now : now + quietSpan(pool);
     const auto same = [](const worker_view &a, const worker_view &b) {
         return a.state == b.state && a.weight == b.weight;
     };
