Answers carry the reports of ejected siblings

Cause: nodes without a worker of the pool hear of its workers by answers only, and answers carried the best siblings; once a sick worker was ejected elsewhere nobody told them of it. Ruled out: the quiet span of judgements; gossip of reports beyond the pool (its bytes would grow with the fleet).

--- a/programs/dandelionstall/sidecar_outcomes.cpp
+++ b/programs/dandelionstall/sidecar_outcomes.cpp
@@ -13,8 +13,38 @@
 namespace {
 
 constexpr auto DuplicateRetryAfter = std::chrono::milliseconds(1000); // running elsewhere: ask again for its answer
+constexpr std::size_t MaxEjectedSiblings = 2;                         // reports of ejected siblings in one answer
 constexpr std::size_t MaxSiblings = 2;                                // sibling reports in one answer
 
+// Adds reports of siblings: ejected ones, so that nodes outside the pool learn of them without trying them, and those
+// with the shortest wait, the first of which is named to whoever was refused.
+void appendSiblings(const coordination::pool_view &view, std::string_view worker, protocol::answer_head &head)
+{
+    std::vector<const coordination::worker_view *> siblings;
+    std::size_t ejected = 0;
+    for (const coordination::worker_view &row : view.workers) {
+        if (row.id == worker || row.report.version == 0) {
+            continue;
+        }
+        if (coordination::isUsable(row)) {
+            siblings.push_back(&row);
+        } else if (row.state == coordination::worker_state::ejected && ejected < MaxEjectedSiblings) {
+            head.reports.push_back(row.report);
+            ++ejected;
+        }
+    }
+    const std::size_t count = std::min(siblings.size(), MaxSiblings);
+    std::partial_sort(siblings.begin(), siblings.begin() + static_cast<std::ptrdiff_t>(count), siblings.end(), [](const auto *a, const auto *b) {
+        return a->report.expectedWait < b->report.expectedWait;
+    });
+    for (std::size_t i = 0; i < count; ++i) {
+        head.reports.push_back(siblings[i]->report);
+    }
+    if (count > 0) {
+        head.betterSibling = siblings.front()->id;
+    }
+}
+
 } // namespace
 
 // [SECTION] Outcomes
@@ -156,22 +186,7 @@
     if (view == m_snapshot->views.end()) {
         return head;
     }
-    std::vector<const coordination::worker_view *> siblings;
-    for (const coordination::worker_view &row : view->second->workers) {
-        if (row.id != worker && coordination::isUsable(row) && row.report.version != 0) {
-            siblings.push_back(&row);
-        }
-    }
-    const std::size_t count = std::min(siblings.size(), MaxSiblings);
-    std::partial_sort(siblings.begin(), siblings.begin() + static_cast<std::ptrdiff_t>(count), siblings.end(), [](const auto *a, const auto *b) {
-        return a->report.expectedWait < b->report.expectedWait;
-    });
-    for (std::size_t i = 0; i < count; ++i) {
-        head.reports.push_back(siblings[i]->report);
-    }
-    if (count > 0) {
-        head.betterSibling = siblings.front()->id;
-    }
+    appendSiblings(*view->second, worker, head);
     return head;
 }
 
