Refused callers can read their refusal; arrived bytes are served at a stop

Ruled out: answering a slow header (the connection is closed, as the promise of a 4xx or a close allows).

--- a/programs/dandelionstall/caller_connection.cpp
+++ b/programs/dandelionstall/caller_connection.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr auto Token = asio::as_tuple(asio::use_awaitable);
+constexpr auto DrainTimeout = std::chrono::seconds(1);  // for a refused caller to stop sending
+constexpr std::size_t MaxDrainedBytes = 1'048'576;      // taken from a refused caller before the connection is closed
 constexpr auto WriteTimeout = std::chrono::seconds(30); // a caller must take each part of an answer within this
 
 std::string lowerCase(std::string_view text)
@@ -91,11 +93,15 @@
         std::array<char, 1> byte{};
         const auto [error, bytes] = co_await m_stream.async_read_some(asio::buffer(byte), Token);
         m_idle = false;
-        if (error) {
+        beast::error_code ignored;
+        const bool arrivedMeanwhile = error == asio::error::operation_aborted && m_stream.socket().available(ignored) > 0;
+        if (error && !arrivedMeanwhile) {
             co_return read_end::gone;
         }
-        asio::buffer_copy(m_buffer.prepare(1), asio::buffer(byte));
-        m_buffer.commit(1);
+        if (!error) {
+            asio::buffer_copy(m_buffer.prepare(1), asio::buffer(byte));
+            m_buffer.commit(1);
+        }
     }
     m_stream.expires_after(limits.headerTimeout);
     http::request_parser<http::string_body> parser;
@@ -267,6 +273,21 @@
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
 }
 
+// Closing a connection with unread bytes resets it, and a reset discards the answer that the caller has not read yet.
+asio::awaitable<void> caller_connection::drainInput()
+{
+    const auto self = shared_from_this();
+    std::array<char, 4096> discarded{};
+    m_stream.expires_after(DrainTimeout);
+    for (std::size_t drained = 0; drained < MaxDrainedBytes;) {
+        const auto [error, bytes] = co_await m_stream.async_read_some(asio::buffer(discarded), Token);
+        if (error) {
+            co_return;
+        }
+        drained += bytes;
+    }
+}
+
 void caller_connection::breakOff()
 {
     beast::error_code ignored;
--- a/programs/dandelionstall/caller_connection.h
+++ b/programs/dandelionstall/caller_connection.h
@@ -67,10 +67,11 @@
     bool hasStarted() const; // bytes of the present answer have been sent
     void closeAfterAnswer(); // the connection ends with the present answer
     bool closesAfterAnswer() const;
-    void shutdown();     // ends the connection in order
-    void breakOff();     // ends the connection so that the caller sees a cut answer
-    void wakeIdle();     // ends a read() that has not seen a byte yet
-    bool isIdle() const; // waits for the first byte of a request
+    void shutdown();                           // ends the connection in order
+    boost::asio::awaitable<void> drainInput(); // after shutdown(): takes what the caller still sends, so that the answer is not lost
+    void breakOff();                           // ends the connection so that the caller sees a cut answer
+    void wakeIdle();                           // ends a read() that has not seen a byte yet
+    bool isIdle() const;                       // waits for the first byte of a request
 
 private:
     struct streamed_answer;
--- a/programs/dandelionstall/ingress.cpp
+++ b/programs/dandelionstall/ingress.cpp
@@ -104,7 +104,10 @@
         caller_request request;
         const read_end end = co_await connection->read(limits, request);
         if (end != read_end::request) {
-            co_await refuseInput(*connection, end);
+            if (co_await refuseInput(*connection, end)) {
+                connection->shutdown();
+                co_await connection->drainInput();
+            }
             break;
         }
         if (m_stopping) {
--- /dev/null
+++ b/tests/integration/test_caller_input.cpp
@@ -0,0 +1,63 @@
+// Bad input of callers over real sockets: each gets a clear refusal or a close, and the node serves on.
+//
+// Mechanisms: limits of the parser, the check of ambiguous lengths, the time allowed for a header.
+#include "expect.h"
+
+#include <boost/asio.hpp>
+#include <criterion/criterion.h>
+
+using namespace dandelionstall::testing;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t HeaderOverLimit = 70'000; // bytes; the node's limit is 16 KB
+
+// Sends the bytes on a connection of its own and returns all that the node sends until it closes.
+std::string sendBytes(const std::string &ip, const std::string &bytes, bool closeAfter = false)
+{
+    boost::asio::io_context io;
+    tcp::socket socket(io);
+    socket.connect(tcp::endpoint(boost::asio::ip::make_address(ip), CallerPort));
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+    if (closeAfter) {
+        socket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+    std::string answer;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ignored);
+    return answer;
+}
+
+void expectStatus(const std::string &answer, const std::string &status, const std::string &reason)
+{
+    cr_assert(answer.starts_with("HTTP/1.1 " + status), "expected %s, got: %s", status.c_str(), answer.c_str());
+    cr_assert(answer.find("X-Dandelionstall-Reason: " + reason) != std::string::npos, "expected %s in: %s", reason.c_str(), answer.c_str());
+    cr_assert(answer.find("X-Dandelionstall-Run: not_run") != std::string::npos, "not told that it was not run: %s", answer.c_str());
+}
+
+} // namespace
+
+Test(caller_input, is_refused_clearly_and_the_node_serves_on)
+{
+    fleet_plan plan = threeDataCentres();
+    plan.faultProxy = false;
+    plan.nodeSettings = "[limits]\nheader_timeout = 1s\n";
+    fleet fleet(plan);
+    fleet.start();
+    const std::string ip = fleet.node(0).ip;
+    const std::string post = "POST /book HTTP/1.1\r\nHost: x\r\n";
+
+    expectStatus(sendBytes(ip, post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), "400", "bad_request");
+    expectStatus(sendBytes(ip, post + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n"), "400", "bad_request");
+    expectStatus(sendBytes(ip, post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"), "400", "bad_request");
+    expectStatus(sendBytes(ip, "GET /lookup HTTP/1.1\r\n\r\n"), "400", "bad_request");
+    expectStatus(sendBytes(ip, "GET /lookup HTTP/1.1\r\nHost: x\r\nA: " + std::string(HeaderOverLimit, 'a') + "\r\n\r\n"), "400", "bad_request");
+    expectStatus(sendBytes(ip, post + "Content-Length: 99999999\r\n\r\n"), "413", "body_too_large");
+    expectStatus(sendBytes(ip, "\x16\x03\x01 no HTTP\r\n\r\n"), "400", "bad_request");
+    cr_assert(sendBytes(ip, "GET /lookup HTTP/1.1\r\nHo").empty(), "a header that does not come is ended by a close");
+    cr_assert(sendBytes(ip, post + "Content-Length: 10\r\n\r\nabc", true).empty(), "a cut body gets no answer");
+
+    const std::string good = sendBytes(ip, "GET /lookup HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nX-Test-Bytes: 4\r\nConnection: close\r\n\r\n");
+    cr_assert(good.starts_with("HTTP/1.1 200"), "the node serves on: %s", good.c_str());
+}
