--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -11,6 +11,9 @@
 
 # Adds one Criterion test program per tests/test_*.cpp of the current package.
 function(add_package_tests)
+  if(NOT DANDELIONSTALL_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/test_*.cpp)
   foreach(source ${tests})
--- a/coordination/include/dandelionstall/coordination/gossip.h
+++ b/coordination/include/dandelionstall/coordination/gossip.h
@@ -7,6 +7,7 @@
 #include <dandelionstall/coordination/config_store.h>
 #include <dandelionstall/coordination/member.h>
 #include <dandelionstall/coordination/pool_view.h>
+#include <dandelionstall/coordination/worker_directory.h>
 
 #include <array>
 #include <optional>
@@ -25,6 +26,8 @@
     member_page,  // answers member_pull
     config_fetch, // asks for a chunk of a table
     config_chunk, // a chunk of a table, or of the difference between two revisions
+    worker_pull,  // asks for a page of discovered workers that follow the cursor
+    worker_page,  // answers worker_pull
 };
 
 // Shortened version of a table, enough to see that the other one knows something else.
@@ -53,6 +56,12 @@
     bool leaving = false;
 };
 
+// A discovered worker on its way between nodes, whose clocks differ.
+struct worker_news {
+    discovered_worker entry;               // coldUntil unused
+    std::chrono::milliseconds coldLeft{0}; // in its place
+};
+
 struct gossip_message {
     gossip_kind kind = gossip_kind::push;
     std::uint64_t sequence = 0;                        // pairs a ping with its ack
@@ -65,6 +74,9 @@
     std::vector<member> updates;                       // news about members
     std::vector<worker_report> reports;                // of workers in the receiver's pools
     std::optional<config_part> config;                 // of config_fetch and config_chunk
+    std::uint32_t workersDigest = 0;                   // of the discovered workers that the sender knows
+    std::vector<worker_news> workers;                  // news of discovered workers
+    std::string workersCursor;                         // of worker_pull
 };
 
 struct gossip_out {
--- a/coordination/include/dandelionstall/coordination/pool_view.h
+++ b/coordination/include/dandelionstall/coordination/pool_view.h
@@ -59,6 +59,8 @@
     worker_state state = worker_state::unknown; // decides whether it is used
     double weight = 1.0;                        // share of work it may get, 0..1
     std::uint32_t slots = 1;                    // its slots
+    bool announcedLeaving = false;              // it has announced that it takes no new work
+    state::time_point coldUntil;                // slow until then, as it has announced
     worker_report report;                       // last report; version 0 when none
     state::time_point heardAt;                  // when that report was taken in
     state::incarnation incarnation = 0;         // of its sidecar; 0 when not known
@@ -71,6 +73,7 @@
     std::string ejector;              // policy name
     std::string admission;            // policy name
     std::string retry;                // policy name
+    state::retry_allowance retries;   // repeats that the fleet may make in the pool
     std::vector<worker_view> workers; // in table order
 };
 
--- a/coordination/include/dandelionstall/coordination/retry.h
+++ b/coordination/include/dandelionstall/coordination/retry.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <dandelionstall/coordination/reasons.h>
+#include <dandelionstall/state/tables.h>
 
 #include <memory>
 
@@ -17,6 +18,10 @@
     bool idempotent = false;                       // of the route
     bool answerStarted = false;                    // bytes of an answer have gone to the caller
     std::uint32_t attempts = 1;                    // attempts made so far, this one included
+    std::uint32_t arrivals = 0;                    // those that may have reached a worker
+    std::uint32_t maxArrivals = 3;                 // of the route
+    state::retry_allowance allowance;              // of the pool, over all nodes
+    std::uint32_t nodes = 1;                       // nodes that share the allowance
     state::time_point deadline;                    // of the request
     state::time_point retryAt;                     // when the refuser said to come back; epoch when it did not
     std::chrono::microseconds expectedCost{0};     // of one more attempt
--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -44,6 +44,7 @@
 
 gossip_node::gossip_node(const self_identity &identity, std::uint64_t seed)
     : m_spread(m_store, seed ^ SpreadSalt)
+    , m_workerSpread(m_directory)
     , m_members(identity, seed)
     , m_random(seed ^ ReportSalt)
 { }
@@ -67,8 +68,11 @@
     if (m_spread.hasPush()) {
         std::ranges::move(m_spread.push(m_members.drawPeers(ConfigLocalPushes, ConfigRemotePushes)), std::back_inserter(out));
     }
+    m_directory.tick(now);
+    pushWorkers(now, out);
     askPeers(now, out);
     refreshPools();
+    refreshMembers(now);
     refreshReader();
     shareReport(now, out);
     return stamp(std::move(out), now);
@@ -84,6 +88,9 @@
     if (m_spread.hasPush()) {
         std::ranges::move(m_spread.push(m_members.drawPeers(ConfigLocalPushes, ConfigRemotePushes)), std::back_inserter(out));
     }
+    std::ranges::move(m_workerSpread.receive(message, now), std::back_inserter(out));
+    pushWorkers(now, out);
+    refreshPools();
     if (message.sender.dataCentre == m_members.self().dataCentre) {
         m_readers.noteHeard(message.readerRound, message.readAge, now);
     }
@@ -106,6 +113,7 @@
         out.message.tables = hints;
         out.message.readerRound = m_readers.round();
         out.message.readAge = age;
+        out.message.workersDigest = m_directory.digest();
         if (out.message.kind == gossip_kind::ping || out.message.kind == gossip_kind::ack) {
             attachReports(out);
         }
@@ -136,7 +144,64 @@
 
 offer_result gossip_node::offerFromService(table_kind kind, std::string text, state::time_point now)
 {
-    return m_spread.offer(kind, std::move(text), "service", now);
+    offer_result result = m_spread.offer(kind, std::move(text), "service", now);
+    refreshPools();
+    return result;
+}
+
+// ---- Discovered workers ----
+
+void gossip_node::offerWorker(const discovered_worker &entry, state::time_point now)
+{
+    m_directory.offer(entry, now);
+    refreshPools();
+}
+
+void gossip_node::offerWorkers(const std::vector<discovered_worker> &entries, std::uint64_t asOf, state::time_point now)
+{
+    m_directory.replaceAll(entries, asOf, now);
+    refreshPools();
+    refreshMembers(now);
+}
+
+void gossip_node::offerWorkerRemoval(std::string_view id, std::uint64_t revision, state::time_point now)
+{
+    m_directory.offerRemoval(id, revision, now);
+    refreshPools();
+}
+
+void gossip_node::noteReadFailed(state::time_point now)
+{
+    m_directory.noteServiceLost(now);
+}
+
+void gossip_node::pushWorkers(state::time_point now, gossip_batch &out)
+{
+    m_workerSpread.collect();
+    if (m_workerSpread.hasPush()) {
+        std::ranges::move(m_workerSpread.push(m_members.drawPeers(ConfigLocalPushes, ConfigRemotePushes), now), std::back_inserter(out));
+    }
+}
+
+// The nodes beside discovered workers are members, whether they have been heard or not.
+void gossip_node::refreshMembers(state::time_point now)
+{
+    if (m_membersSeen == m_directory.version()) {
+        return;
+    }
+    m_membersSeen = m_directory.version();
+    std::map<state::node_address, vm_record> rows;
+    for (const auto &[id, entry] : m_directory.entries()) {
+        if (entry.phase != worker_phase::gone && entry.node != m_members.self().address) {
+            rows[entry.node] = {entry.node, entry.dataCentre, false};
+        }
+    }
+    std::vector<vm_record> vms;
+    vms.reserve(rows.size());
+    for (auto &[address, row] : rows) {
+        vms.push_back(std::move(row));
+    }
+    setVmList(vms, now);
 }
 
 void gossip_node::setVmList(const std::vector<vm_record> &vms, state::time_point now)
@@ -153,6 +218,7 @@
 void gossip_node::noteRead(state::time_point now)
 {
     m_readers.noteRead(now);
+    m_directory.noteServiceBack(now);
 }
 
 bool gossip_node::trustsService(state::time_point now) const
@@ -181,13 +247,19 @@
 
 void gossip_node::refreshPools()
 {
-    if (m_poolsSeen == m_store.pools()) {
+    if (m_poolsSeen == m_store.pools() && m_directorySeen == m_directory.version()) {
         return;
     }
     m_poolsSeen = m_store.pools();
+    m_directorySeen = m_directory.version();
+    if (!m_poolsSeen) {
+        return;
+    }
+    const bool discovers = std::any_of(m_poolsSeen->pools.begin(), m_poolsSeen->pools.end(), [](const state::pool &pool) { return pool.discovered; });
+    m_joined = discovers ? std::make_shared<const state::pool_table>(joinWorkers(*m_poolsSeen, m_directory)) : m_poolsSeen;
     m_pools.clear();
     std::vector<state::node_address> siblings;
-    for (const state::pool &pool : m_poolsSeen->pools) {
+    for (const state::pool &pool : m_joined->pools) {
         const auto here = [this](const state::pool_worker &worker) {
             return worker.node == m_members.self().address;
         };
@@ -275,6 +347,16 @@
     return m_store;
 }
 
+const worker_directory &gossip_node::workers() const
+{
+    return m_directory;
+}
+
+std::shared_ptr<const state::pool_table> gossip_node::pools() const
+{
+    return m_joined;
+}
+
 std::vector<offered_table> gossip_node::takeResults()
 {
     return m_spread.takeResults();
--- /dev/null
+++ b/coordination/src/pool_choice.cpp
@@ -0,0 +1,24 @@
+#include <dandelionstall/coordination/pool_choice.h>
+
+namespace dandelionstall::coordination {
+
+std::string_view choosePool(const state::route &route, std::uint64_t random)
+{
+    std::uint64_t sum = 0;
+    for (const state::pool_share &share : route.shares) {
+        sum += share.weight;
+    }
+    if (sum == 0) {
+        return route.pool;
+    }
+    std::uint64_t point = random % sum;
+    for (const state::pool_share &share : route.shares) {
+        if (point < share.weight) {
+            return share.pool;
+        }
+        point -= share.weight;
+    }
+    return route.pool;
+}
+
+} // namespace dandelionstall::coordination
--- a/coordination/src/pool_tracker.cpp
+++ b/coordination/src/pool_tracker.cpp
@@ -280,7 +280,7 @@
     for (worker_view &worker : pool.view.workers) {
         const auto known = m_conditions.find(worker.node);
         const bool dead = known != m_conditions.end() && known->second == node_condition::dead;
-        const bool leaving = worker.report.leaving || (known != m_conditions.end() && known->second == node_condition::leaving);
+        const bool leaving = worker.announcedLeaving || worker.report.leaving || (known != m_conditions.end() && known->second == node_condition::leaving);
         if (dead) {
             worker.state = worker_state::unreachable;
         } else if (leaving) {
--- a/coordination/src/pool_view.cpp
+++ b/coordination/src/pool_view.cpp
@@ -43,6 +43,7 @@
     view.ejector = pool.ejector;
     view.admission = pool.admission;
     view.retry = pool.retry;
+    view.retries = pool.retries;
     view.workers.reserve(pool.workers.size());
     for (const state::pool_worker &worker : pool.workers) {
         worker_view row;
@@ -50,6 +51,8 @@
         row.dataCentre = worker.dataCentre;
         row.node = worker.node;
         row.slots = worker.slots != 0 ? worker.slots : pool.slots;
+        row.announcedLeaving = worker.leaving;
+        row.coldUntil = worker.coldUntil;
         view.workers.push_back(std::move(row));
     }
     return view;
--- a/coordination/src/retry.cpp
+++ b/coordination/src/retry.cpp
@@ -6,12 +6,15 @@
 #include <pcg_random.hpp>
 
 #include <algorithm>
+#include <deque>
 
 namespace dandelionstall::coordination {
 
 namespace {
 
 constexpr std::uint32_t MaxAttempts = 3;
+constexpr std::uint32_t MaxSharedAttempts = 6; // where arrivals at workers are limited of their own
+constexpr double AllowanceShare = 0.8;         // of a stated allowance: repeats also cause calls of the workers' own
 constexpr double RefusalTokensPerRequest = 0.1; // refusals mean load: retries must stay few
 constexpr double FailureTokensPerRequest = 0.5; // failures of one worker or path: another one can do the work
 constexpr double TokensPerSecond = 0.5;         // lets a node that sees few requests retry too
@@ -49,6 +52,17 @@
     return !failure.answerStarted && (failure.idempotent || isProvenNotRun(failure));
 }
 
+bool isShared(const failed_attempt &failure)
+{
+    return failure.allowance.extra > 0.0;
+}
+
+bool hasAttemptsLeft(const failed_attempt &failure)
+{
+    const std::uint32_t most = isShared(failure) ? MaxSharedAttempts : std::min(MaxAttempts, failure.maxArrivals);
+    return failure.attempts < most && failure.arrivals < failure.maxArrivals;
+}
+
 // What to tell the caller when the refuser gave no reason.
 refusal_reason reasonOf(const failed_attempt &failure)
 {
@@ -74,7 +88,7 @@
 
     retry_verdict decide(const failed_attempt &failure, state::time_point now) override
     {
-        if (!isSafe(failure) || isFinal(failure.refusal) || failure.attempts >= MaxAttempts || now >= failure.deadline) {
+        if (!isSafe(failure) || isFinal(failure.refusal) || !hasAttemptsLeft(failure) || now >= failure.deadline) {
             return giveUp(failure, reasonOf(failure), now);
         }
         return decideSafe(failure, now);
@@ -156,6 +170,44 @@
     state::time_point m_refilledAt; // epoch before the first call
 };
 
+// Counts requests and repeats of the last window; a repeat is granted while it stays within share and extra.
+class window_budget
+{
+public:
+    void noteRequest(state::time_point now)
+    {
+        m_requests.push_back(now);
+        if (m_requests.size() > MaxRemembered) {
+            m_requests.pop_front();
+        }
+    }
+
+    bool take(double share, double extra, state::duration window, state::time_point now)
+    {
+        forget(m_requests, now - window);
+        forget(m_repeats, now - window);
+        const double allowed = share * static_cast<double>(m_requests.size()) + std::max(extra, 1.0);
+        if (static_cast<double>(m_repeats.size()) + 1.0 > allowed) {
+            return false;
+        }
+        m_repeats.push_back(now);
+        return true;
+    }
+
+private:
+    static constexpr std::size_t MaxRemembered = 4096;
+
+    static void forget(std::deque<state::time_point> &times, state::time_point before)
+    {
+        while (!times.empty() && times.front() < before) {
+            times.pop_front();
+        }
+    }
+
+    std::deque<state::time_point> m_requests;
+    std::deque<state::time_point> m_repeats;
+};
+
 // A sidecar's refusal is a sign of load. The other kinds are faults of one worker or path; so is a worker's own refusal,
 // since its sidecar sends it no more than its slots hold.
 bool isRefusal(retry_reason kind)
@@ -172,6 +224,7 @@
 
     void noteRequest(state::time_point now) override
     {
+        m_shared.noteRequest(now);
         m_refusals.noteRequest(now);
         m_failures.noteRequest(now);
     }
@@ -182,11 +235,28 @@
         if (now + failure.expectedCost >= failure.deadline) {
             return giveUp(failure, refusal_reason::deadline_unreachable, now);
         }
+        if (isShared(failure)) {
+            return decideShared(failure, now);
+        }
         token_bucket &bucket = isRefusal(failure.kind) ? m_refusals : m_failures;
         return bucket.take(now) ? tryAgain() : giveUp(failure, refusal_reason::retry_budget_empty, now);
     }
 
 private:
+    // A node uses the share of its own requests and its part of the extra repeats. What no worker has seen is free.
+    retry_verdict decideShared(const failed_attempt &failure, state::time_point now)
+    {
+        const bool arrived = !isRefusal(failure.kind) && failure.kind != retry_reason::connect_failed && failure.kind != retry_reason::stream_refused;
+        if (!arrived) {
+            return tryAgain();
+        }
+        const double extra = AllowanceShare * failure.allowance.extra / std::max(1U, failure.nodes);
+        return m_shared.take(AllowanceShare * failure.allowance.share, extra, failure.allowance.window, now)
+                   ? tryAgain()
+                   : giveUp(failure, refusal_reason::retry_budget_empty, now);
+    }
+
+    window_budget m_shared;
     token_bucket m_refusals{RefusalTokensPerRequest, MaxRefusalTokens};
     token_bucket m_failures{FailureTokensPerRequest, MaxFailureTokens};
 };
--- /dev/null
+++ b/coordination/src/worker_spread.cpp
@@ -0,0 +1,88 @@
+#include <dandelionstall/coordination/worker_spread.h>
+
+#include <algorithm>
+
+namespace dandelionstall::coordination {
+
+namespace {
+
+constexpr std::chrono::milliseconds PullInterval{250};
+constexpr std::size_t RowsPerMessage = 8; // keeps a message below MaxDatagramBytes
+
+worker_news newsOf(const discovered_worker &entry, state::time_point now)
+{
+    const auto coldLeft = std::chrono::duration_cast<std::chrono::milliseconds>(entry.coldUntil - now);
+    return {entry, std::max(coldLeft, std::chrono::milliseconds(0))};
+}
+
+} // namespace
+
+worker_spread::worker_spread(worker_directory &directory)
+    : m_directory(directory)
+{ }
+
+void worker_spread::collect()
+{
+    std::vector<discovered_worker> changes = m_directory.takeChanges();
+    m_pushDue.insert(m_pushDue.end(), std::make_move_iterator(changes.begin()), std::make_move_iterator(changes.end()));
+}
+
+bool worker_spread::hasPush() const
+{
+    return !m_pushDue.empty();
+}
+
+gossip_batch worker_spread::push(const std::vector<state::node_address> &peers, state::time_point now)
+{
+    gossip_batch out;
+    for (std::size_t first = 0; first < m_pushDue.size(); first += RowsPerMessage) {
+        gossip_message message;
+        for (std::size_t i = first; i < std::min(first + RowsPerMessage, m_pushDue.size()); ++i) {
+            message.workers.push_back(newsOf(m_pushDue[i], now));
+        }
+        for (const state::node_address &peer : peers) {
+            out.push_back({peer, message});
+        }
+    }
+    m_pushDue.clear();
+    return out;
+}
+
+gossip_batch worker_spread::receive(const gossip_message &message, state::time_point now)
+{
+    gossip_batch out;
+    for (const worker_news &news : message.workers) {
+        discovered_worker entry = news.entry;
+        entry.coldUntil = news.coldLeft.count() > 0 ? now + news.coldLeft : state::time_point{};
+        m_directory.offer(entry, now);
+    }
+    if (message.kind == gossip_kind::worker_pull) {
+        servePage(message, now, out);
+    } else if (message.kind == gossip_kind::worker_page && message.workers.size() == RowsPerMessage) {
+        askPage(message.sender.address, message.workers.back().entry.id, out);
+    } else if (message.workersDigest != m_directory.digest() && m_nextPull <= now) {
+        m_nextPull = now + PullInterval;
+        askPage(message.sender.address, {}, out);
+    }
+    return out;
+}
+
+void worker_spread::askPage(const state::node_address &from, std::string cursor, gossip_batch &out) const
+{
+    gossip_message message;
+    message.kind = gossip_kind::worker_pull;
+    message.workersCursor = std::move(cursor);
+    out.push_back({from, std::move(message)});
+}
+
+void worker_spread::servePage(const gossip_message &message, state::time_point now, gossip_batch &out) const
+{
+    gossip_message page;
+    page.kind = gossip_kind::worker_page;
+    for (const discovered_worker &entry : m_directory.pageAfter(message.workersCursor, RowsPerMessage)) {
+        page.workers.push_back(newsOf(entry, now));
+    }
+    out.push_back({message.sender.address, std::move(page)});
+}
+
+} // namespace dandelionstall::coordination
--- a/programs/dandelionstall/caller_connection.cpp
+++ b/programs/dandelionstall/caller_connection.cpp
@@ -32,7 +32,8 @@
 {
     out.method = std::string(in.method_string());
     out.target = std::string(in.target());
-    out.host = lowerCase(protocol::hostWithoutPort(in[http::field::host]));
+    const std::string_view authority = protocol::authorityOf(out.target); // RFC 9112: it goes before the Host header
+    out.host = lowerCase(protocol::hostWithoutPort(authority.empty() ? std::string_view(in[http::field::host]) : authority));
     out.headers.clear();
     for (const auto &field : in) {
         out.headers.push_back({std::string(field.name_string()), std::string(field.value())});
@@ -48,7 +49,9 @@
     if (request.version() >= 11 && request.count(http::field::host) != 1) {
         return false;
     }
-    return request.count(http::field::content_length) <= 1 && request.count(http::field::transfer_encoding) <= 1;
+    const bool codingKnown = request.count(http::field::transfer_encoding) == 0 || beast::iequals(request[http::field::transfer_encoding], "chunked");
+    const bool oneLength = request.count(http::field::content_length) + request.count(http::field::transfer_encoding) <= 1;
+    return codingKnown && oneLength && request.count(http::field::transfer_encoding) <= 1;
 }
 
 read_end endOf(const beast::error_code &error)
@@ -86,6 +89,7 @@
 {
     const auto self = shared_from_this();
     m_started = false;
+    m_retryAfterFractions = limits.retryAfterFractions;
     m_answer.reset();
     if (m_buffer.size() == 0) {
         m_idle = true;
@@ -174,7 +178,7 @@
     headers.push_back({std::string(protocol::ReasonHeader), std::string(coordination::reasonName(refusal.reason))});
     headers.push_back({std::string(protocol::RunHeader), std::string(coordination::runStateName(refusal.run))});
     if (refusal.retryAfter.count() > 0) {
-        headers.push_back({"Retry-After", std::to_string(protocol::retryAfterSeconds(refusal))});
+        headers.push_back({"Retry-After", protocol::retryAfterText(refusal, m_retryAfterFractions)});
     }
     co_return co_await sendWhole(protocol::statusOf(refusal), headers, protocol::bodyOf(refusal));
 }
--- a/programs/dandelionstall/caller_connection.h
+++ b/programs/dandelionstall/caller_connection.h
@@ -37,6 +37,7 @@
     std::size_t maxBodyBytes = 0;               // of one request
     std::chrono::milliseconds idleTimeout{0};   // until the first byte of a request
     std::chrono::milliseconds headerTimeout{0}; // from then until the body is complete
+    bool retryAfterFractions = false;           // the caller takes fractions of a second
 };
 
 enum class read_end {
@@ -77,6 +78,7 @@
     struct streamed_answer;
 
     bool m_headRequest = false;
+    bool m_retryAfterFractions = false;
     bool m_started = false;
     bool m_closing = false;
     bool m_idle = false;
--- a/programs/dandelionstall/control.cpp
+++ b/programs/dandelionstall/control.cpp
@@ -1,5 +1,7 @@
 #include "control_detail.h"
+#include "key_value_source.h"
 
+#include <dandelionstall/platform/store_adapter.h>
 #include <dandelionstall/state/text.h>
 #include <dandelionstall/transport/events.h>
 
@@ -15,6 +17,19 @@
 using transport::event;
 using transport::logEvent;
 
+namespace {
+
+std::unique_ptr<transport::config_source> makeSource(
+    asio::io_context &io, const state::settings &settings, transport::metrics &metrics, transport::source_events events, std::uint64_t seed)
+{
+    if (settings.platformKind == "keyed_store") {
+        return std::make_unique<key_value_source>(io, settings, platform::makeStoreDialect(settings), metrics, std::move(events), seed);
+    }
+    return std::make_unique<control_sources>(io, settings, metrics, std::move(events), seed);
+}
+
+} // namespace
+
 control::detail::detail(asio::io_context &io, const state::settings &settings, state::incarnation own, transport::metrics &metrics)
     : m_io(io)
     , m_settings(settings)
@@ -23,13 +38,13 @@
     , m_node({settings.advertise, settings.dataCentre, own}, own ^ std::hash<std::string>{}(state::formatNodeAddress(settings.advertise)))
     , m_tracker(own, settings.dataCentre)
     , m_socket(io, settings.listen)
-    , m_sources(io, settings, metrics, sourceEvents(), own)
+    , m_sources(makeSource(io, m_settings, metrics, sourceEvents(), own))
     , m_tickTimer(io)
 { }
 
-source_events control::detail::sourceEvents()
+transport::source_events control::detail::sourceEvents()
 {
-    source_events events;
+    transport::source_events events;
     events.table = [this](table_kind kind, std::string text) {
         m_node.offerFromService(kind, std::move(text), state::clock::now());
         afterInput(state::clock::now());
@@ -46,9 +61,29 @@
         m_node.addLeavingVms(vms, state::clock::now());
         afterInput(state::clock::now());
     };
+    events.workers = [this](const std::vector<coordination::discovered_worker> &all, std::uint64_t asOf) {
+        m_workersRead = true;
+        m_node.offerWorkers(all, asOf, state::clock::now());
+        afterInput(state::clock::now());
+    };
+    events.worker = [this](const coordination::discovered_worker &entry) {
+        m_node.offerWorker(entry, state::clock::now());
+        afterInput(state::clock::now());
+    };
+    events.workerRemoved = [this](const std::string &id, std::uint64_t revision) {
+        m_node.offerWorkerRemoval(id, revision, state::clock::now());
+        afterInput(state::clock::now());
+    };
+    events.entryRefused = [this](const std::string &key, const std::string &reason) {
+        m_metrics.countNamed("worker_entries_refused");
+        logEvent(event::worker_entry_refused, {{"key", key}, {"reason", reason}});
+    };
     events.read = [this] {
         m_node.noteRead(state::clock::now());
     };
+    events.readFailed = [this] {
+        m_node.noteReadFailed(state::clock::now());
+    };
     return events;
 }
 
@@ -73,8 +108,11 @@
     for (const state::local_worker &worker : m_settings.workers) {
         m_tracker.noteOwnPool(worker.pool);
     }
-    m_sources.setActive(false, true);
-    m_sources.start();
+    if (!m_settings.discoveredPool.empty()) {
+        m_tracker.noteOwnPool(m_settings.discoveredPool);
+    }
+    m_sources->setActive(false, true);
+    m_sources->start();
     tick();
 }
 
@@ -83,7 +121,8 @@
     auto next = std::make_shared<coordination::fleet_snapshot>();
     next->generation = ++m_generation;
     next->routes = m_node.store().routes();
-    next->pools = m_node.store().pools();
+    next->pools = m_node.pools();
+    next->workersKnown = m_workersRead || !m_node.workers().isEmpty();
     next->views = m_tracker.views();
     next->liveNodes = static_cast<std::uint32_t>(m_node.members().countLive());
     next->leaving = m_node.members().isLeaving();
--- a/programs/dandelionstall/control_detail.h
+++ b/programs/dandelionstall/control_detail.h
@@ -31,7 +31,7 @@
     coordination::snapshot_ptr current() const;
 
 private:
-    source_events sourceEvents();
+    transport::source_events sourceEvents();
     void publish();
 
     // control_gossip.cpp: gossip, and what follows from it and from the platform
@@ -41,6 +41,7 @@
     void send(const coordination::gossip_batch &batch);
     void afterInput(state::time_point now);
     void takeTables();
+    void noteWorkers(const state::pool_table *before);
     void takeMembers(state::time_point now);
     void takePaths(state::time_point now);
     void takeReports(state::time_point now);
@@ -56,7 +57,7 @@
     coordination::gossip_node m_node;
     coordination::pool_tracker m_tracker;
     transport::gossip_socket m_socket;
-    control_sources m_sources;
+    std::unique_ptr<transport::config_source> m_sources;
     boost::asio::steady_timer m_tickTimer;
     std::array<std::string, coordination::TableKinds.size()> m_lastRefusals;
     std::vector<subscriber> m_subscribers;
@@ -64,6 +65,8 @@
     bool m_reader = false;
     bool m_doubts = false;
     bool m_vmListRead = false;
+    bool m_workersRead = false;        // the whole list of workers was read once
+    std::uint64_t m_workersSeen = 0;   // version of the directory at the last publication
     bool m_publishDue = false;
     std::uint64_t m_generation = 0;
     mutable std::mutex m_currentMutex; // guards m_current
--- a/programs/dandelionstall/control_gossip.cpp
+++ b/programs/dandelionstall/control_gossip.cpp
@@ -48,6 +48,20 @@
     return changed.leaving ? event::member_leaving : event::member_alive;
 }
 
+// Discovered workers of a table: whether each is leaving, by id.
+std::map<std::string, bool> workerRows(const state::pool_table &table)
+{
+    std::map<std::string, bool> rows;
+    for (const state::pool &pool : table.pools) {
+        for (const state::pool_worker &worker : pool.workers) {
+            if (pool.discovered) {
+                rows.emplace(worker.id, worker.leaving);
+            }
+        }
+    }
+    return rows;
+}
+
 node_condition conditionOf(const member &changed)
 {
     if (changed.state == member_state::dead) {
@@ -129,16 +143,43 @@
         }
     }
     const coordination::snapshot_ptr before = current();
-    if (m_node.store().pools() != before->pools) {
-        m_tracker.setTable(m_node.store().pools(), state::clock::now());
+    const bool routesChanged = m_node.store().routes() != before->routes;
+    const bool poolsChanged = m_node.pools() != before->pools;
+    if (poolsChanged) {
+        m_tracker.setTable(m_node.pools(), state::clock::now());
     }
-    if (m_node.store().pools() != before->pools || m_node.store().routes() != before->routes) {
+    if (routesChanged || poolsChanged) {
         noteAccepted(table_kind::routes, before->routes ? before->routes->revision : 0);
         noteAccepted(table_kind::pools, before->pools ? before->pools->revision : 0);
+        noteWorkers(before->pools.get());
         publish();
     }
 }
 
+// One line for each worker that came, went or changed its announcement.
+void control::detail::noteWorkers(const state::pool_table *before)
+{
+    if (m_workersSeen == m_node.workers().version()) {
+        return;
+    }
+    m_workersSeen = m_node.workers().version();
+    const std::map<std::string, bool> known = before != nullptr ? workerRows(*before) : std::map<std::string, bool>{};
+    const std::map<std::string, bool> present = workerRows(*m_node.pools());
+    for (const auto &[id, leaving] : present) {
+        const auto was = known.find(id);
+        if (was == known.end() || was->second != leaving) {
+            const auto entry = m_node.workers().entries().find(id);
+            const std::string revision = entry != m_node.workers().entries().end() ? fmt::to_string(entry->second.revision) : "0";
+            logEvent(event::worker_known, {{"worker", id}, {"phase", leaving ? "leaving" : "ready"}, {"revision", revision}});
+        }
+    }
+    for (const auto &[id, leaving] : known) {
+        if (!present.contains(id)) {
+            logEvent(event::worker_gone, {{"worker", id}});
+        }
+    }
+}
+
 void control::detail::noteAccepted(table_kind kind, state::table_revision before)
 {
     const state::table_revision revision = m_node.store().inForce(kind).revision;
@@ -206,7 +247,7 @@
         logEvent(event::reader_changed, {{"reader", reader ? "yes" : "no"}});
         m_metrics.setGauge("service_reader", reader ? 1 : 0);
     }
-    m_sources.setActive(reader, reader || !m_vmListRead);
+    m_sources->setActive(reader, reader || !(m_vmListRead || m_workersRead));
 }
 
 } // namespace dandelionstall
--- a/programs/dandelionstall/control_sources.h
+++ b/programs/dandelionstall/control_sources.h
@@ -9,6 +9,7 @@
 #include <dandelionstall/coordination/config_store.h>
 #include <dandelionstall/coordination/member.h>
 #include <dandelionstall/state/settings.h>
+#include <dandelionstall/transport/config_source.h>
 
 #include <functional>
 #include <string>
@@ -16,21 +17,13 @@
 
 namespace dandelionstall {
 
-struct source_events {
-    std::function<void(coordination::table_kind kind, std::string text)> table;            // whole text of a table
-    std::function<void(coordination::table_kind kind, const absl::Status &reason)> broken; // a split table that does not fit together
-    std::function<void(std::vector<coordination::vm_record> vms)> vmList;                  // the whole list
-    std::function<void(std::vector<coordination::vm_record> vms)> leavingVms;              // only its leaving rows
-    std::function<void()> read;                                                            // a call has succeeded
-};
-
-class control_sources
+class control_sources final : public transport::config_source
 {
 public:
-    control_sources(boost::asio::io_context &io, const state::settings &settings, transport::metrics &metrics, source_events events, std::uint64_t seed);
+    control_sources(boost::asio::io_context &io, const state::settings &settings, transport::metrics &metrics, transport::source_events events, std::uint64_t seed);
 
-    void start();
-    void setActive(bool tables, bool vmList); // inactive watches make no calls
+    void start() override;
+    void setActive(bool tables, bool vmList) override; // inactive watches make no calls
 
 private:
     control_watch::answer_handler tableHandler(coordination::table_kind kind);
@@ -41,7 +34,7 @@
     std::string nextVmTarget(std::uint64_t index, std::chrono::seconds wait);
 
     transport::metrics &m_metrics;
-    source_events m_events;
+    transport::source_events m_events;
     transport::platform_client m_tables;
     transport::platform_client m_vms;
     control_watch m_routesWatch;
--- a/programs/dandelionstall/ingress.cpp
+++ b/programs/dandelionstall/ingress.cpp
@@ -98,11 +98,10 @@
         m_connections.erase(connection);
         co_return;
     }
-    const read_limits limits{m_settings.maxHeaderBytes, m_settings.maxBodyBytes, m_settings.idleTimeout, m_settings.headerTimeout};
     bool proceed = true;
     while (proceed) {
         caller_request request;
-        const read_end end = co_await connection->read(limits, request);
+        const read_end end = co_await connection->read(readLimits(), request);
         if (end != read_end::request) {
             if (co_await refuseInput(*connection, end)) {
                 connection->shutdown();
@@ -119,6 +118,20 @@
     m_connections.erase(connection);
 }
 
+// The route table's limits go before the settings.
+read_limits ingress::readLimits() const
+{
+    read_limits limits{m_settings.maxHeaderBytes, m_settings.maxBodyBytes, m_settings.idleTimeout, m_settings.headerTimeout, m_settings.retryAfterFractions};
+    if (m_snapshot && m_snapshot->routes) {
+        const state::caller_limits &stated = m_snapshot->routes->callers;
+        limits.maxHeaderBytes = stated.maxHeaderBytes > 0 ? stated.maxHeaderBytes : limits.maxHeaderBytes;
+        limits.maxBodyBytes = stated.maxBodyBytes > 0 ? stated.maxBodyBytes : limits.maxBodyBytes;
+        limits.headerTimeout = stated.headerTimeout.count() > 0 ? stated.headerTimeout : limits.headerTimeout;
+        limits.idleTimeout = stated.idleTimeout.count() > 0 ? stated.idleTimeout : limits.idleTimeout;
+    }
+    return limits;
+}
+
 asio::awaitable<bool> ingress::refuseInput(caller_connection &connection, read_end end)
 {
     if (end == read_end::gone) {
@@ -144,15 +157,16 @@
         m_routes = std::make_unique<state::route_index>(snapshot->routes);
     }
     m_snapshot = std::move(snapshot);
-    if (m_snapshot->pools && m_snapshot->pools->revision != m_ownViewsRevision) {
+    if (m_snapshot->pools != m_ownViewsOf) {
         m_ownViews.clear();
-        m_ownViewsRevision = m_snapshot->pools->revision;
+        m_ownViewsOf = m_snapshot->pools;
     }
 }
 
 coordination::snapshot_ptr ingress::snapshot() const
 {
-    return m_snapshot && m_snapshot->routes && m_snapshot->pools ? m_snapshot : nullptr;
+    const bool complete = m_snapshot && m_snapshot->routes && m_snapshot->pools && (m_snapshot->workersKnown || m_settings.platformKind == "consul");
+    return complete ? m_snapshot : nullptr;
 }
 
 const state::route_index &ingress::routes() const
--- a/programs/dandelionstall/ingress.h
+++ b/programs/dandelionstall/ingress.h
@@ -67,6 +67,7 @@
     void sweep();
     boost::asio::awaitable<void> serve(std::shared_ptr<caller_connection> connection);
     boost::asio::awaitable<bool> handle(caller_connection &connection, caller_request &request);
+    read_limits readLimits() const;
     boost::asio::awaitable<bool> refuseInput(caller_connection &connection, read_end end);
 
     boost::asio::io_context &m_io;
@@ -81,7 +82,7 @@
     coordination::snapshot_ptr m_snapshot;
     std::unique_ptr<state::route_index> m_routes;                                                  // over the snapshot's routes; null without them
     std::map<std::string, std::shared_ptr<const coordination::pool_view>, std::less<>> m_ownViews; // pools without a published view
-    state::table_revision m_ownViewsRevision = 0;
+    std::shared_ptr<const state::pool_table> m_ownViewsOf; // table that those views were made from
     std::map<std::string, state::time_point, std::less<>> m_interestDueAt;
     std::map<std::string, std::unique_ptr<coordination::balancer>, std::less<>> m_balancers;   // by policy name
     std::map<std::string, std::unique_ptr<coordination::retry_policy>, std::less<>> m_retries; // by pool and policy name
--- /dev/null
+++ b/programs/dandelionstall/key_value_source.cpp
@@ -0,0 +1,259 @@
+#include "key_value_source.h"
+
+#include <dandelionstall/state/text.h>
+#include <dandelionstall/transport/errors.h>
+#include <dandelionstall/transport/events.h>
+
+#include <boost/asio.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace dandelionstall {
+
+namespace asio = boost::asio;
+using coordination::table_kind;
+using transport::event;
+using transport::logEvent;
+
+namespace {
+
+constexpr std::chrono::milliseconds ReadDeadline{1500};    // for one page
+constexpr std::chrono::milliseconds WatchWait{2000};       // a watch without changes is answered after this
+constexpr std::chrono::milliseconds WatchGrace{800};       // on top of the wait
+constexpr std::chrono::milliseconds WatchInterval{500};    // between two watches while changes keep coming
+constexpr std::chrono::milliseconds FirstPause{100};       // after one failure
+constexpr std::chrono::milliseconds LongestPause{1000};
+constexpr std::uint32_t MaxDoublings = 4;
+constexpr std::uint32_t StatusOk = 200;
+constexpr std::uint32_t StatusGone = 410; // the history that a watch needs has been dropped
+
+} // namespace
+
+key_value_source::key_value_source(asio::io_context &io,
+                                   const state::settings &settings,
+                                   std::unique_ptr<protocol::store_dialect> dialect,
+                                   transport::metrics &metrics,
+                                   transport::source_events events,
+                                   std::uint64_t seed)
+    : m_client(settings.configService, settings.listen.ip)
+    , m_dialect(std::move(dialect))
+    , m_metrics(metrics)
+    , m_events(std::move(events))
+    , m_timer(io)
+    , m_random(seed)
+{ }
+
+void key_value_source::start()
+{
+    asio::co_spawn(m_timer.get_executor(), run(), asio::detached);
+}
+
+void key_value_source::setActive(bool tables, bool members)
+{
+    const bool wasIdle = !m_reads && !m_needed;
+    m_reads = tables;
+    m_needed = members;
+    if (wasIdle && (m_reads || m_needed)) {
+        m_timer.cancel();
+    }
+}
+
+// [SECTION] The loop
+
+asio::awaitable<void> key_value_source::run()
+{
+    while (true) {
+        if (!m_reads && !m_needed) {
+            m_synced = false; // what changes meanwhile comes from other nodes
+            co_await pauseUntil(state::time_point::max());
+            continue;
+        }
+        const state::time_point startedAt = state::clock::now();
+        const bool done = m_synced ? co_await watchOnce() : co_await readAll();
+        co_await pauseUntil(done ? startedAt + WatchInterval : state::clock::now() + drawPause());
+    }
+}
+
+asio::awaitable<void> key_value_source::pauseUntil(state::time_point until)
+{
+    if (until > state::clock::now()) {
+        m_timer.expires_at(until);
+        co_await m_timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+asio::awaitable<bool> key_value_source::readAll()
+{
+    std::uint64_t asOf = 0;
+    const absl::StatusOr<std::vector<protocol::store_item>> workers = co_await readRange(m_dialect->workerPrefix(), asOf);
+    if (!workers.ok()) {
+        co_return false;
+    }
+    std::uint64_t configAsOf = 0;
+    const absl::StatusOr<std::vector<protocol::store_item>> config = co_await readRange(m_dialect->configPrefix(), configAsOf);
+    if (!config.ok()) {
+        co_return false;
+    }
+    m_revision = std::min(asOf, configAsOf);
+    m_synced = true;
+    for (const protocol::store_item &item : *config) {
+        if (item.key == m_dialect->configPrefix()) {
+            takeConfig(item);
+        }
+    }
+    takeWorkers(*workers, asOf);
+    co_return true;
+}
+
+asio::awaitable<absl::StatusOr<std::vector<protocol::store_item>>> key_value_source::readRange(std::string prefix, std::uint64_t &asOf)
+{
+    std::vector<protocol::store_item> items;
+    std::string after;
+    while (true) {
+        const auto answer = co_await call(m_dialect->rangeTarget(prefix, after), state::clock::now() + ReadDeadline);
+        if (!answer.ok()) {
+            co_return answer.status();
+        }
+        absl::StatusOr<protocol::store_page> page = m_dialect->decodePage(answer->body);
+        noteOutcome(page.status());
+        if (!page.ok()) {
+            co_return page.status();
+        }
+        asOf = asOf == 0 ? page->asOf : std::min(asOf, page->asOf); // pages are no snapshot: changes since the first one are watched
+        const bool more = page->truncated && !page->items.empty();
+        after = more ? page->items.back().key : std::string();
+        std::move(page->items.begin(), page->items.end(), std::back_inserter(items));
+        if (!more) {
+            co_return items;
+        }
+    }
+}
+
+asio::awaitable<bool> key_value_source::watchOnce()
+{
+    const auto answer = co_await call(m_dialect->watchTarget(m_revision, WatchWait), state::clock::now() + WatchWait + WatchGrace);
+    if (!answer.ok()) {
+        co_return false;
+    }
+    if (answer->status == StatusGone) {
+        m_synced = false;
+        m_metrics.countNamed("platform_history_lost");
+        co_return co_await readAll();
+    }
+    const absl::StatusOr<protocol::store_page> changes = m_dialect->decodeChanges(answer->body);
+    noteOutcome(changes.status());
+    if (!changes.ok()) {
+        co_return false;
+    }
+    for (const protocol::store_item &item : changes->items) {
+        takeChange(item);
+    }
+    m_revision = std::max(m_revision, changes->asOf);
+    co_return true;
+}
+
+asio::awaitable<absl::StatusOr<transport::platform_answer>> key_value_source::call(std::string target, state::time_point deadline)
+{
+    m_metrics.countNamed("platform_calls");
+    absl::StatusOr<transport::platform_answer> answer = co_await m_client.fetch(target, deadline);
+    if (answer.ok() && answer->status != StatusOk && answer->status != StatusGone) {
+        answer = transport::makeError(transport::transport_error::refused, fmt::format("the service answered {} to {}", answer->status, target));
+    }
+    noteOutcome(answer.status());
+    if (answer.ok()) {
+        m_events.read();
+    } else {
+        m_events.readFailed();
+    }
+    co_return answer;
+}
+
+// [SECTION] Items
+
+void key_value_source::takeConfig(const protocol::store_item &item)
+{
+    if (item.removed || item.revision <= m_configRevision) {
+        return;
+    }
+    m_configRevision = item.revision;
+    absl::StatusOr<protocol::store_tables> tables = m_dialect->decodeTables(item);
+    if (!tables.ok()) {
+        m_events.broken(table_kind::routes, tables.status());
+        return;
+    }
+    m_events.table(table_kind::pools, std::move(tables->pools));
+    m_events.table(table_kind::routes, std::move(tables->routes));
+}
+
+void key_value_source::takeWorkers(const std::vector<protocol::store_item> &items, std::uint64_t asOf)
+{
+    std::vector<coordination::discovered_worker> workers;
+    workers.reserve(items.size());
+    for (const protocol::store_item &item : items) {
+        if (auto worker = readWorker(item); worker.ok()) {
+            workers.push_back(*std::move(worker));
+        }
+    }
+    m_events.workers(std::move(workers), asOf);
+}
+
+void key_value_source::takeChange(const protocol::store_item &item)
+{
+    if (item.key == m_dialect->configPrefix()) {
+        takeConfig(item);
+        return;
+    }
+    const std::string prefix = m_dialect->workerPrefix();
+    if (!item.key.starts_with(prefix)) {
+        return;
+    }
+    if (item.removed) {
+        m_refusals.erase(item.key);
+        m_events.workerRemoved(item.key.substr(prefix.size()), item.revision);
+    } else if (auto worker = readWorker(item); worker.ok()) {
+        m_events.worker(*std::move(worker));
+    }
+}
+
+absl::StatusOr<coordination::discovered_worker> key_value_source::readWorker(const protocol::store_item &item)
+{
+    absl::StatusOr<coordination::discovered_worker> worker = m_dialect->decodeWorker(item, state::clock::now());
+    if (worker.ok()) {
+        m_refusals.erase(item.key);
+        return worker;
+    }
+    std::string reason(state::messageOf(worker.status()));
+    std::string &last = m_refusals[item.key];
+    if (last != reason) {
+        m_events.entryRefused(item.key, reason);
+        last = std::move(reason);
+    }
+    return worker;
+}
+
+// [SECTION] Failures
+
+void key_value_source::noteOutcome(const absl::Status &status)
+{
+    if (status.ok()) {
+        if (m_failures > 0) {
+            logEvent(event::watch_recovered, {{"watch", "store"}, {"failures", fmt::to_string(m_failures)}});
+        }
+        m_failures = 0;
+        return;
+    }
+    m_metrics.countNamed("platform_calls_failed");
+    if (m_failures++ == 0) {
+        logEvent(event::watch_failed, {{"watch", "store"}, {"reason", std::string(state::messageOf(status))}});
+    }
+}
+
+std::chrono::milliseconds key_value_source::drawPause()
+{
+    const auto longest = std::min(LongestPause, FirstPause * (1U << std::min(m_failures, MaxDoublings)));
+    const auto half = static_cast<std::uint32_t>(longest.count() / 2);
+    return std::chrono::milliseconds(half + m_random(half + 1));
+}
+
+} // namespace dandelionstall
--- a/programs/dandelionstall/main.cpp
+++ b/programs/dandelionstall/main.cpp
@@ -2,11 +2,13 @@
 #include "node.h"
 #include "version.h"
 
+#include <dandelionstall/platform/store_adapter.h>
 #include <dandelionstall/state/text.h>
 #include <dandelionstall/transport/events.h>
 
 #include <boost/program_options.hpp>
 
+#include <cstdlib>
 #include <exception>
 #include <fstream>
 #include <iostream>
@@ -24,6 +26,8 @@
 constexpr int ExitSettings = 3; // the settings file cannot be used
 constexpr int ExitStart = 4;    // an address cannot be bound
 
+constexpr const char *SettingsVariable = "DANDELIONSTALL_SETTINGS"; // path of the settings file when --config is absent
+
 struct command_line {
     std::string config;        // path of the settings file
     bool checkOnly = false;    // check the settings and exit
@@ -35,7 +39,7 @@
 {
     options::options_description described("Usage: dandelionstall --config FILE\n\nOptions");
     auto add = described.add_options();
-    add("config,c", options::value<std::string>()->value_name("FILE"), "settings of this node (INI, see docs/SETTINGS.md)");
+    add("config,c", options::value<std::string>()->value_name("FILE"), "settings of this node (INI, see docs/SETTINGS.md); DANDELIONSTALL_SETTINGS names them otherwise");
     add("check", "check the settings and exit");
     add("help,h", "print this text and exit");
     add("version,v", "print the version and exit");
@@ -49,6 +53,9 @@
         options::store(options::parse_command_line(argc, argv, described), values);
         command_line line;
         line.config = values.count("config") != 0 ? values["config"].as<std::string>() : std::string();
+        if (const char *path = std::getenv(SettingsVariable); line.config.empty() && path != nullptr) {
+            line.config = path;
+        }
         line.checkOnly = values.count("check") != 0;
         line.wantsHelp = values.count("help") != 0;
         line.wantsVersion = values.count("version") != 0;
@@ -70,7 +77,13 @@
         return state::makeError(state::state_error::malformed, path + ": cannot be read");
     }
     const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
-    return state::parseSettings(text, path);
+    absl::StatusOr<state::settings> settings = state::parseSettings(text, path);
+    if (settings.ok() && settings->platformKind == "keyed_store") {
+        if (absl::Status bounds = platform::applyBounds(*settings); !bounds.ok()) {
+            return bounds;
+        }
+    }
+    return settings;
 }
 
 int serve(const state::settings &settings)
--- a/programs/dandelionstall/node.cpp
+++ b/programs/dandelionstall/node.cpp
@@ -20,6 +20,8 @@
 
 constexpr auto LeaveGrace = std::chrono::milliseconds(3000);    // other nodes and callers learn of the leaving in this time
 constexpr auto IdlePoll = std::chrono::milliseconds(20);        // between checks for work in flight
+constexpr auto StopMargin = std::chrono::milliseconds(250);     // a bounded stop ends this long before the grace does
+constexpr auto ShortLinger = std::chrono::milliseconds(500);    // in place of OutcomeLinger where a stop is bounded
 constexpr auto OutcomeLinger = std::chrono::milliseconds(1500); // outcomes can still be asked for after the last attempt
 
 std::uint64_t drawSeed()
@@ -35,6 +37,7 @@
     , m_life(static_cast<state::incarnation>(systemNowMs()))
     , m_startedAt(state::clock::now())
     , m_signals(m_controlIo, SIGTERM, SIGINT)
+    , m_reloadSignals(m_controlIo, SIGHUP)
 { }
 
 // [SECTION] Start
@@ -68,9 +71,13 @@
     if (absl::Status status = startAdmin(); !status.ok()) {
         return status;
     }
+    if (absl::Status status = startReady(); !status.ok()) {
+        return status;
+    }
     m_control->subscribe([this](const coordination::snapshot_ptr &snapshot) { publish(snapshot); });
     m_control->start();
     waitForSignal();
+    waitForReload();
     logEvent(event::node_started,
              {{"listen", state::formatNodeAddress(m_settings.listen)},
               {"callers", state::formatNodeAddress(m_settings.callers)},
@@ -104,6 +111,27 @@
     return m_admin->listen(m_settings.admin);
 }
 
+bool node::isReady() const
+{
+    const coordination::snapshot_ptr snapshot = m_control->current();
+    const bool complete = snapshot->routes && snapshot->pools && (snapshot->workersKnown || m_settings.platformKind == "consul");
+    return complete && !m_stopping;
+}
+
+absl::Status node::startReady()
+{
+    if (m_settings.ready.port == 0) {
+        return absl::OkStatus();
+    }
+    transport::admin_handler handler;
+    handler.path = m_settings.readyPath;
+    handler.answer = [this](const transport::admin_request &) {
+        return isReady() ? transport::admin_answer{200, "text/plain", "ready\n"} : transport::admin_answer{503, "text/plain", "not ready\n"};
+    };
+    m_ready = std::make_unique<transport::admin_server>(m_controlIo, std::vector<transport::admin_handler>{std::move(handler)});
+    return m_ready->listen(m_settings.ready);
+}
+
 void node::publish(const coordination::snapshot_ptr &snapshot)
 {
     asio::post(m_sidecarIo, [this, snapshot] { m_sidecar->applySnapshot(snapshot); });
@@ -149,6 +177,17 @@
     });
 }
 
+// Settings are read once; a reload tells others nothing and cuts nothing.
+void node::waitForReload()
+{
+    m_reloadSignals.async_wait([this](const boost::system::error_code &error, int) {
+        if (!error) {
+            logEvent(event::reload_asked, {});
+            waitForReload();
+        }
+    });
+}
+
 void node::beginShutdown()
 {
     m_control->beginShutdown();
@@ -165,10 +204,10 @@
     }
 }
 
-asio::awaitable<void> node::waitUntilIdle()
+asio::awaitable<void> node::waitUntilIdle(state::time_point giveUpAt)
 {
     asio::steady_timer pause(m_controlIo);
-    while (true) {
+    while (state::clock::now() < giveUpAt) {
         for (const auto &entry : m_ingresses) {
             entry->busy = 1;
             asio::post(entry->io, [raw = entry.get()] { raw->busy = raw->server->isIdle() ? 0 : 1; });
@@ -190,15 +229,21 @@
 asio::awaitable<void> node::shutdown()
 {
     logEvent(event::node_stopping, {});
+    const bool bounded = m_settings.stopGrace.count() > 0;
+    const state::time_point startedAt = state::clock::now();
+    const state::time_point endsAt = bounded ? startedAt + m_settings.stopGrace - StopMargin : state::time_point::max();
     beginShutdown();
-    asio::steady_timer pause(m_controlIo, LeaveGrace);
+    asio::steady_timer pause(m_controlIo, std::min<state::duration>(LeaveGrace, endsAt - startedAt));
     co_await pause.async_wait(asio::use_awaitable);
     closeCallers();
-    co_await waitUntilIdle();
-    pause.expires_after(OutcomeLinger);
+    co_await waitUntilIdle(endsAt);
+    pause.expires_at(std::min(endsAt, state::clock::now() + (bounded ? ShortLinger : OutcomeLinger)));
     co_await pause.async_wait(asio::use_awaitable);
-    co_await waitUntilIdle();
+    co_await waitUntilIdle(endsAt);
     m_admin->stop();
+    if (m_ready) {
+        m_ready->stop();
+    }
     m_sidecarIo.stop();
     for (const auto &entry : m_ingresses) {
         entry->io.stop();
--- a/programs/dandelionstall/node.h
+++ b/programs/dandelionstall/node.h
@@ -42,12 +42,15 @@
     };
 
     absl::Status startAdmin();
+    absl::Status startReady();
+    bool isReady() const; // serves callers: configuration and workers are known, and it is not stopping
+    void waitForReload();
     void publish(const coordination::snapshot_ptr &snapshot);
     void waitForSignal();
     void beginShutdown();
     void closeCallers();
     boost::asio::awaitable<void> shutdown();
-    boost::asio::awaitable<void> waitUntilIdle();
+    boost::asio::awaitable<void> waitUntilIdle(state::time_point giveUpAt);
 
     state::settings m_settings;
     state::incarnation m_life;
@@ -59,6 +62,8 @@
     std::unique_ptr<control> m_control;
     std::unique_ptr<sidecar> m_sidecar;
     std::unique_ptr<transport::admin_server> m_admin;
+    std::unique_ptr<transport::admin_server> m_ready;
+    boost::asio::signal_set m_reloadSignals;
     std::thread m_sidecarThread;
     std::vector<std::unique_ptr<ingress_thread>> m_ingresses;
     std::atomic<bool> m_sidecarIdle{true};
--- a/programs/dandelionstall/request_attempt.cpp
+++ b/programs/dandelionstall/request_attempt.cpp
@@ -22,7 +22,7 @@
 constexpr auto AnswerGrace = std::chrono::milliseconds(150);   // the sidecar's own refusal may arrive this late
 constexpr auto QueryPause = std::chrono::milliseconds(50);     // between tries to ask for an outcome
 constexpr auto QueryTimeout = std::chrono::milliseconds(1200); // for one try, dial included, beyond the deadline
-constexpr std::size_t HoldBytes = 65'536;                      // answers up to this are checked before anything is sent
+constexpr std::size_t HoldBytes = 1'048'576;                      // answers up to this are checked before anything is sent
 constexpr std::size_t BodyFrameBytes = 131'072;                // of one body frame
 
 bool isServerError(std::uint32_t status)
@@ -91,6 +91,24 @@
 
 // [SECTION] Sending
 
+// The caller's headers; those that the node answers for are its own, whatever the caller sent.
+protocol::http_headers request_run::forwardedHeaders() const
+{
+    const state::header_names &names = m_owner.settings().headers;
+    protocol::http_headers headers;
+    headers.reserve(m_request.headers.size() + 1);
+    for (const protocol::http_header &header : m_request.headers) {
+        const bool own = protocol::equalNames(header.name, names.originPool) || protocol::equalNames(header.name, names.expectedWorker);
+        if (!own) {
+            headers.push_back(header);
+        }
+    }
+    if (!names.originPool.empty()) {
+        headers.push_back({names.originPool, m_owner.settings().ownPool});
+    }
+    return headers;
+}
+
 protocol::attempt_head request_run::makeHead(const coordination::worker_view &worker, const peer_link &link)
 {
     protocol::attempt_head head;
@@ -105,7 +123,7 @@
     head.costHint = m_route->costHint;
     head.method = m_request.method;
     head.target = m_request.target;
-    head.headers = m_request.headers;
+    head.headers = forwardedHeaders();
     head.ticket = m_ticket;
     head.organisation = std::string(protocol::findHeader(m_request.headers, protocol::OrganisationHeader));
     head.organisationRate = m_route->organisationRate;
@@ -380,6 +398,10 @@
     outcome.failure.attempts = m_attempts;
     outcome.failure.deadline = m_deadline;
     outcome.failure.expectedCost = m_route->costHint;
+    outcome.failure.arrivals = m_arrivals;
+    outcome.failure.maxArrivals = m_route->maxAttempts;
+    outcome.failure.allowance = m_pool->retries;
+    outcome.failure.nodes = m_hold->liveNodes;
     return outcome;
 }
 
--- a/programs/dandelionstall/request_run.cpp
+++ b/programs/dandelionstall/request_run.cpp
@@ -2,6 +2,7 @@
 #include "request_run.h"
 #include "wall_clock.h"
 
+#include <dandelionstall/coordination/pool_choice.h>
 #include <dandelionstall/protocol/caller_http.h>
 
 #include <boost/asio.hpp>
@@ -9,6 +10,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 namespace dandelionstall {
 
@@ -22,17 +24,33 @@
 constexpr auto NoCapacityRetryAfter = std::chrono::milliseconds(1000); // no worker is in use
 constexpr auto OutcomeRetryAfter = std::chrono::milliseconds(1000);    // a ticket can be asked about again
 
-std::chrono::milliseconds statedDeadline(const protocol::http_headers &headers, std::chrono::milliseconds routeTimeout)
+// Time that the caller waits, at most the route's; nothing when the header is no number of milliseconds.
+std::optional<std::chrono::milliseconds> statedTimeLeft(std::string_view text, std::chrono::milliseconds routeTimeout)
 {
-    const std::string_view text = protocol::findHeader(headers, protocol::DeadlineHeader);
+    if (text.empty()) {
+        return routeTimeout;
+    }
     std::int64_t value = 0;
     const auto parsed = std::from_chars(text.begin(), text.end(), value);
-    if (parsed.ec != std::errc() || value <= 0) {
-        return routeTimeout;
+    if (parsed.ec != std::errc() || parsed.ptr != text.end() || value < 0) {
+        return std::nullopt;
     }
     return std::min(std::chrono::milliseconds(value), routeTimeout);
 }
 
+// A worker may have seen the attempt, whether it ran it or not.
+bool mayHaveArrived(const coordination::failed_attempt &failure)
+{
+    switch (failure.kind) {
+    case coordination::retry_reason::refused:
+    case coordination::retry_reason::connect_failed:
+    case coordination::retry_reason::stream_refused:
+        return false;
+    default:
+        return true;
+    }
+}
+
 } // namespace
 
 request_run::request_run(ingress &owner, caller_connection &connection, caller_request &request)
@@ -70,7 +88,11 @@
     if (const absl::Status found = findRoute(path, m_request.method); !found.ok()) {
         co_return co_await refuse(refusal_reason::no_route, run_state::not_run, now);
     }
-    m_deadline = m_request.arrivedAt + statedDeadline(m_request.headers, m_route->timeout);
+    const auto timeLeft = statedTimeLeft(protocol::findHeader(m_request.headers, m_owner.settings().headers.timeLeft), m_route->timeout);
+    if (!timeLeft) {
+        co_return co_await refuse(refusal_reason::bad_request, run_state::not_run, now);
+    }
+    m_deadline = m_request.arrivedAt + *timeLeft;
     if (const refusal_reason reason = readTicket(); reason != refusal_reason::none) {
         co_return co_await refuse(reason, reason == refusal_reason::bad_request ? run_state::not_run : run_state::unknown, now);
     }
@@ -80,7 +102,7 @@
 absl::Status request_run::findRoute(std::string_view path, std::string_view method)
 {
     m_route = m_owner.routes().match(m_request.host, path, method);
-    m_pool = m_route == nullptr ? nullptr : state::findPool(*m_hold->pools, m_route->pool);
+    m_pool = m_route == nullptr ? nullptr : state::findPool(*m_hold->pools, coordination::choosePool(*m_route, m_owner.random()));
     return m_pool != nullptr ? absl::OkStatus() : state::makeError(state::state_error::unresolved, "no route takes the request");
 }
 
@@ -164,12 +186,13 @@
 
 asio::awaitable<bool> request_run::runAttempts()
 {
-    const auto view = m_owner.viewOf(*m_pool);
+    auto view = m_owner.viewOf(*m_pool);
     coordination::retry_policy &retry = m_owner.retryOf(*view);
     retry.noteRequest(state::clock::now());
     coordination::failed_attempt last;
     std::string preferred;
     while (true) {
+        view = m_owner.viewOf(*m_pool); // what is known may have changed since the last attempt
         const std::size_t index = chooseWorker(*view, preferred);
         if (index == coordination::NoWorker) {
             const bool tried = m_attempts > 0;
@@ -180,11 +203,13 @@
         const coordination::worker_view &worker = view->workers[index];
         ++m_attempts;
         ++m_owner.inFlight(worker.id);
-        const attempt_outcome outcome = co_await attempt(worker);
+        attempt_outcome outcome = co_await attempt(worker);
         --m_owner.inFlight(worker.id);
         if (outcome.end != attempt_end::failed) {
             co_return outcome.end == attempt_end::delivered;
         }
+        m_arrivals += mayHaveArrived(outcome.failure) ? 1 : 0;
+        outcome.failure.arrivals = m_arrivals;
         last = outcome.failure;
         m_run = coordination::combineRuns(m_run, last.run);
         if (!m_ticket.empty()) {
--- a/programs/dandelionstall/request_run.h
+++ b/programs/dandelionstall/request_run.h
@@ -52,6 +52,7 @@
     absl::Status findRoute(std::string_view path, std::string_view method); // sets m_route and m_pool
     coordination::refusal_reason readTicket();
     std::size_t chooseWorker(const coordination::pool_view &view, const std::string &preferred);
+    protocol::http_headers forwardedHeaders() const;
     protocol::attempt_head makeHead(const coordination::worker_view &worker, const peer_link &link);
 
     boost::asio::awaitable<attempt_outcome> attempt(const coordination::worker_view &worker);
@@ -76,6 +77,7 @@
     state::ticket m_ticketFields;                                     // parsed ticket
     std::vector<std::string> m_tried;                                 // workers tried
     std::uint32_t m_attempts = 0;                                     // attempts made
+    std::uint32_t m_arrivals = 0;                                     // those that may have reached a worker
     coordination::run_state m_run = coordination::run_state::not_run; // of the request, over all its attempts
     std::shared_ptr<stream_reader> m_reader;                          // of the running attempt
     bool m_callerGone = false;                                        // the caller closed its connection
--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -59,14 +59,20 @@
     , m_limiter(coordination::makeOrganisationLimiter(settings.maxOrganisations, life))
 {
     for (const state::local_worker &worker : settings.workers) {
-        served_worker &entry = m_workers[worker.id];
-        entry.settings = worker;
-        entry.evidence = coordination::makeWorkerEvidence();
-        entry.client = std::make_unique<transport::worker_client>(worker.address);
-        entry.timer = std::make_shared<asio::steady_timer>(io);
+        addWorker(worker);
     }
 }
 
+served_worker &sidecar::addWorker(const state::local_worker &worker)
+{
+    served_worker &entry = m_workers[worker.id];
+    entry.settings = worker;
+    entry.evidence = coordination::makeWorkerEvidence();
+    entry.client = std::make_unique<transport::worker_client>(worker.address, m_settings.headers);
+    entry.timer = std::make_shared<asio::steady_timer>(m_io);
+    return entry;
+}
+
 absl::Status sidecar::listen()
 {
     const tcp::endpoint endpoint(asio::ip::make_address(m_settings.listen.ip), m_settings.listen.port);
@@ -129,6 +135,7 @@
         m_nextProbe = now + ProbePeriod;
         probeWorkers();
     }
+    dropReplaced();
     for (auto &[id, worker] : m_workers) {
         configureWorker(worker);
     }
@@ -149,6 +156,7 @@
     m_snapshot = std::move(snapshot);
     const bool wasLeaving = m_leaving;
     m_leaving = m_snapshot->leaving;
+    followDiscovery();
     for (auto &[id, worker] : m_workers) {
         if (wasLeaving && !m_leaving) {
             worker.admissionName.clear(); // a drained policy is replaced once it is idle
@@ -160,6 +168,44 @@
     }
 }
 
+// The worker at the address of this VM's service, under the id with which it has announced itself.
+void sidecar::followDiscovery()
+{
+    if (m_settings.discoveredPool.empty() || !m_snapshot->pools) {
+        return;
+    }
+    std::set<std::string, std::less<>> present;
+    for (const state::pool &pool : m_snapshot->pools->pools) {
+        for (const state::pool_worker &row : pool.workers) {
+            if (row.address != m_settings.discoveredAddress || row.node != m_settings.advertise) {
+                continue;
+            }
+            present.insert(row.id);
+            served_worker *known = findWorker(row.id);
+            if (known == nullptr) {
+                known = &addWorker({row.id, pool.name, row.address, {}});
+            }
+            known->replaced = false;
+            setDraining(*known, row.leaving);
+        }
+    }
+    for (auto &[id, worker] : m_workers) {
+        if (!present.contains(id)) {
+            worker.replaced = true;
+            setDraining(worker, true);
+        }
+    }
+}
+
+void sidecar::dropReplaced()
+{
+    std::erase_if(m_workers, [this](const auto &entry) {
+        const served_worker &worker = entry.second;
+        const bool used = std::any_of(m_attempts.begin(), m_attempts.end(), [&](const auto &attempt) { return attempt.second.stream->head().worker == entry.first; });
+        return worker.replaced && !used && worker.probes == 0;
+    });
+}
+
 void sidecar::configureWorker(served_worker &worker)
 {
     const state::pool *pool = m_snapshot && m_snapshot->pools ? state::findPool(*m_snapshot->pools, worker.settings.pool) : nullptr;
@@ -228,7 +274,9 @@
     request.headers = {{"Host", state::formatNodeAddress(worker.settings.address)}};
     request.deadline = state::clock::now() + ProbeTimeout;
     probe_sink sink;
+    ++worker.probes;
     const transport::worker_result result = co_await worker.client->run(request, sink, std::make_shared<transport::worker_call>());
+    --worker.probes;
     worker.evidence->noteProbe(result.end == transport::worker_end::answered && sink.ok, state::clock::now());
     if (result.end == transport::worker_end::answered) {
         setDraining(worker, sink.draining);
--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar.h
@@ -55,6 +55,8 @@
     std::unique_ptr<transport::worker_client> client;          // connections to it
     std::shared_ptr<boost::asio::steady_timer> timer;          // for admission deadlines
     bool draining = false;                                     // it takes no new work
+    bool replaced = false;                                     // another worker has its address; it is dropped once idle
+    std::uint32_t probes = 0;                                  // under way
     std::uint64_t reportVersion = 0;                           // grows with every report
 };
 
@@ -82,6 +84,9 @@
     void acceptLoop();
     void tick();
     void probeWorkers();
+    served_worker &addWorker(const state::local_worker &worker);
+    void followDiscovery();
+    void dropReplaced();
     boost::asio::awaitable<void> probe(served_worker &worker);
     void configureWorker(served_worker &worker);
     void setDraining(served_worker &worker, bool draining);
--- a/programs/dandelionstall/sidecar_attempts.cpp
+++ b/programs/dandelionstall/sidecar_attempts.cpp
@@ -287,7 +287,8 @@
     request.headers = stream->head().headers;
     request.body = stream->takeBody();
     request.deadline = stream->head().deadline;
-    request.freshConnection = attempt.tracked;
+    request.unrepeatable = attempt.tracked;
+    request.expectedWorker = worker.settings.id;
 
     answer_sink sink;
     sink.writer = &stream->writer();
--- a/protocol/src/caller_http.cpp
+++ b/protocol/src/caller_http.cpp
@@ -86,6 +86,15 @@
     return static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::seconds>(refusal.retryAfter).count());
 }
 
+std::string retryAfterText(const caller_refusal &refusal, bool fractions)
+{
+    if (!fractions) {
+        return std::to_string(retryAfterSeconds(refusal));
+    }
+    const std::string millis = std::to_string(refusal.retryAfter.count() % 1000);
+    return std::to_string(refusal.retryAfter.count() / 1000) + "." + std::string(3 - millis.size(), '0') + millis;
+}
+
 bool equalNames(std::string_view a, std::string_view b)
 {
     return a.size() == b.size()
@@ -118,6 +127,18 @@
     return host.substr(0, host.find(':'));
 }
 
+std::string_view authorityOf(std::string_view target)
+{
+    const std::size_t scheme = target.find("://");
+    if (target.empty() || target.front() == '/' || scheme == std::string_view::npos) {
+        return {};
+    }
+    const std::string_view rest = target.substr(scheme + 3);
+    const std::string_view authority = rest.substr(0, rest.find_first_of("/?#"));
+    const std::size_t user = authority.rfind('@');
+    return user == std::string_view::npos ? authority : authority.substr(user + 1);
+}
+
 std::string_view pathOf(std::string_view target)
 {
     const std::size_t scheme = target.find("://");
--- a/protocol/src/gossip_codec.cpp
+++ b/protocol/src/gossip_codec.cpp
@@ -21,8 +21,9 @@
 using coordination::table_kind;
 using coordination::table_version;
 
-constexpr auto LastKind = static_cast<std::uint32_t>(gossip_kind::config_chunk);
+constexpr auto LastKind = static_cast<std::uint32_t>(gossip_kind::worker_page);
 constexpr auto LastMemberState = static_cast<std::uint32_t>(member_state::dead);
+constexpr auto LastWorkerPhase = static_cast<std::uint32_t>(coordination::worker_phase::gone);
 constexpr std::uint32_t MaxPort = std::numeric_limits<std::uint16_t>::max();
 
 absl::Status malformed(std::string_view reason)
@@ -117,6 +118,53 @@
     return part;
 }
 
+void writeWorker(const coordination::worker_news &news, wire::DiscoveredWorker &out)
+{
+    const coordination::discovered_worker &entry = news.entry;
+    out.set_id(entry.id);
+    out.set_pool(entry.pool);
+    out.set_data_centre(entry.dataCentre);
+    if (entry.node.port != 0) { // a marker of an unknown worker has none
+        writeAddress(entry.node, *out.mutable_node());
+        writeAddress(entry.address, *out.mutable_address());
+    }
+    out.set_slots(entry.slots);
+    out.set_phase(static_cast<std::uint32_t>(entry.phase));
+    out.set_version(entry.version);
+    out.set_started_ms(entry.startedAtMs);
+    out.set_cold_left_ms(static_cast<std::uint32_t>(news.coldLeft.count()));
+    out.set_revision(entry.revision);
+}
+
+absl::StatusOr<coordination::worker_news> readWorker(const wire::DiscoveredWorker &in)
+{
+    if (in.id().empty() || in.phase() > LastWorkerPhase) {
+        return malformed("gossip with a bad entry of a worker");
+    }
+    coordination::worker_news news;
+    coordination::discovered_worker &entry = news.entry;
+    entry.id = in.id();
+    entry.pool = in.pool();
+    entry.dataCentre = in.data_centre();
+    entry.slots = in.slots();
+    entry.phase = static_cast<coordination::worker_phase>(in.phase());
+    entry.version = in.version();
+    entry.startedAtMs = in.started_ms();
+    entry.revision = in.revision();
+    news.coldLeft = std::chrono::milliseconds(in.cold_left_ms());
+    if (!in.has_node() && entry.phase == coordination::worker_phase::gone) {
+        return news;
+    }
+    absl::StatusOr<state::node_address> node = readAddress(in.node());
+    absl::StatusOr<state::node_address> address = readAddress(in.address());
+    if (!node.ok() || !address.ok()) {
+        return node.ok() ? address.status() : node.status();
+    }
+    entry.node = *std::move(node);
+    entry.address = *std::move(address);
+    return news;
+}
+
 absl::Status readSender(const wire::GossipMember &in, coordination::gossip_sender &out)
 {
     absl::StatusOr<member> sender = readMember(in);
@@ -143,6 +191,13 @@
         }
         out.reports.push_back(*std::move(report));
     }
+    for (const wire::DiscoveredWorker &row : in.workers()) {
+        absl::StatusOr<coordination::worker_news> worker = readWorker(row);
+        if (!worker.ok()) {
+            return worker.status();
+        }
+        out.workers.push_back(*std::move(worker));
+    }
     return absl::OkStatus();
 }
 
@@ -193,6 +248,11 @@
     for (const coordination::worker_report &report : message.reports) {
         writeReport(report, *out.add_reports());
     }
+    out.set_workers_digest(message.workersDigest);
+    out.set_workers_cursor(message.workersCursor);
+    for (const coordination::worker_news &news : message.workers) {
+        writeWorker(news, *out.add_workers());
+    }
     if (message.config) {
         writeConfig(*message.config, *out.mutable_config());
     }
@@ -212,6 +272,8 @@
         = {coordination::table_hint{in.routes().revision(), in.routes().digest()}, coordination::table_hint{in.pools().revision(), in.pools().digest()}};
     message.readerRound = in.reader_round();
     message.readAge = std::chrono::seconds(in.read_age_s());
+    message.workersDigest = in.workers_digest();
+    message.workersCursor = in.workers_cursor();
     for (const absl::Status &status : {readSender(in.sender(), message.sender), readOptionals(in, message), readNews(in, message)}) {
         if (!status.ok()) {
             return status;
--- a/state/include/dandelionstall/state/tables.h
+++ b/state/include/dandelionstall/state/tables.h
@@ -29,16 +29,29 @@
 
 // [SECTION] Routes
 
+// One of several pools that share a route's requests.
+struct pool_share {
+    std::string pool;         // pool name
+    std::uint32_t weight = 1; // its part of the sum of the route's weights
+
+    friend bool operator==(const pool_share &, const pool_share &) = default;
+};
+
 // One row of the route table: which requests it takes, and how they are handled.
 struct route {
     std::string name;                        // unique in the table
     std::string host;                        // exact host name, lower case; empty takes any host
     std::string pathPrefix = "/";            // whole path segments: "/tags" takes "/tags/7", not "/tagsale"
     std::vector<std::string> methods;        // empty takes any method
-    std::string pool;                        // name of the pool that serves it
+    bool subpathsOnly = false;               // the prefix takes only paths that go on with a slash: not "/tags" itself
+    std::string pool;                        // name of the pool that serves it; the first of several
+    std::vector<pool_share> shares;          // pools that share its requests by weight; empty when there is one
     bool idempotent = false;                 // true: may run more than once
     double worth = 1.0;                      // value of one answer before its deadline, > 0
+    std::uint32_t priority = 0;              // rank when work competes for slots; 0 goes first
+    std::uint32_t maxAttempts = 3;           // workers that one request may be sent to
     std::chrono::milliseconds timeout{2000}; // the deadline is arrival time plus this
+    std::chrono::milliseconds target{0};     // an answer within this earns its full worth; zero when there is no such aim
     std::chrono::milliseconds costHint{0};   // expected run time; zero when unknown
     double organisationRate = 0.0;           // requests a second allowed to one organisation over the fleet; 0 is unlimited
     std::uint32_t line = 0;                  // line of the section in the table
@@ -46,10 +59,21 @@
     friend bool operator==(const route &, const route &) = default;
 };
 
+// What a caller may send and how long it may take; replaces the node's settings where it is set.
+struct caller_limits {
+    std::size_t maxHeaderBytes = 0;             // of one request; 0 leaves the setting
+    std::size_t maxBodyBytes = 0;               // of one request; 0 leaves the setting
+    std::chrono::milliseconds headerTimeout{0}; // to send a request header; 0 leaves the setting
+    std::chrono::milliseconds idleTimeout{0};   // between requests of a connection; 0 leaves the setting
+
+    friend bool operator==(const caller_limits &, const caller_limits &) = default;
+};
+
 struct route_table {
     table_revision revision = 0; // highest accepted revision wins
     std::uint64_t digest = 0;    // hash of the text; tells other content with the same revision
     std::vector<route> routes;   // in table order
+    caller_limits callers;       // [callers] section
     std::string source;          // file name or key, for messages
 };
 
@@ -61,20 +85,34 @@
     std::string dataCentre;  // where it runs
     node_address node;       // the node process on the worker's VM
     std::uint32_t slots = 0; // requests it runs at a time; 0 means the pool's value
+    bool leaving = false;    // discovered workers only: takes no new work
+    node_address address;    // discovered workers only: where the worker itself listens
+    time_point coldUntil;    // discovered workers only: slow until then
 
     friend bool operator==(const pool_worker &, const pool_worker &) = default;
 };
 
+// Repeats allowed in one pool over all nodes: within any window, the share of its requests plus the extra ones.
+struct retry_allowance {
+    double share = 0.5;                    // repeats per request
+    double extra = 0.0;                    // repeats on top, in each window; 0 leaves the policy's own allowance
+    std::chrono::milliseconds window{10000};
+
+    friend bool operator==(const retry_allowance &, const retry_allowance &) = default;
+};
+
 // One row of the pool table: the workers of a service and the policies used for them.
 struct pool {
     std::string name;                           // unique in the table
     std::uint32_t slots = 1;                    // default slots of a worker
+    bool discovered = false;                    // its workers announce themselves; the table has no rows of them
     double floor = 0.5;                         // share of the pool's workers that ejection leaves in use, 0..1
     std::string balancer = "least_wait";        // see coordination/balancer.h
     std::string ejector = "peer_outlier";       // see coordination/ejector.h
     std::string admission = "worth_density";    // see coordination/admission.h
     std::string retry = "budgeted";             // see coordination/retry.h
     std::chrono::milliseconds drainTime{30000}; // time that a leaving worker gets for running work
+    retry_allowance retries;                    // repeats that the whole fleet may make in this pool
     std::vector<pool_worker> workers;           // in table order
     std::uint32_t line = 0;                     // line of the section in the table
 
@@ -116,6 +154,7 @@
 std::string_view stripQuery(std::string_view target);           // path without query
 bool takesPath(std::string_view prefix, std::string_view path); // whole segments
 bool takesMethod(const route &candidate, std::string_view method);
+bool takesTail(const route &candidate, std::string_view path); // false when the route wants a longer path
 
 } // namespace detail
 
--- a/state/src/settings.cpp
+++ b/state/src/settings.cpp
@@ -14,7 +14,9 @@
 using std::chrono::milliseconds;
 
 constexpr std::string_view WorkerPrefix = "worker.";
-constexpr std::array<std::string_view, 5> SectionNames{"node", "platform", "limits", "log", WorkerPrefix};
+constexpr std::string_view BoundPrefix = "bound.";
+constexpr std::array<std::string_view, 7> SectionNames{"node", "platform", "limits", "headers", "log", "discovered_worker", WorkerPrefix};
+constexpr std::array<std::string_view, 2> PlatformKinds{"consul", "keyed_store"};
 constexpr std::array<std::string_view, 5> LogLevels{"trace", "debug", "info", "warn", "error"};
 
 constexpr std::uint64_t Kibibyte = 1024;
@@ -46,6 +48,10 @@
     reader.readAddress("listen", target.listen);
     reader.readAddress("callers", target.callers);
     reader.readAddress("admin", target.admin);
+    reader.readAddress("ready", target.ready);
+    reader.readText("ready_path", target.readyPath);
+    reader.readName("own_pool", target.ownPool);
+    reader.readSpan("stop_grace", target.stopGrace, milliseconds(0), MaxCallerTimeout);
     reader.readCount("ingress_threads", target.ingressThreads, 1, MaxIngressThreads);
     if (!reader.readAddress("advertise", target.advertise)) {
         target.advertise = target.listen;
@@ -79,18 +85,30 @@
     }
 }
 
+// "bound.<name> = <value>", one line each.
+void readBounds(const ini_section &section, settings &target)
+{
+    for (const ini_entry &entry : section.entries) {
+        if (entry.key.starts_with(BoundPrefix)) {
+            target.platformBounds += fmt::format("{}{}={}", target.platformBounds.empty() ? "" : ",", entry.key.substr(BoundPrefix.size()), entry.value);
+        }
+    }
+}
+
 void readPlatform(const ini_section &section, parse_faults &faults, settings &target)
 {
     section_reader reader(section, faults);
     reader.require({"config_service"});
     reader.readAddress("config_service", target.configService);
+    reader.readChoice("kind", target.platformKind, PlatformKinds);
+    readBounds(section, target);
     reader.readText("routes_key", target.routesKey);
     reader.readText("pools_key", target.poolsKey);
     if (!reader.readAddress("vm_list", target.vmList)) {
         target.vmList = target.configService;
     }
     readSeeds(reader, target);
-    reader.finish();
+    reader.finish(BoundPrefix);
     if (target.routesKey == target.poolsKey) {
         faults.add(state_error::conflict, section.line, "[platform] needs different values for \"routes_key\" and \"pools_key\"");
     }
@@ -108,6 +126,28 @@
     reader.readSpan("header_timeout", target.headerTimeout, MinCallerTimeout, MaxCallerTimeout);
     reader.readSpan("idle_timeout", target.idleTimeout, MinCallerTimeout, MaxCallerTimeout);
     reader.readSpan("ticket_lifetime", target.ticketLifetime, MinTicketLifetime, MaxTicketLifetime);
+    reader.readFlag("retry_after_fractions", target.retryAfterFractions);
+    reader.finish();
+}
+
+void readHeaders(const ini_section &section, parse_faults &faults, header_names &target)
+{
+    section_reader reader(section, faults);
+    reader.readName("request_id", target.requestId);
+    reader.readName("time_left", target.timeLeft);
+    reader.readName("origin_pool", target.originPool);
+    reader.readName("expected_worker", target.expectedWorker);
+    reader.readName("not_run", target.notRun);
+    reader.readName("seal", target.seal);
+    reader.finish();
+}
+
+void readDiscoveredWorker(const ini_section &section, parse_faults &faults, settings &target)
+{
+    section_reader reader(section, faults);
+    reader.require({"pool", "address"});
+    reader.readName("pool", target.discoveredPool);
+    reader.readAddress("address", target.discoveredAddress);
     reader.finish();
 }
 
@@ -154,12 +194,16 @@
         readPlatform(section, faults, target);
     } else if (section.name == "limits") {
         readLimits(section, faults, target);
+    } else if (section.name == "headers") {
+        readHeaders(section, faults, target.headers);
+    } else if (section.name == "discovered_worker") {
+        readDiscoveredWorker(section, faults, target);
     } else if (section.name == "log") {
         readLog(section, faults, target);
     } else if (section.name.starts_with(WorkerPrefix)) {
         readWorker(section, faults, target);
     } else {
-        const std::string expected = "expected [node], [platform], [limits], [log] or [worker.<id>]";
+        const std::string expected = "expected [node], [platform], [limits], [headers], [log], [discovered_worker] or [worker.<id>]";
         const std::string hint = suggestName(section.name, SectionNames);
         faults.add(state_error::unknown_key, section.line, fmt::format("unknown section [{}], {}{}", section.name, expected, hint));
     }
--- a/state/src/tables.cpp
+++ b/state/src/tables.cpp
@@ -70,10 +70,16 @@
         known.insert(candidate.name);
     }
     for (const route &row : routes.routes) {
-        if (!known.contains(row.pool)) {
-            const std::string reason
-                = fmt::format("route \"{}\" names the pool \"{}\", which is not in the pool table{}", row.name, row.pool, suggestName(row.pool, names));
-            return iniError(state_error::unresolved, routes.source, row.line, reason);
+        std::vector<std::string_view> wanted{row.pool};
+        for (const pool_share &share : row.shares) {
+            wanted.push_back(share.pool);
+        }
+        for (const std::string_view name : wanted) {
+            if (!known.contains(name)) {
+                const std::string reason
+                    = fmt::format("route \"{}\" names the pool \"{}\", which is not in the pool table{}", row.name, name, suggestName(name, names));
+                return iniError(state_error::unresolved, routes.source, row.line, reason);
+            }
         }
     }
     return absl::OkStatus();
--- a/state/src/tables_match.cpp
+++ b/state/src/tables_match.cpp
@@ -41,6 +41,11 @@
     return candidate.methods.empty() || std::find(candidate.methods.begin(), candidate.methods.end(), method) != candidate.methods.end();
 }
 
+bool takesTail(const route &candidate, std::string_view path)
+{
+    return !candidate.subpathsOnly || candidate.pathPrefix == "/" || path.size() > candidate.pathPrefix.size();
+}
+
 } // namespace detail
 
 const route *matchRoute(const route_table &table, std::string_view host, std::string_view path, std::string_view method)
@@ -56,7 +61,7 @@
     const route *best = nullptr;
     for (const route &candidate : table.routes) {
         const bool takesHost = candidate.host.empty() || candidate.host == normalHost;
-        if (!takesHost || !detail::takesPath(candidate.pathPrefix, path) || !detail::takesMethod(candidate, method)) {
+        if (!takesHost || !detail::takesPath(candidate.pathPrefix, path) || !detail::takesMethod(candidate, method) || !detail::takesTail(candidate, path)) {
             continue;
         }
         if (best == nullptr || isBetter(candidate, *best)) {
--- a/state/src/tables_pools.cpp
+++ b/state/src/tables_pools.cpp
@@ -16,6 +16,8 @@
 constexpr std::string_view WorkerPrefix = "worker.";
 constexpr std::uint32_t MaxSlots = 10'000; // of one worker
 constexpr milliseconds MaxDrainTime = std::chrono::hours(1);
+constexpr double MaxRetryExtra = 1'000'000;
+constexpr milliseconds MinRetryWindow{100};
 constexpr std::size_t MinWorkerFields = 2; // node address, data centre
 constexpr std::size_t MaxWorkerFields = 3; // and slots
 
@@ -46,7 +48,10 @@
     if (!isName(fields[1])) {
         return makeError(state_error::malformed, fmt::format("expected a data centre of letters, digits, \"-\" or \"_\", got \"{}\"", fields[1]));
     }
-    pool_worker worker{std::string(id), fields[1], *node, 0};
+    pool_worker worker;
+    worker.id = id;
+    worker.dataCentre = fields[1];
+    worker.node = *node;
     if (fields.size() == MaxWorkerFields) {
         const absl::StatusOr<std::uint64_t> slots = parseUnsigned(fields[2], 1, MaxSlots);
         if (!slots.ok()) {
@@ -88,6 +93,10 @@
     section_reader reader(section, faults);
     reader.require({"slots"});
     reader.readCount("slots", row.slots, 1, MaxSlots);
+    reader.readFlag("discovered", row.discovered);
+    reader.readNumber("retry_share", row.retries.share, 0, 1);
+    reader.readNumber("retry_extra", row.retries.extra, 0, MaxRetryExtra);
+    reader.readSpan("retry_window", row.retries.window, MinRetryWindow, MaxDrainTime);
     reader.readNumber("floor", row.floor, 0, 1);
     reader.readChoice("balancer", row.balancer, BalancerNames);
     reader.readChoice("ejector", row.ejector, EjectorNames);
@@ -99,9 +108,13 @@
     const auto isWorker = [](const ini_entry &entry) {
         return entry.key.starts_with(WorkerPrefix);
     };
-    if (std::none_of(section.entries.begin(), section.entries.end(), isWorker)) {
+    const bool hasRows = std::any_of(section.entries.begin(), section.entries.end(), isWorker);
+    if (!hasRows && !row.discovered) {
         faults.add(state_error::malformed, section.line, fmt::format("[{}] needs at least one line \"worker.<id> = ...\"", section.name));
     }
+    if (hasRows && row.discovered) {
+        faults.add(state_error::conflict, section.line, fmt::format("[{}] has \"discovered = yes\" and lines of workers", section.name));
+    }
     return row;
 }
 
--- a/state/src/tables_routes.cpp
+++ b/state/src/tables_routes.cpp
@@ -20,6 +20,11 @@
 constexpr milliseconds MinTimeout{1};
 constexpr milliseconds MaxTimeout = std::chrono::hours(1);
 constexpr std::string_view AnyHost = "*";
+constexpr std::string_view CallersSection = "callers";
+constexpr std::uint32_t MaxPriority = 1000;
+constexpr std::uint32_t MaxAttemptsLimit = 16;
+constexpr std::uint64_t MaxWeight = 1'000'000;
+constexpr std::size_t MaxCallerBytes = 67'108'864;
 
 void readHost(section_reader &reader, route &row)
 {
@@ -73,6 +78,45 @@
     }
 }
 
+// "catalogue", or "catalogue 90, dressing-order 10" with weights.
+void readPools(section_reader &reader, route &row)
+{
+    const ini_entry *entry = reader.take("pool");
+    std::vector<std::string> items;
+    if (!reader.readList("pool", items)) {
+        return;
+    }
+    for (const std::string &item : items) {
+        const std::size_t blank = item.find(' ');
+        pool_share share{item.substr(0, blank), 1};
+        if (blank != std::string::npos) {
+            const absl::StatusOr<std::uint64_t> weight = parseUnsigned(item.substr(item.find_first_not_of(' ', blank)), 0, MaxWeight);
+            if (!weight.ok()) {
+                return reader.fault(*entry, state_error::malformed, reasonOf(weight.status()));
+            }
+            share.weight = static_cast<std::uint32_t>(*weight);
+        }
+        if (!isName(share.pool)) {
+            return reader.fault(*entry, state_error::malformed, fmt::format("expected pool names, each with a weight when there are several, got \"{}\"", entry->value));
+        }
+        row.shares.push_back(std::move(share));
+    }
+    row.pool = row.shares.front().pool;
+    if (row.shares.size() == 1) {
+        row.shares.clear();
+    }
+}
+
+void readCallers(const ini_section &section, parse_faults &faults, caller_limits &target)
+{
+    section_reader reader(section, faults);
+    reader.readCount("max_header_bytes", target.maxHeaderBytes, 1, MaxCallerBytes);
+    reader.readCount("max_body_bytes", target.maxBodyBytes, 1, MaxCallerBytes);
+    reader.readSpan("header_timeout", target.headerTimeout, MinTimeout, MaxTimeout);
+    reader.readSpan("idle_timeout", target.idleTimeout, MinTimeout, MaxTimeout);
+    reader.finish();
+}
+
 route readRoute(const ini_section &section, std::string name, parse_faults &faults)
 {
     route row;
@@ -80,12 +124,16 @@
     row.line = section.line;
     section_reader reader(section, faults);
     reader.require({"pool", "idempotent"});
+    reader.readFlag("subpaths_only", row.subpathsOnly);
     readHost(reader, row);
     readPath(reader, row);
     readMethods(reader, row);
-    reader.readName("pool", row.pool);
+    readPools(reader, row);
     reader.readFlag("idempotent", row.idempotent);
     reader.readNumber("worth", row.worth, MinWorth, MaxWorth);
+    reader.readCount("priority", row.priority, 0, MaxPriority);
+    reader.readCount("max_attempts", row.maxAttempts, 1, MaxAttemptsLimit);
+    reader.readSpan("target", row.target, milliseconds(0), MaxTimeout);
     reader.readSpan("timeout", row.timeout, MinTimeout, MaxTimeout);
     reader.readSpan("cost_hint", row.costHint, milliseconds(0), MaxTimeout);
     reader.readNumber("organisation_rate", row.organisationRate, 0, MaxOrganisationRate);
@@ -127,6 +175,10 @@
         if (section.name == detail::TableSection) {
             continue;
         }
+        if (section.name == CallersSection) {
+            readCallers(section, faults, table.callers);
+            continue;
+        }
         std::string name = detail::readSectionName(section, RoutePrefix, faults);
         if (!name.empty()) {
             table.routes.push_back(readRoute(section, std::move(name), faults));
--- a/transport/include/dandelionstall/transport/events.h
+++ b/transport/include/dandelionstall/transport/events.h
@@ -27,6 +27,7 @@
     node_stopped = 1003,     // info: nothing in flight any more
     settings_refused = 1004, // error: the settings file cannot be used
     listen_failed = 1005,    // error: an address cannot be bound
+    reload_asked = 1006,     // info: SIGHUP has come; the settings are checked, and stay as they are until the next start
     worker_draining = 3001,  // info: a worker has started or stopped refusing new work
     config_accepted = 4001,  // info: a newer table is in force
     config_held = 4002,      // warn: a newer table waits for the other one
@@ -43,6 +44,9 @@
     self_doubt = 4024,       // warn: this node slept or is isolated and declares nobody dead
     self_trust = 4025,       // info: this node trusts its view again
     gossip_refused = 4026,   // warn: datagrams that are no valid messages
+    worker_known = 4030,     // info: a worker has announced itself, or that it is leaving
+    worker_gone = 4031,      // info: the entry of a worker was removed
+    worker_entry_refused = 4032, // warn: an entry of the platform names no usable worker
 };
 
 enum class log_level { trace, debug, info, warn, error };
--- a/transport/include/dandelionstall/transport/worker_client.h
+++ b/transport/include/dandelionstall/transport/worker_client.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include <dandelionstall/protocol/messages.h>
+#include <dandelionstall/state/settings.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -29,7 +30,8 @@
     protocol::http_headers headers; // end-to-end headers
     std::string body;               // whole body
     state::time_point deadline;     // the call ends then
-    bool freshConnection = false;   // never reuse a connection: work that must not run twice
+    std::string expectedWorker;     // id of the worker that may run it; empty when any may
+    bool unrepeatable = false;      // it must not run twice: only a connection used a moment ago is reused
 };
 
 enum class worker_end {
@@ -75,7 +77,7 @@
 class worker_client
 {
 public:
-    explicit worker_client(const state::node_address &address);
+    worker_client(const state::node_address &address, state::header_names names);
 
     boost::asio::awaitable<worker_result> run(const worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call);
 
@@ -83,11 +85,22 @@
     struct idle_connection {
         std::shared_ptr<boost::beast::tcp_stream> stream;
         state::time_point usableUntil; // closed afterwards
+        state::time_point freshUntil;  // good for unrepeatable work until then
     };
 
-    std::shared_ptr<boost::beast::tcp_stream> takeIdle();
+    using stream_ptr = std::shared_ptr<boost::beast::tcp_stream>;
+    struct exchange;
+
+    stream_ptr takeIdle(bool unrepeatable);
+    boost::asio::awaitable<stream_ptr> connect(const worker_request &request, worker_call &call); // null when there is no connection
+    boost::asio::awaitable<worker_result> runOn(stream_ptr stream, const worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call);
+    boost::asio::awaitable<boost::system::error_code> readHead(exchange &at, const worker_request &request) const;
+    bool isOwnAnswer(const exchange &at, const worker_request &request) const;
+    bool isSealed(const exchange &at) const;
+    void keep(const exchange &at, const worker_call &call);
 
     state::node_address m_address;
+    state::header_names m_names;
     std::vector<idle_connection> m_idle;
 };
 
--- a/transport/src/events.cpp
+++ b/transport/src/events.cpp
@@ -19,6 +19,7 @@
     event_info{event::node_stopped, log_level::info, "node_stopped", "nothing in flight any more"},
     event_info{event::settings_refused, log_level::error, "settings_refused", "the settings file cannot be used"},
     event_info{event::listen_failed, log_level::error, "listen_failed", "an address cannot be bound"},
+    event_info{event::reload_asked, log_level::info, "reload_asked", "SIGHUP has come; the settings are checked, and stay as they are until the next start"},
     event_info{event::worker_draining, log_level::info, "worker_draining", "a worker has started or stopped refusing new work"},
     event_info{event::config_accepted, log_level::info, "config_accepted", "a newer table is in force"},
     event_info{event::config_held, log_level::warn, "config_held", "a newer table waits for the other one"},
@@ -35,6 +36,9 @@
     event_info{event::self_doubt, log_level::warn, "self_doubt", "this node slept or is isolated and declares nobody dead"},
     event_info{event::self_trust, log_level::info, "self_trust", "this node trusts its view again"},
     event_info{event::gossip_refused, log_level::warn, "gossip_refused", "datagrams that are no valid messages"},
+    event_info{event::worker_known, log_level::info, "worker_known", "a worker has announced itself, or that it is leaving"},
+    event_info{event::worker_gone, log_level::info, "worker_gone", "the entry of a worker was removed"},
+    event_info{event::worker_entry_refused, log_level::warn, "worker_entry_refused", "an entry of the platform names no usable worker"},
 };
 
 struct level_name {
--- a/transport/src/platform_client.cpp
+++ b/transport/src/platform_client.cpp
@@ -51,6 +51,15 @@
 { }
 
 asio::awaitable<absl::StatusOr<platform_answer>> platform_client::get(std::string target, state::time_point deadline) const
+{
+    absl::StatusOr<platform_answer> answer = co_await fetch(target, deadline);
+    if (answer.ok() && answer->status != static_cast<std::uint32_t>(http::status::ok)) {
+        co_return makeError(transport_error::refused, fmt::format("the service answered {} to {}", answer->status, target));
+    }
+    co_return answer;
+}
+
+asio::awaitable<absl::StatusOr<platform_answer>> platform_client::fetch(std::string target, state::time_point deadline) const
 {
     beast::tcp_stream stream(co_await asio::this_coro::executor);
     stream.expires_at(deadline);
@@ -83,10 +92,7 @@
         co_return fromSocket(readError == beast::error::timeout ? transport_error::silent : transport_error::closed, readError);
     }
     http::response<http::string_body> response = parser.release();
-    if (response.result() != http::status::ok) {
-        co_return makeError(transport_error::refused, fmt::format("the service answered {} to {}", response.result_int(), target));
-    }
-    co_return platform_answer{readIndex(response), std::move(response.body())};
+    co_return platform_answer{response.result_int(), readIndex(response), std::move(response.body())};
 }
 
 } // namespace dandelionstall::transport
