A guard at the owner of the slots keeps work from workers that fail it

Gray workers fail within a millisecond, look idle and draw work; ejection needs reports of several failures to travel, and then holds a worker out for 5 s. Ruled out: answers cut on the way (2 of 20 %), lack of slots (a third busy). Change: the sidecar estimates after each outcome how likely its worker is sick; work that must not run twice is bounced to the next worker at once, repeatable work is let in as a trial.

--- /dev/null
+++ b/coordination/include/dandelionstall/coordination/failure_guard.h
@@ -0,0 +1,52 @@
+// Decides at the owner of a worker's slots whether work may be risked there. Pure; used from one thread.
+//
+// A worker with a gray failure answers probes and fails most of its work, each failure quickly, so that it looks idle and
+// draws more. The sidecar sees every outcome first. Its guard keeps an estimate of the chance that the worker is sick,
+// changes it with each outcome, and lets it drift back to the long-run share while nothing is known. Work that must not
+// run twice is let in only while that estimate is low; work that may be repeated is let in one at a time as a trial, so
+// that a worker which has recovered is soon known to have.
+//
+// A refusal by the guard is free: nothing was run, and the next worker is asked at once. When all are doubtful, the
+// ingress asks the least doubtful one again and insists.
+//
+// Index:
+//   [SECTION] Guard
+//   [SECTION] Risk
+#pragma once
+
+#include <dandelionstall/state/types.h>
+
+#include <memory>
+#include <string_view>
+
+namespace dandelionstall::coordination {
+
+// [SECTION] Guard
+
+struct guarded_item {
+    state::attempt_id id;
+    bool repeatable = false; // it may run more than once
+    bool insisted = false;   // all other workers are more doubtful
+};
+
+class failure_guard
+{
+public:
+    virtual ~failure_guard() = default;
+
+    virtual bool admits(const guarded_item &item, state::time_point now) const = 0; // false: refuse it, it was not run
+    virtual void noteStart(const guarded_item &item, state::time_point now) = 0;    // it is handed to the worker
+    virtual void noteEnd(const state::attempt_id &id, bool failed, state::time_point now) = 0;   // a real outcome
+    virtual void noteDropped(const state::attempt_id &id) = 0;                      // it ended without telling anything
+    virtual double risk(state::time_point now) const = 0;                           // chance that the worker is sick, 0..1; negative when not estimated
+};
+
+// Names: "belief" (chosen), "off" (baseline: admits everything).
+absl::StatusOr<std::unique_ptr<failure_guard>> makeFailureGuard(std::string_view name);
+
+// [SECTION] Risk
+
+// What an estimate is worth after a while without outcomes.
+double driftRisk(double risk, state::duration age);
+
+} // namespace dandelionstall::coordination
--- a/coordination/include/dandelionstall/coordination/pool_view.h
+++ b/coordination/include/dandelionstall/coordination/pool_view.h
@@ -37,6 +37,7 @@
     std::chrono::microseconds oldestRunning{0}; // age of the oldest running item beyond its expected cost
     std::uint32_t overdue = 0;                  // running items beyond their expected cost that no later item has overtaken
     bool probeFailing = false;                  // the latest probe failed; strengthens other evidence, decides nothing alone
+    double risk = -1.0;                         // chance that the worker is sick, 0..1; negative when no guard estimates it
     bool leaving = false;                       // takes no new work
     bool starting = false;                      // cold: not yet ready for its full share
 };
--- a/coordination/include/dandelionstall/coordination/reasons.h
+++ b/coordination/include/dandelionstall/coordination/reasons.h
@@ -28,6 +28,7 @@
     duplicate_attempt,    // this attempt or ticket has been seen before
     worker_shed,          // the worker refused it by its documented answer
     worker_unreachable,   // the worker took no connection
+    worker_at_risk,       // the worker has failed work of late; others are asked first
     retry_budget_empty,   // the retry budget is spent
     cancelled,            // the caller went away
     path_down,            // the node beside the worker cannot be reached
--- a/coordination/src/balancer_least_wait.cpp
+++ b/coordination/src/balancer_least_wait.cpp
@@ -1,5 +1,7 @@
 #include "balancer_policies.h"
 
+#include <dandelionstall/coordination/failure_guard.h>
+
 #include <algorithm>
 #include <pcg_random.hpp>
 #include <random>
@@ -18,6 +20,8 @@
 constexpr std::size_t LocalDraws = 2;     // candidates compared in the own data centre
 constexpr std::size_t DistantDraws = 1;   // candidates compared in the whole pool, beside local ones
 constexpr std::size_t Draws = 2;          // the same without local ones
+constexpr seconds RiskCost{1.0};            // what a surely failing worker costs work that must not run twice
+constexpr seconds RepeatableRiskCost{0.1};  // the same for work that is tried elsewhere
 constexpr double LeastShare = 0.001;      // keeps draws possible
 
 // Workers that a draw may choose from, with the running sum of their shares.
@@ -84,7 +88,9 @@
         const std::uint32_t own = index < m_request.inFlight.size() ? m_request.inFlight[index] : 0;
         const seconds ownLoad = latency * own / std::max<std::uint32_t>(worker.slots, 1);
         const seconds distance = worker.dataCentre == m_request.dataCentre ? seconds{0} : RemoteRoundTrip;
-        return seconds(worker.report.expectedWait) * trust + m_typical * (1.0 - trust) + ownLoad * OwnLoadFactor + distance;
+        const double risk = worker.report.version == 0 ? 0.0 : std::max(0.0, driftRisk(worker.report.risk, m_request.now - worker.heardAt));
+        const seconds doubt = risk * (m_request.repeatable ? RepeatableRiskCost : RiskCost);
+        return doubt + seconds(worker.report.expectedWait) * trust + m_typical * (1.0 - trust) + ownLoad * OwnLoadFactor + distance;
     }
 
 private:
--- a/coordination/src/ejector_findings.cpp
+++ b/coordination/src/ejector_findings.cpp
@@ -84,7 +84,8 @@
     }
     const double needed = level == scrutiny::strict ? StrictEvidence : FailureEvidence;
     const double evidence = failureEvidence(report, peers.failureShare);
-    if (evidence >= needed) {
+    const bool guarded = report.risk >= 0.0; // its sidecar keeps work out as long as it is sick, and no longer
+    if (!guarded && evidence >= needed) {
         return {ejection_reason::failures, FailuresRank + squash(1.0 - report.successShare), true};
     }
     const double relative = report.slowness / std::max(peers.slowness, 0.01);
--- /dev/null
+++ b/coordination/src/failure_guard.cpp
@@ -0,0 +1,111 @@
+#include <dandelionstall/coordination/failure_guard.h>
+
+#include <dandelionstall/coordination/errors.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace dandelionstall::coordination {
+
+namespace {
+
+using seconds = std::chrono::duration<double>;
+
+constexpr double LongRunRisk = 0.2;         // share of the time for which a worker is sick
+constexpr seconds DriftTime{2.5};           // for about two thirds of the way back to it
+constexpr double HealthyFailureShare = 0.02; // of the work of a healthy worker
+constexpr double SickFailureShare = 0.75;    // of the work of a sick one
+constexpr double UnrepeatableLimit = 0.25;  // more doubt keeps work out that must not run twice
+constexpr double TrialLimit = 0.7;          // more doubt keeps out trials too
+constexpr double LeastRisk = 0.002;         // no number of successes proves more
+
+class belief_guard final : public failure_guard
+{
+public:
+    bool admits(const guarded_item &item, state::time_point now) const override
+    {
+        const double present = risk(now);
+        if (item.insisted || present <= UnrepeatableLimit) {
+            return true;
+        }
+        return item.repeatable && present <= TrialLimit && m_trials.empty();
+    }
+
+    void noteStart(const guarded_item &item, state::time_point now) override
+    {
+        if (risk(now) > UnrepeatableLimit) {
+            m_trials.insert(item.id);
+        }
+    }
+
+    void noteEnd(const state::attempt_id &id, bool failed, state::time_point now) override
+    {
+        m_trials.erase(id);
+        const double before = risk(now);
+        const double ifSick = failed ? SickFailureShare : 1.0 - SickFailureShare;
+        const double ifHealthy = failed ? HealthyFailureShare : 1.0 - HealthyFailureShare;
+        m_risk = std::max(LeastRisk, before * ifSick / (before * ifSick + (1.0 - before) * ifHealthy));
+        m_knownAt = now;
+    }
+
+    void noteDropped(const state::attempt_id &id) override
+    {
+        m_trials.erase(id);
+    }
+
+    double risk(state::time_point now) const override
+    {
+        return driftRisk(m_risk, now - m_knownAt);
+    }
+
+private:
+    double m_risk = LongRunRisk;
+    state::time_point m_knownAt; // last outcome; epoch when there was none
+    std::set<state::attempt_id> m_trials;
+};
+
+class open_guard final : public failure_guard
+{
+public:
+    bool admits(const guarded_item &, state::time_point) const override
+    {
+        return true;
+    }
+    void noteStart(const guarded_item &, state::time_point) override
+    { }
+    void noteEnd(const state::attempt_id &, bool, state::time_point) override
+    { }
+    void noteDropped(const state::attempt_id &) override
+    { }
+    double risk(state::time_point) const override
+    {
+        return -1.0;
+    }
+};
+
+} // namespace
+
+double driftRisk(double risk, state::duration age)
+{
+    if (risk < 0.0) {
+        return risk;
+    }
+    const double kept = std::exp(-std::max(seconds(age), seconds(0)) / DriftTime);
+    return LongRunRisk + (risk - LongRunRisk) * kept;
+}
+
+absl::StatusOr<std::unique_ptr<failure_guard>> makeFailureGuard(std::string_view name)
+{
+    if (name == "belief") {
+        return std::make_unique<belief_guard>();
+    }
+    if (name == "off") {
+        return std::make_unique<open_guard>();
+    }
+    return makeError(coordination_error::unknown_policy, fmt::format("unknown failure guard \"{}\"", name));
+}
+
+} // namespace dandelionstall::coordination
--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t ConfigLocalPushes = 3;
 constexpr std::size_t ConfigRemotePushes = 2;
 
+constexpr double DoubtfulRisk = 0.5; // a worker that becomes doubtful, or no longer is, is news
 constexpr double SharpSuccessChange = 0.15;
 constexpr double SharpSlownessRatio = 1.3;
 
@@ -28,7 +29,8 @@
 
 bool toggled(const worker_report &before, const worker_report &after)
 {
-    return before.leaving != after.leaving || before.starting != after.starting;
+    const bool riskCrossed = (before.risk >= DoubtfulRisk) != (after.risk >= DoubtfulRisk);
+    return before.leaving != after.leaving || before.starting != after.starting || riskCrossed;
 }
 
 // Others have to know of it before the next regular exchange.
--- a/coordination/src/retry.cpp
+++ b/coordination/src/retry.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::uint32_t MaxAttempts = 3;
-constexpr std::uint32_t MaxSharedAttempts = 6; // where arrivals at workers are limited of their own
+constexpr std::uint32_t MaxSharedAttempts = 8; // where arrivals at workers are limited of their own
 constexpr double AllowanceShare = 0.8;         // of a stated allowance: repeats also cause calls of the workers' own
 constexpr double RefusalTokensPerRequest = 0.1; // refusals mean load: retries must stay few
 constexpr double FailureTokensPerRequest = 0.5; // failures of one worker or path: another one can do the work
--- a/programs/dandelionstall/request_attempt.cpp
+++ b/programs/dandelionstall/request_attempt.cpp
@@ -128,6 +128,7 @@
     head.organisation = std::string(protocol::findHeader(m_request.headers, protocol::OrganisationHeader));
     head.organisationRate = m_route->organisationRate;
     head.bodyBytes = m_request.body.size();
+    head.insisted = m_insists;
     return head;
 }
 
@@ -240,6 +241,7 @@
     const bool mayRetry = m_route->idempotent && m_ticket.empty() && !sent.answer.streaming;
     if (mayRetry && isServerError(head->status)) {
         attempt_outcome failure = failedBy(retry_reason::worker_failed, refusal_reason::none, run_state::ran);
+        ++failure.failure.arrivals; // the present one
         const auto view = m_owner.viewOf(*m_pool);
         const bool alternatives = m_tried.size() + 1 < view->workers.size();
         if (alternatives && m_owner.retryOf(*view).decide(failure.failure, state::clock::now()).again) {
@@ -384,6 +386,7 @@
         outcome.failure.retryAt = state::clock::now() + head.retryAfter;
     }
     outcome.betterSibling = head.betterSibling;
+    outcome.risk = !head.reports.empty() ? head.reports.front().risk : -1.0;
     return outcome;
 }
 
--- a/programs/dandelionstall/request_run.cpp
+++ b/programs/dandelionstall/request_run.cpp
@@ -20,6 +20,7 @@
 
 namespace {
 
+constexpr std::size_t MaxDoubtful = 4;                                  // guards asked before a request insists
 constexpr auto NotReadyRetryAfter = std::chrono::milliseconds(1000);   // before the first configuration
 constexpr auto NoCapacityRetryAfter = std::chrono::milliseconds(1000); // no worker is in use
 constexpr auto OutcomeRetryAfter = std::chrono::milliseconds(1000);    // a ticket can be asked about again
@@ -180,10 +181,26 @@
     pick.preferred = preferred;
     pick.inFlight = inFlight;
     pick.random = m_owner.random();
+    pick.repeatable = m_route->idempotent && m_ticket.empty();
     pick.now = state::clock::now();
     return m_owner.balancerOf(view).pick(view, pick);
 }
 
+std::size_t request_run::chooseDoubtful(const coordination::pool_view &view)
+{
+    std::size_t best = coordination::NoWorker;
+    double bestRisk = 0.0;
+    for (std::size_t i = 0; i < view.workers.size(); ++i) {
+        const auto known = m_doubtful.find(view.workers[i].id);
+        if (known != m_doubtful.end() && (best == coordination::NoWorker || known->second < bestRisk)) {
+            best = i;
+            bestRisk = known->second;
+        }
+    }
+    m_insists = best != coordination::NoWorker;
+    return best;
+}
+
 asio::awaitable<bool> request_run::runAttempts()
 {
     auto view = m_owner.viewOf(*m_pool);
@@ -193,14 +210,18 @@
     std::string preferred;
     while (true) {
         view = m_owner.viewOf(*m_pool); // what is known may have changed since the last attempt
-        const std::size_t index = chooseWorker(*view, preferred);
+        const bool asksNoMore = m_doubtful.size() >= MaxDoubtful;
+        std::size_t index = asksNoMore ? coordination::NoWorker : chooseWorker(*view, preferred);
+        if (index == coordination::NoWorker && !m_insists) {
+            index = chooseDoubtful(*view);
+        }
         if (index == coordination::NoWorker) {
             const bool tried = m_attempts > 0;
             const refusal_reason reason = !m_ticket.empty() ? refusal_reason::unknown_outcome : (tried ? last.refusal : refusal_reason::no_capacity);
             const run_state run = !m_ticket.empty() ? run_state::unknown : m_run;
             co_return co_await refuse(reason, run, state::clock::now() + NoCapacityRetryAfter);
         }
-        const coordination::worker_view &worker = view->workers[index];
+        const coordination::worker_view worker = view->workers[index]; // the view may be replaced meanwhile
         ++m_attempts;
         ++m_owner.inFlight(worker.id);
         attempt_outcome outcome = co_await attempt(worker);
@@ -211,6 +232,10 @@
         m_arrivals += mayHaveArrived(outcome.failure) ? 1 : 0;
         outcome.failure.arrivals = m_arrivals;
         last = outcome.failure;
+        if (last.refusal == refusal_reason::worker_at_risk && !m_insists) {
+            m_doubtful[worker.id] = outcome.risk;
+        }
+        m_insists = false;
         m_run = coordination::combineRuns(m_run, last.run);
         if (!m_ticket.empty()) {
             co_return co_await refuse(last.refusal, m_run, std::max(last.retryAt, state::clock::now() + OutcomeRetryAfter));
--- a/programs/dandelionstall/request_run.h
+++ b/programs/dandelionstall/request_run.h
@@ -11,6 +11,7 @@
 #include <dandelionstall/coordination/retry.h>
 #include <dandelionstall/state/attempts.h>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -30,6 +31,7 @@
     attempt_end end = attempt_end::failed; // how it ended
     coordination::failed_attempt failure;  // when failed
     std::string betterSibling;             // named by a refusal
+    double risk = -1.0;                    // of the worker, named by a refusal; negative when not
     bool retryDecided = false;             // the retry policy has already granted another attempt
 };
 
@@ -51,6 +53,7 @@
 
     absl::Status findRoute(std::string_view path, std::string_view method); // sets m_route and m_pool
     coordination::refusal_reason readTicket();
+    std::size_t chooseDoubtful(const coordination::pool_view &view); // the least doubtful worker that refused; insists on it
     std::size_t chooseWorker(const coordination::pool_view &view, const std::string &preferred);
     protocol::http_headers forwardedHeaders() const;
     protocol::attempt_head makeHead(const coordination::worker_view &worker, const peer_link &link);
@@ -76,6 +79,8 @@
     std::string m_ticket;                                             // as given by the caller; empty when none
     state::ticket m_ticketFields;                                     // parsed ticket
     std::vector<std::string> m_tried;                                 // workers tried
+    std::map<std::string, double> m_doubtful;                         // workers whose guard refused the request, with the risk they named
+    bool m_insists = false;                                           // the next attempt runs whatever the guard says
     std::uint32_t m_attempts = 0;                                     // attempts made
     std::uint32_t m_arrivals = 0;                                     // those that may have reached a worker
     coordination::run_state m_run = coordination::run_state::not_run; // of the request, over all its attempts
--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -69,6 +69,8 @@
     entry.settings = worker;
     entry.evidence = coordination::makeWorkerEvidence();
     entry.client = std::make_unique<transport::worker_client>(worker.address, m_settings.headers);
+    entry.guardName = "off";
+    entry.guard = *coordination::makeFailureGuard(entry.guardName);
     entry.timer = std::make_shared<asio::steady_timer>(m_io);
     return entry;
 }
@@ -214,6 +216,12 @@
     }
     const auto row = std::find_if(pool->workers.begin(), pool->workers.end(), [&](const state::pool_worker &entry) { return entry.id == worker.settings.id; });
     const std::uint32_t slots = row != pool->workers.end() && row->slots != 0 ? row->slots : pool->slots;
+    if (worker.guardName != pool->guard) {
+        if (auto guard = coordination::makeFailureGuard(pool->guard); guard.ok()) { // the table check knows all names
+            worker.guard = *std::move(guard);
+            worker.guardName = pool->guard;
+        }
+    }
     const state::time_point now = state::clock::now();
     const coordination::admission_load load = worker.admission ? worker.admission->load(now) : coordination::admission_load{};
     const bool idle = load.busy == 0 && load.queued == 0;
@@ -301,6 +309,7 @@
         report.expectedWait = load.expectedWait;
     }
     worker.evidence->fill(report, now);
+    report.risk = worker.guard->risk(now);
     report.leaving = refusesWork(worker);
     return report;
 }
--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar.h
@@ -10,6 +10,7 @@
 
 #include <dandelionstall/coordination/admission.h>
 #include <dandelionstall/coordination/evidence.h>
+#include <dandelionstall/coordination/failure_guard.h>
 #include <dandelionstall/coordination/fleet_snapshot.h>
 #include <dandelionstall/coordination/limits.h>
 #include <dandelionstall/state/attempts.h>
@@ -52,6 +53,8 @@
     std::uint32_t slots = 1;                                   // slots in use
     std::unique_ptr<coordination::admission_policy> admission; // owner of the slots
     std::unique_ptr<coordination::worker_evidence> evidence;   // outcomes of real work
+    std::string guardName;                                     // policy in use
+    std::unique_ptr<coordination::failure_guard> guard;        // keeps work away while it fails
     std::unique_ptr<transport::worker_client> client;          // connections to it
     std::shared_ptr<boost::asio::steady_timer> timer;          // for admission deadlines
     bool draining = false;                                     // it takes no new work
@@ -101,6 +104,8 @@
     void answerDuplicate(const std::shared_ptr<attempt_stream> &stream, const state::attempt_record *earlier);
     void applyActions(served_worker &worker, const coordination::admission_actions &actions);
     void armTimer(served_worker &worker);
+    bool guardAdmits(const served_worker &worker, const protocol::attempt_head &head, state::time_point now) const;
+    void bounceWaiting(served_worker &worker); // waiting work that the guard no longer admits
     void startAttempt(served_worker &worker, const state::attempt_id &id);
     boost::asio::awaitable<void> runAttempt(served_worker &worker, state::attempt_id id);
     void
--- a/programs/dandelionstall/sidecar_attempts.cpp
+++ b/programs/dandelionstall/sidecar_attempts.cpp
@@ -104,6 +104,10 @@
     if (!admitOrganisation(stream, now)) {
         return;
     }
+    if (!guardAdmits(*findWorker(head.worker), head, now)) {
+        refuseOn(stream->writer(), head, refusal_reason::worker_at_risk, run_state::not_run);
+        return;
+    }
     const bool tracked = !head.idempotent || !head.ticket.empty();
     if (tracked && !beginRecord(stream, now)) {
         return;
@@ -236,6 +240,28 @@
     armTimer(worker);
 }
 
+bool sidecar::guardAdmits(const served_worker &worker, const protocol::attempt_head &head, state::time_point now) const
+{
+    return worker.guard->admits({head.id, head.idempotent && head.ticket.empty(), head.insisted}, now);
+}
+
+void sidecar::bounceWaiting(served_worker &worker)
+{
+    const state::time_point now = state::clock::now();
+    std::vector<state::attempt_id> bounced;
+    for (const auto &[id, attempt] : m_attempts) {
+        const protocol::attempt_head &head = attempt.stream->head();
+        if (!attempt.started && head.worker == worker.settings.id && !guardAdmits(worker, head, now)) {
+            bounced.push_back(id);
+        }
+    }
+    for (const state::attempt_id &id : bounced) {
+        const coordination::admission_actions actions = worker.admission->cancel(id, now);
+        refuseAttempt(id, refusal_reason::worker_at_risk, run_state::not_run, now);
+        applyActions(worker, actions);
+    }
+}
+
 void sidecar::armTimer(served_worker &worker)
 {
     const state::time_point due = worker.admission->nextDeadline();
@@ -260,6 +286,12 @@
         return;
     }
     local_attempt &attempt = found->second;
+    const protocol::attempt_head &head = attempt.stream->head();
+    if (!guardAdmits(worker, head, now)) { // it has become doubtful while this waited
+        refuseAttempt(id, refusal_reason::worker_at_risk, run_state::not_run, now);
+        applyActions(worker, worker.admission->finish(id, work_result::abandoned, now));
+        return;
+    }
     const bool late = attempt.stream->head().deadline <= now; // this process may have been paused since the decision
     if (late || (attempt.tracked && !m_registry.start(id))) {
         refuseAttempt(id, refusal_reason::expired_in_queue, run_state::not_run, now);
@@ -267,6 +299,7 @@
         return;
     }
     attempt.started = true;
+    worker.guard->noteStart({id, head.idempotent && head.ticket.empty(), head.insisted}, now);
     attempt.call = std::make_shared<transport::worker_call>();
     m_counters.observeQueueTime(std::chrono::duration_cast<std::chrono::microseconds>(now - attempt.arrivedAt));
     asio::co_spawn(m_io, runAttempt(worker, id), asio::detached);
@@ -310,6 +343,12 @@
     } else {
         worker.evidence->noteEnd(id, {head.route, work_outcome::refused, startedAt, now, head.costHint});
     }
+    const work_outcome outcome = outcomeOf(result);
+    if (result.end == worker_end::cancelled || outcome == work_outcome::refused) {
+        worker.guard->noteDropped(id);
+    } else {
+        worker.guard->noteEnd(id, outcome != work_outcome::answered, now);
+    }
     const coordination::admission_actions actions = worker.admission->finish(id, workResultOf(result), now);
 
     if (result.end == worker_end::answered) {
@@ -340,6 +379,7 @@
         }
     }
     applyActions(worker, actions);
+    bounceWaiting(worker);
 }
 
 } // namespace dandelionstall
--- a/protocol/src/messages.cpp
+++ b/protocol/src/messages.cpp
@@ -91,6 +91,7 @@
     out.set_body_bytes(message.bodyBytes);
     out.set_organisation(message.organisation);
     out.set_organisation_rate(message.organisationRate);
+    out.set_insisted(message.insisted);
     return out.SerializeAsString();
 }
 
@@ -183,6 +184,7 @@
     message.bodyBytes = in->body_bytes();
     message.organisation = in->organisation();
     message.organisationRate = in->organisation_rate();
+    message.insisted = in->insisted();
     return message;
 }
 
--- a/protocol/src/report_codec.cpp
+++ b/protocol/src/report_codec.cpp
@@ -25,6 +25,9 @@
     out.set_starting(report.starting);
     out.set_overdue(report.overdue);
     out.set_probe_failing(report.probeFailing);
+    if (report.risk >= 0.0) {
+        out.set_risk(static_cast<float>(report.risk));
+    }
 }
 
 absl::StatusOr<coordination::worker_report> readReport(const wire::WorkerReport &in)
@@ -52,6 +55,7 @@
     report.starting = in.starting();
     report.overdue = in.overdue();
     report.probeFailing = in.probe_failing();
+    report.risk = in.has_risk() ? std::clamp(static_cast<double>(in.risk()), 0.0, 1.0) : -1.0;
     return report;
 }
 
--- a/state/src/tables_pools.cpp
+++ b/state/src/tables_pools.cpp
@@ -102,6 +102,7 @@
     reader.readChoice("ejector", row.ejector, EjectorNames);
     reader.readChoice("admission", row.admission, AdmissionNames);
     reader.readChoice("retry", row.retry, RetryNames);
+    reader.readChoice("guard", row.guard, GuardNames);
     reader.readSpan("drain_time", row.drainTime, milliseconds(0), MaxDrainTime);
     readWorkers(section, reader, seen, row);
     reader.finish(WorkerPrefix);
