--- a/coordination/include/dandelionstall/coordination/balancer.h
+++ b/coordination/include/dandelionstall/coordination/balancer.h
@@ -15,6 +15,7 @@
     std::string_view preferred;              // better sibling named by a refusal; empty when none
     std::span<const std::uint32_t> inFlight; // this ingress' running attempts per worker, in view order; may be empty
     bool repeatable = false;                 // it may run more than once: a failure can be made good
+    std::size_t answerBytes = 0;             // expected size of the answer; long ones are better not carried between data centres
     bool isLong = false;                     // expected to run much longer than the pool's typical work
     std::uint64_t random = 0;                // fresh random bits
     state::time_point now;                   // for the age of reports
--- a/coordination/src/balancer_least_wait.cpp
+++ b/coordination/src/balancer_least_wait.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t Draws = 2;          // the same without local ones
 constexpr seconds RiskCost{1.0};            // what a surely failing worker costs work that must not run twice
 constexpr seconds RepeatableRiskCost{0.1};  // the same for work that is tried elsewhere
+constexpr seconds RemoteByteCost{4e-6};     // of a byte that crosses between data centres, in waiting that it is worth
+constexpr double TrustedRisk = 0.3;         // work that must not run twice goes to workers below it while there are any
 constexpr double LeastShare = 0.001;      // keeps draws possible
 
 // Workers that a draw may choose from, with the running sum of their shares.
@@ -63,6 +65,11 @@
     std::vector<double> m_sums;
 };
 
+double presentRisk(const worker_view &worker, state::time_point now)
+{
+    return worker.report.version == 0 ? 0.0 : std::max(0.0, driftRisk(worker.report.risk, now - worker.heardAt));
+}
+
 // Scores workers by the time that a new item would wait there.
 class wait_estimate
 {
@@ -87,9 +94,9 @@
         const double trust = worker.report.version == 0 ? 0.0 : TrustLatencies * latency / (TrustLatencies * latency + age);
         const std::uint32_t own = index < m_request.inFlight.size() ? m_request.inFlight[index] : 0;
         const seconds ownLoad = latency * own / std::max<std::uint32_t>(worker.slots, 1);
-        const seconds distance = worker.dataCentre == m_request.dataCentre ? seconds{0} : RemoteRoundTrip;
-        const double risk = worker.report.version == 0 ? 0.0 : std::max(0.0, driftRisk(worker.report.risk, m_request.now - worker.heardAt));
-        const seconds doubt = risk * (m_request.repeatable ? RepeatableRiskCost : RiskCost);
+        const seconds remote = RemoteRoundTrip + RemoteByteCost * static_cast<double>(m_request.answerBytes);
+        const seconds distance = worker.dataCentre == m_request.dataCentre ? seconds{0} : remote;
+        const seconds doubt = presentRisk(worker, m_request.now) * (m_request.repeatable ? RepeatableRiskCost : RiskCost);
         return doubt + seconds(worker.report.expectedWait) * trust + m_typical * (1.0 - trust) + ownLoad * OwnLoadFactor + distance;
     }
 
@@ -109,32 +116,52 @@
 public:
     std::size_t pick(const pool_view &view, const pick_request &request) const override
     {
-        candidate_group all;
-        candidate_group local;
-        all.reserve(view.workers.size());
         bool anyUsable = false;
+        std::vector<std::size_t> candidates;
+        candidates.reserve(view.workers.size());
         for (std::size_t i = 0; i < view.workers.size(); ++i) {
             const worker_view &worker = view.workers[i];
             anyUsable = anyUsable || isUsable(worker);
-            if (!isCandidate(worker, request)) {
-                continue;
+            if (isCandidate(worker, request)) {
+                candidates.push_back(i);
             }
-            if (worker.id == request.preferred) {
+        }
+        if (candidates.empty()) {
+            return anyUsable ? NoWorker : pickEjected(view, request);
+        }
+        if (!request.repeatable) {
+            keepTrusted(view, request, candidates);
+        }
+        candidate_group all;
+        candidate_group local;
+        all.reserve(candidates.size());
+        for (const std::size_t i : candidates) {
+            const worker_view &worker = view.workers[i];
+            const bool isLocal = worker.dataCentre == request.dataCentre;
+            if (worker.id == request.preferred && isLocal) {
                 return i;
             }
             all.add(i, worker);
-            if (worker.dataCentre == request.dataCentre) {
+            if (isLocal) {
                 local.add(i, worker);
             }
         }
-        if (all.isEmpty()) {
-            return anyUsable ? NoWorker : pickEjected(view, request);
-        }
         const wait_estimate waitOf(view, request);
         return pickShortest(request, all, local, waitOf);
     }
 
 private:
+    // Leaves out the doubtful workers unless all are.
+    static void keepTrusted(const pool_view &view, const pick_request &request, std::vector<std::size_t> &candidates)
+    {
+        const auto isDoubtful = [&](std::size_t i) {
+            return presentRisk(view.workers[i], request.now) > TrustedRisk;
+        };
+        if (!std::all_of(candidates.begin(), candidates.end(), isDoubtful)) {
+            std::erase_if(candidates, isDoubtful);
+        }
+    }
+
     static std::size_t pickShortest(const pick_request &request, const candidate_group &all, const candidate_group &local, const wait_estimate &waitOf)
     {
         pcg32 random(request.random);
--- a/coordination/src/retry.cpp
+++ b/coordination/src/retry.cpp
@@ -14,7 +14,8 @@
 
 constexpr std::uint32_t MaxAttempts = 3;
 constexpr std::uint32_t MaxSharedAttempts = 8; // where arrivals at workers are limited of their own
-constexpr double AllowanceShare = 0.8;         // of a stated allowance: repeats also cause calls of the workers' own
+constexpr double AllowanceShare = 0.85;        // of a stated allowance, for all repeats
+constexpr double RerunShare = 0.4;             // of it, for repeats of work that ran: these repeat their own calls to other pools too
 constexpr double RefusalTokensPerRequest = 0.1; // refusals mean load: retries must stay few
 constexpr double FailureTokensPerRequest = 0.5; // failures of one worker or path: another one can do the work
 constexpr double TokensPerSecond = 0.5;         // lets a node that sees few requests retry too
@@ -182,15 +183,24 @@
         }
     }
 
-    bool take(double share, double extra, state::duration window, state::time_point now)
+    // A node uses the share of its own requests and its part of the extra repeats.
+    bool take(const state::retry_allowance &allowance, std::uint32_t nodes, bool rerun, state::time_point now)
     {
-        forget(m_requests, now - window);
-        forget(m_repeats, now - window);
-        const double allowed = share * static_cast<double>(m_requests.size()) + std::max(extra, 1.0);
-        if (static_cast<double>(m_repeats.size()) + 1.0 > allowed) {
+        for (std::deque<state::time_point> *times : {&m_requests, &m_repeats, &m_reruns}) {
+            forget(*times, now - allowance.window);
+        }
+        const double part = std::max(allowance.extra / std::max(1U, nodes), 1.0 / AllowanceShare);
+        const double allowed = allowance.share * static_cast<double>(m_requests.size()) + part;
+        if (static_cast<double>(m_repeats.size()) + 1.0 > AllowanceShare * allowed) {
+            return false;
+        }
+        if (rerun && static_cast<double>(m_reruns.size()) + 1.0 > std::max(1.0, RerunShare * allowed)) {
             return false;
         }
         m_repeats.push_back(now);
+        if (rerun) {
+            m_reruns.push_back(now);
+        }
         return true;
     }
 
@@ -206,6 +216,7 @@
 
     std::deque<state::time_point> m_requests;
     std::deque<state::time_point> m_repeats;
+    std::deque<state::time_point> m_reruns; // of them, those of work that ran
 };
 
 // A sidecar's refusal is a sign of load. The other kinds are faults of one worker or path; so is a worker's own refusal,
@@ -250,10 +261,8 @@
         if (!arrived) {
             return tryAgain();
         }
-        const double extra = AllowanceShare * failure.allowance.extra / std::max(1U, failure.nodes);
-        return m_shared.take(AllowanceShare * failure.allowance.share, extra, failure.allowance.window, now)
-                   ? tryAgain()
-                   : giveUp(failure, refusal_reason::retry_budget_empty, now);
+        const bool rerun = failure.run != run_state::not_run;
+        return m_shared.take(failure.allowance, failure.nodes, rerun, now) ? tryAgain() : giveUp(failure, refusal_reason::retry_budget_empty, now);
     }
 
     window_budget m_shared;
--- a/programs/dandelionstall/attempt_stream.cpp
+++ b/programs/dandelionstall/attempt_stream.cpp
@@ -249,6 +249,13 @@
     }
 }
 
+void control_stream::sendFrame(const protocol::frame &frame, bool last)
+{
+    if (const auto session = m_session.lock()) {
+        session->write(m_stream, protocol::makeFrame(frame.type, frame.payload), last);
+    }
+}
+
 void control_stream::onPeerEnd()
 { }
 
--- a/programs/dandelionstall/attempt_stream.h
+++ b/programs/dandelionstall/attempt_stream.h
@@ -89,6 +89,7 @@
 
     answer_writer &writer();
     void sendRaw(protocol::frame_type type, std::string_view payload); // one frame and the end of the stream
+    void sendFrame(const protocol::frame &frame, bool last);           // one of several frames
 
 private:
     bool takeFrame(const protocol::frame &frame);
--- a/programs/dandelionstall/control_detail.h
+++ b/programs/dandelionstall/control_detail.h
@@ -37,6 +37,7 @@
     // control_gossip.cpp: gossip, and what follows from it and from the platform
     void scheduleTick();
     void tick();
+    void noteVerdicts(const std::string &pool, state::time_point now);
     void receive(std::string_view datagram);
     void send(const coordination::gossip_batch &batch);
     void afterInput(state::time_point now);
@@ -62,6 +63,7 @@
     std::array<std::string, coordination::TableKinds.size()> m_lastRefusals;
     std::vector<subscriber> m_subscribers;
     state::time_point m_nextJudgement;
+    std::map<std::string, coordination::worker_state> m_verdicts; // as last logged, by worker
     bool m_reader = false;
     bool m_doubts = false;
     bool m_vmListRead = false;
--- a/programs/dandelionstall/control_gossip.cpp
+++ b/programs/dandelionstall/control_gossip.cpp
@@ -93,7 +93,11 @@
     afterInput(now);
     if (m_nextJudgement <= now) {
         m_nextJudgement = now + JudgeInterval;
-        m_publishDue = !m_tracker.judge(now).empty() || m_publishDue;
+        const std::vector<std::string> changed = m_tracker.judge(now);
+        m_publishDue = !changed.empty() || m_publishDue;
+        for (const std::string &pool : changed) {
+            noteVerdicts(pool, now);
+        }
     }
     if (std::exchange(m_publishDue, false)) {
         publish();
@@ -101,6 +105,24 @@
     scheduleTick();
 }
 
+// One line for each worker whose use by this node has changed.
+void control::detail::noteVerdicts(const std::string &pool, state::time_point now)
+{
+    for (const coordination::worker_explanation &worker : m_tracker.explain(pool, now)) {
+        const auto [known, added] = m_verdicts.try_emplace(worker.worker, coordination::worker_state::unknown);
+        if (std::exchange(known->second, worker.state) == worker.state) {
+            continue;
+        }
+        logEvent(event::worker_judged,
+                 {{"worker", worker.worker},
+                  {"pool", pool},
+                  {"state", std::string(coordination::stateName(worker.state))},
+                  {"reason", std::string(coordination::reasonName(worker.reason))},
+                  {"weight", fmt::format("{:.2f}", worker.weight)},
+                  {"text", worker.text}});
+    }
+}
+
 void control::detail::receive(std::string_view datagram)
 {
     m_metrics.countNamed("gossip_received");
@@ -175,6 +197,7 @@
     }
     for (const auto &[id, leaving] : known) {
         if (!present.contains(id)) {
+            m_verdicts.erase(id);
             logEvent(event::worker_gone, {{"worker", id}});
         }
     }
--- a/programs/dandelionstall/ingress.cpp
+++ b/programs/dandelionstall/ingress.cpp
@@ -21,6 +21,7 @@
 
 constexpr auto SweepPeriod = std::chrono::seconds(1);
 constexpr auto InterestPeriod = std::chrono::seconds(1);                // a pool in use is named at most this often
+constexpr double AnswerBytesShare = 0.2;                                // of a new answer in the moving average
 constexpr auto CallerLimitRetryAfter = std::chrono::milliseconds(1000); // for callers over the connection limit
 
 } // namespace
@@ -78,6 +79,7 @@
 void ingress::sweep()
 {
     m_peers.closeIdle(state::clock::now());
+    m_paths.forgetOld(state::clock::now());
     m_counters.setGauge("caller_connections", static_cast<double>(m_connections.size()));
     m_counters.setGauge("peer_links", static_cast<double>(m_peers.size()));
     m_sweeper.expires_after(SweepPeriod);
@@ -154,6 +156,9 @@
 void ingress::applySnapshot(coordination::snapshot_ptr snapshot)
 {
     if (snapshot->routes && (!m_routes || &m_routes->table() != snapshot->routes.get())) {
+        if (m_answerBytes.size() > snapshot->routes->routes.size()) {
+            m_answerBytes.clear(); // some of the routes are gone
+        }
         m_routes = std::make_unique<state::route_index>(snapshot->routes);
     }
     m_snapshot = std::move(snapshot);
@@ -254,6 +259,21 @@
     return m_peers;
 }
 
+void ingress::notePath(const state::node_address &node, bool ok)
+{
+    if (ok) {
+        m_paths.noteSuccess(node);
+    } else {
+        m_paths.noteFailure(node, state::clock::now());
+    }
+    m_events.path(node, ok);
+}
+
+const coordination::path_memory &ingress::paths() const
+{
+    return m_paths;
+}
+
 transport::metrics &ingress::counters()
 {
     return m_counters;
@@ -274,6 +294,18 @@
     return {m_origin, ++m_sequence};
 }
 
+std::size_t ingress::expectedAnswerBytes(const std::string &route) const
+{
+    const auto known = m_answerBytes.find(route);
+    return known == m_answerBytes.end() ? 0 : static_cast<std::size_t>(known->second);
+}
+
+void ingress::noteAnswerBytes(const std::string &route, std::size_t bytes)
+{
+    const auto [known, added] = m_answerBytes.try_emplace(route, static_cast<double>(bytes));
+    known->second += (static_cast<double>(bytes) - known->second) * AnswerBytesShare;
+}
+
 std::uint32_t &ingress::inFlight(const std::string &worker)
 {
     return m_inFlight[worker];
--- a/programs/dandelionstall/ingress.h
+++ b/programs/dandelionstall/ingress.h
@@ -11,6 +11,7 @@
 
 #include <dandelionstall/coordination/balancer.h>
 #include <dandelionstall/coordination/fleet_snapshot.h>
+#include <dandelionstall/coordination/path_memory.h>
 #include <dandelionstall/coordination/retry.h>
 #include <dandelionstall/state/settings.h>
 #include <dandelionstall/state/tables_index.h>
@@ -55,10 +56,14 @@
     coordination::balancer &balancerOf(const coordination::pool_view &view);
     coordination::retry_policy &retryOf(const coordination::pool_view &view);
     peer_directory &peers();
+    void notePath(const state::node_address &node, bool ok); // an attempt reached the node, or did not
+    const coordination::path_memory &paths() const;
     transport::metrics &counters();
     const ingress_events &events() const;
     std::uint64_t random();
     state::attempt_id nextAttempt();
+    std::size_t expectedAnswerBytes(const std::string &route) const; // 0 when nothing is known
+    void noteAnswerBytes(const std::string &route, std::size_t bytes);
     std::uint32_t &inFlight(const std::string &worker); // own running attempts at a worker
     boost::asio::io_context &io();
 
@@ -87,7 +92,9 @@
     std::map<std::string, std::unique_ptr<coordination::balancer>, std::less<>> m_balancers;   // by policy name
     std::map<std::string, std::unique_ptr<coordination::retry_policy>, std::less<>> m_retries; // by pool and policy name
     peer_directory m_peers;
+    coordination::path_memory m_paths;
     std::unordered_map<std::string, std::uint32_t> m_inFlight;
+    std::unordered_map<std::string, double> m_answerBytes; // moving average by route
     std::set<std::shared_ptr<caller_connection>> m_connections;
     bool m_stopping = false;
 };
--- a/programs/dandelionstall/main.cpp
+++ b/programs/dandelionstall/main.cpp
@@ -88,7 +88,7 @@
 
 int serve(const state::settings &settings)
 {
-    transport::configureLog(settings.logLevel, settings.name);
+    transport::configureLog(settings.logLevel, settings.name, settings.maxLogLinesPerSecond);
     node process(settings);
     if (const absl::Status status = process.start(); !status.ok()) {
         transport::logEvent(transport::event::listen_failed, {{"reason", std::string(state::messageOf(status))}});
--- a/programs/dandelionstall/peer_directory.cpp
+++ b/programs/dandelionstall/peer_directory.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr auto DialTimeout = std::chrono::milliseconds(600); // TCP connection and first exchange of clocks
+constexpr auto DialTimeout = std::chrono::milliseconds(300); // TCP connection and first exchange of clocks
 constexpr auto ClockPeriod = std::chrono::seconds(5);        // between exchanges on a link in use
 constexpr auto IdleLinkLife = std::chrono::seconds(60);      // an unused link is closed after this
 
--- a/programs/dandelionstall/request_attempt.cpp
+++ b/programs/dandelionstall/request_attempt.cpp
@@ -2,12 +2,14 @@
 #include "request_run.h"
 
 #include <dandelionstall/protocol/caller_http.h>
+#include <dandelionstall/transport/events.h>
 
 #include <boost/asio.hpp>
 #include <xxhash.h>
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 namespace dandelionstall {
 
@@ -16,6 +18,7 @@
 using coordination::retry_reason;
 using coordination::run_state;
 using protocol::frame_type;
+using transport::logEvent;
 
 namespace {
 
@@ -80,6 +83,8 @@
 struct request_run::sent_attempt {
     state::attempt_id id;             // of the attempt
     state::node_address node;         // where it went
+    state::node_address via;          // who is asked at present: that node, or a third one for its outcome
+    std::uint32_t queries = 0;        // times its outcome was asked for
     std::shared_ptr<peer_link> link;  // on which connection
     transport::stream_id stream = -1; // on which stream
     state::incarnation home = 0;      // which life of the sidecar
@@ -136,10 +141,10 @@
 {
     const auto link = co_await m_owner.peers().connect(worker.node, m_deadline);
     if (m_callerGone) {
-        co_return attempt_outcome{attempt_end::caller_gone, {}, {}, false};
+        co_return attempt_outcome{attempt_end::caller_gone, {}, {}, -1.0, false};
     }
     if (!link.ok()) {
-        m_owner.events().path(worker.node, false);
+        m_owner.notePath(worker.node, false);
         const bool noProof = !m_ticket.empty(); // an earlier request with this ticket may have run
         co_return failedBy(retry_reason::connect_failed, refusal_reason::path_down, noProof ? run_state::unknown : run_state::not_run);
     }
@@ -149,7 +154,10 @@
     const protocol::attempt_head head = makeHead(worker, **link);
     sent_attempt sent;
     sent.id = head.id;
+    m_lastAttempt = state::formatAttemptId(head.id);
+    logPlaced(worker, head.id);
     sent.node = worker.node;
+    sent.via = worker.node;
     sent.link = *link;
     sent.home = head.home;
     sent.tracked = !head.idempotent || !m_ticket.empty();
@@ -179,7 +187,7 @@
         if (event.kind == read_kind::cancelled) {
             sent.link->session->reset(sent.stream);
             m_owner.counters().countNamed("attempts_cancelled");
-            co_return attempt_outcome{attempt_end::caller_gone, {}, {}, false};
+            co_return attempt_outcome{attempt_end::caller_gone, {}, {}, -1.0, false};
         }
         if (event.kind == read_kind::timed_out) {
             sent.link->session->reset(sent.stream);
@@ -191,10 +199,14 @@
         if (event.kind != read_kind::frame) {
             const bool pathLost = event.end == transport::stream_end::silent || event.end == transport::stream_end::connection_lost;
             if (pathLost) {
-                m_owner.events().path(sent.node, false);
-                m_owner.peers().drop(sent.node, sent.link);
+                m_owner.notePath(sent.via, false);
+                m_owner.peers().drop(sent.via, sent.link);
             }
             if (sent.tracked) {
+                if (sent.queries > 0) {
+                    asio::steady_timer pause(m_owner.io(), QueryPause);
+                    co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
+                }
                 co_return co_await recover(sent);
             }
             const retry_reason kind = pathLost && !sent.headArrived ? retry_reason::path_silent : retry_reason::cut_answer;
@@ -207,7 +219,7 @@
         } else if (event.frame.type == frame_type::body && sent.headArrived) {
             if (!co_await takeBody(sent, event.frame.payload)) {
                 sent.link->session->reset(sent.stream);
-                co_return attempt_outcome{attempt_end::caller_gone, {}, {}, false};
+                co_return attempt_outcome{attempt_end::caller_gone, {}, {}, -1.0, false};
             }
         } else if (event.frame.type == frame_type::answer_end && sent.headArrived) {
             const auto end = protocol::decodeAnswerEnd(event.frame.payload);
@@ -231,7 +243,7 @@
         co_return cutAnswer(sent);
     }
     sent.headArrived = true;
-    m_owner.events().path(sent.node, true);
+    m_owner.notePath(sent.via, true);
     if (!head->reports.empty()) {
         m_owner.events().reports(head->reports);
     }
@@ -303,7 +315,7 @@
         co_return cutAnswer(sent);
     }
     if (m_callerGone) {
-        co_return attempt_outcome{attempt_end::caller_gone, {}, {}, false};
+        co_return attempt_outcome{attempt_end::caller_gone, {}, {}, -1.0, false};
     }
     const std::uint32_t status = answer.head.status;
     answer.sentBytes += answer.held.size();
@@ -316,10 +328,12 @@
     if (sent.tracked && m_ticket.empty()) {
         acknowledge(sent);
     }
+    m_status = status;
+    m_owner.noteAnswerBytes(m_route->name, answer.bodyBytes);
     m_owner.counters().countRequest(m_route->name, status);
     const auto total = std::chrono::duration_cast<std::chrono::microseconds>(state::clock::now() - m_request.arrivedAt);
     m_owner.counters().observeAddedTime(std::max(total - end.runTime, std::chrono::microseconds(0)));
-    co_return attempt_outcome{sentAll ? attempt_end::delivered : attempt_end::caller_gone, {}, {}, false};
+    co_return attempt_outcome{sentAll ? attempt_end::delivered : attempt_end::caller_gone, {}, {}, -1.0, false};
 }
 
 void request_run::acknowledge(const sent_attempt &sent)
@@ -332,18 +346,48 @@
 
 // [SECTION] Recovery
 
+// A node that may still reach the one that this node cannot: any other of the pool, in that node's data centre if possible.
+std::optional<state::node_address> request_run::chooseRelay(const state::node_address &target)
+{
+    const auto view = m_owner.viewOf(*m_pool);
+    const auto there = std::find_if(view->workers.begin(), view->workers.end(), [&](const auto &worker) { return worker.node == target; });
+    std::vector<state::node_address> near;
+    std::vector<state::node_address> others;
+    for (const coordination::worker_view &worker : view->workers) {
+        const bool usable = coordination::isUsable(worker) && !m_owner.paths().isAvoided(worker.node, state::clock::now());
+        if (!usable || worker.node == target || worker.node == m_owner.settings().advertise) {
+            continue;
+        }
+        const bool isNear = there != view->workers.end() && worker.dataCentre == there->dataCentre;
+        (isNear ? near : others).push_back(worker.node);
+    }
+    const std::vector<state::node_address> &relays = near.empty() ? others : near;
+    return relays.empty() ? std::nullopt : std::optional(relays[m_owner.random() % relays.size()]);
+}
+
+// Over a new connection and through a third node in turn; through the third node first when the path has just gone silent.
 asio::awaitable<attempt_outcome> request_run::recover(sent_attempt &sent)
 {
     const state::time_point giveUpAt = m_deadline + AnswerGrace;
     while (state::clock::now() < giveUpAt && !m_callerGone) {
+        const bool avoided = m_owner.paths().isAvoided(sent.node, state::clock::now());
+        const bool wantsRelay = (sent.queries++ % 2 == 0) == avoided;
+        const std::optional<state::node_address> relay = wantsRelay ? chooseRelay(sent.node) : std::nullopt;
+        const state::node_address asked = relay ? *relay : sent.node;
         m_owner.counters().countNamed("outcomes_asked_for");
-        const auto link = co_await m_owner.peers().connect(sent.node, std::min(giveUpAt, state::clock::now() + QueryTimeout));
+        logEvent(transport::event::outcome_asked,
+                 {{"request", requestName()},
+                  {"attempt", state::formatAttemptId(sent.id)},
+                  {"node", state::formatNodeAddress(sent.node)},
+                  {"asked", state::formatNodeAddress(asked)}});
+        const auto link = co_await m_owner.peers().connect(asked, std::min(giveUpAt, state::clock::now() + QueryTimeout));
         if (!link.ok()) {
+            m_owner.notePath(asked, false);
             asio::steady_timer pause(m_owner.io(), QueryPause);
             co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
             continue;
         }
-        if ((*link)->incarnation != sent.home) {
+        if (!relay && (*link)->incarnation != sent.home) {
             co_return sent.answer.streaming ? cutAnswer(sent) : failedBy(retry_reason::path_silent, refusal_reason::stale_incarnation, run_state::unknown);
         }
         m_reader = std::make_shared<stream_reader>(m_owner.io().get_executor());
@@ -353,16 +397,18 @@
         sent.answer.restart();
         sent.stream = sent.link->session->open("/control", m_reader);
         if (sent.stream < 0) {
-            m_owner.peers().drop(sent.node, *link);
+            m_owner.peers().drop(asked, *link);
             continue;
         }
         m_reader->attach(sent.link->session, sent.stream);
-        const protocol::attempt_query query{sent.id, sent.link->clock.toPeer(m_deadline, state::clock::now()), sent.home};
+        protocol::attempt_query query{sent.id, sent.link->clock.toPeer(m_deadline, state::clock::now()), sent.home, {}};
+        query.relayTo = relay ? state::formatNodeAddress(sent.node) : std::string();
+        sent.via = asked;
         sent.link->session->write(sent.stream, protocol::makeFrame(frame_type::query, protocol::encode(query)), true);
         co_return co_await readAnswer(sent);
     }
     if (m_callerGone) {
-        co_return attempt_outcome{attempt_end::caller_gone, {}, {}, false};
+        co_return attempt_outcome{attempt_end::caller_gone, {}, {}, -1.0, false};
     }
     co_return sent.answer.streaming ? cutAnswer(sent) : failedBy(retry_reason::path_silent, refusal_reason::unknown_outcome, run_state::unknown);
 }
@@ -413,7 +459,7 @@
     if (sent.answer.streaming) {
         m_owner.counters().countNamed("answers_broken_off");
         m_connection.breakOff();
-        return attempt_outcome{attempt_end::broken_off, {}, {}, false};
+        return attempt_outcome{attempt_end::broken_off, {}, {}, -1.0, false};
     }
     return failedBy(retry_reason::cut_answer, refusal_reason::unknown_outcome, run_state::unknown);
 }
--- /dev/null
+++ b/programs/dandelionstall/request_log.cpp
@@ -0,0 +1,94 @@
+// Log lines of one request: where its attempts went and why, and how it ended.
+#include "request_run.h"
+
+#include <dandelionstall/protocol/caller_http.h>
+#include <dandelionstall/transport/events.h>
+
+#include <fmt/format.h>
+
+namespace dandelionstall {
+
+using transport::event;
+using transport::logEvent;
+
+namespace {
+
+std::int64_t millisSince(state::time_point from)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(state::clock::now() - from).count();
+}
+
+std::string ageOf(const coordination::worker_view &worker)
+{
+    return worker.report.version == 0 ? "none" : fmt::to_string(millisSince(worker.heardAt));
+}
+
+} // namespace
+
+std::string request_run::requestName() const
+{
+    const std::string_view stated = protocol::findHeader(m_request.headers, m_owner.settings().headers.requestId);
+    return stated.empty() ? m_lastAttempt : std::string(stated);
+}
+
+void request_run::logPlaced(const coordination::worker_view &worker, const state::attempt_id &id) const
+{
+    logEvent(event::attempt_placed,
+             {{"request", requestName()},
+              {"attempt", state::formatAttemptId(id)},
+              {"route", m_route->name},
+              {"revision", fmt::to_string(m_hold->routes->revision)},
+              {"worker", worker.id},
+              {"node", state::formatNodeAddress(worker.node)},
+              {"state", std::string(coordination::stateName(worker.state))},
+              {"risk", fmt::format("{:.2f}", worker.report.risk)},
+              {"wait_us", fmt::to_string(worker.report.expectedWait.count())},
+              {"report_age_ms", ageOf(worker)},
+              {"insisted", m_insists ? "yes" : "no"},
+              {"attempts", fmt::to_string(m_attempts)},
+              {"left_ms", fmt::to_string(-millisSince(m_deadline))}});
+}
+
+void request_run::logAttemptFailed(const coordination::worker_view &worker, const coordination::failed_attempt &failure) const
+{
+    logEvent(event::attempt_failed,
+             {{"request", requestName()},
+              {"attempt", m_lastAttempt},
+              {"worker", worker.id},
+              {"kind", std::string(coordination::reasonName(failure.kind))},
+              {"refusal", std::string(coordination::reasonName(failure.refusal))},
+              {"run", std::string(coordination::runStateName(failure.run))},
+              {"arrivals", fmt::to_string(failure.arrivals)},
+              {"waited_ms", fmt::to_string(millisSince(m_request.arrivedAt))}});
+}
+
+void request_run::logEnded(attempt_end end, const coordination::worker_view &worker) const
+{
+    event id = event::request_answered;
+    if (end != attempt_end::delivered) {
+        id = end == attempt_end::broken_off ? event::request_broken : event::request_gone;
+    }
+    logEvent(id,
+             {{"request", requestName()},
+              {"route", m_route->name},
+              {"status", fmt::to_string(m_status)},
+              {"worker", worker.id},
+              {"attempts", fmt::to_string(m_attempts)},
+              {"waited_ms", fmt::to_string(millisSince(m_request.arrivedAt))}});
+}
+
+void request_run::logRefused(const protocol::caller_refusal &refusal) const
+{
+    logEvent(event::request_refused,
+             {{"request", requestName()},
+              {"route", m_route != nullptr ? m_route->name : ""},
+              {"revision", m_hold ? fmt::to_string(m_hold->routes->revision) : "none"},
+              {"status", fmt::to_string(protocol::statusOf(refusal))},
+              {"reason", std::string(coordination::reasonName(refusal.reason))},
+              {"run", std::string(coordination::runStateName(refusal.run))},
+              {"retry_after_ms", fmt::to_string(refusal.retryAfter.count())},
+              {"attempts", fmt::to_string(m_attempts)},
+              {"waited_ms", fmt::to_string(millisSince(m_request.arrivedAt))}});
+}
+
+} // namespace dandelionstall
--- a/programs/dandelionstall/request_run.cpp
+++ b/programs/dandelionstall/request_run.cpp
@@ -5,6 +5,8 @@
 #include <dandelionstall/coordination/pool_choice.h>
 #include <dandelionstall/protocol/caller_http.h>
 
+#include <dandelionstall/transport/events.h>
+
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 
@@ -17,6 +19,8 @@
 namespace asio = boost::asio;
 using coordination::refusal_reason;
 using coordination::run_state;
+using transport::event;
+using transport::logEvent;
 
 namespace {
 
@@ -145,7 +149,7 @@
         const coordination::worker_view &worker = view->workers[index];
         const auto link = co_await m_owner.peers().connect(worker.node, m_deadline);
         if (!link.ok()) {
-            m_owner.events().path(worker.node, false);
+            m_owner.notePath(worker.node, false);
             m_tried.push_back(worker.id);
             continue;
         }
@@ -177,12 +181,24 @@
     coordination::pick_request pick;
     pick.dataCentre = m_owner.settings().dataCentre;
     pick.route = m_route->name;
-    pick.exclude = m_tried;
+    std::vector<std::string> exclude = m_tried;
+    for (const coordination::worker_view &worker : view.workers) {
+        if (m_owner.paths().isAvoided(worker.node, state::clock::now())) {
+            exclude.push_back(worker.id);
+        }
+    }
+    pick.exclude = exclude;
     pick.preferred = preferred;
     pick.inFlight = inFlight;
     pick.random = m_owner.random();
+    pick.answerBytes = m_owner.expectedAnswerBytes(m_route->name);
     pick.repeatable = m_route->idempotent && m_ticket.empty();
     pick.now = state::clock::now();
+    const std::size_t reachable = m_owner.balancerOf(view).pick(view, pick);
+    if (reachable != coordination::NoWorker || exclude.size() == m_tried.size()) {
+        return reachable;
+    }
+    pick.exclude = m_tried; // nobody else is left
     return m_owner.balancerOf(view).pick(view, pick);
 }
 
@@ -227,6 +243,7 @@
         attempt_outcome outcome = co_await attempt(worker);
         --m_owner.inFlight(worker.id);
         if (outcome.end != attempt_end::failed) {
+            logEnded(outcome.end, worker);
             co_return outcome.end == attempt_end::delivered;
         }
         m_arrivals += mayHaveArrived(outcome.failure) ? 1 : 0;
@@ -238,14 +255,17 @@
         m_insists = false;
         m_run = coordination::combineRuns(m_run, last.run);
         if (!m_ticket.empty()) {
+            logAttemptFailed(worker, last);
             co_return co_await refuse(last.refusal, m_run, std::max(last.retryAt, state::clock::now() + OutcomeRetryAfter));
         }
         if (!outcome.retryDecided) {
             const coordination::retry_verdict verdict = retry.decide(last, state::clock::now());
             if (!verdict.again) {
+                logAttemptFailed(worker, last);
                 co_return co_await refuse(verdict.refusal, m_run, verdict.retryAt);
             }
         }
+        logAttemptFailed(worker, last);
         m_owner.counters().countRetry(last.kind);
         m_tried.push_back(worker.id);
         preferred = outcome.betterSibling;
@@ -257,6 +277,7 @@
 asio::awaitable<bool> request_run::refuse(refusal_reason reason, run_state run, state::time_point retryAt)
 {
     if (m_callerGone) {
+        logEvent(event::request_gone, {{"request", requestName()}, {"route", m_route != nullptr ? m_route->name : ""}, {"attempts", std::to_string(m_attempts)}});
         co_return false;
     }
     const state::time_point now = state::clock::now();
@@ -264,6 +285,7 @@
     refusal.reason = reason == refusal_reason::none ? refusal_reason::unknown_outcome : reason;
     refusal.run = run;
     refusal.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(std::max(retryAt - now, state::duration::zero()));
+    logRefused(refusal);
     m_owner.counters().countRefusal(refusal.reason);
     m_owner.counters().countRequest(m_route != nullptr ? m_route->name : "none", protocol::statusOf(refusal));
     co_return co_await m_connection.sendRefusal(refusal);
--- a/programs/dandelionstall/request_run.h
+++ b/programs/dandelionstall/request_run.h
@@ -51,6 +51,13 @@
     boost::asio::awaitable<bool> giveTicket();
     boost::asio::awaitable<bool> refuse(coordination::refusal_reason reason, coordination::run_state run, state::time_point retryAt);
 
+    // request_log.cpp
+    std::string requestName() const; // the caller's id of the request; the node's own where it sent none
+    void logPlaced(const coordination::worker_view &worker, const state::attempt_id &id) const;
+    void logAttemptFailed(const coordination::worker_view &worker, const coordination::failed_attempt &failure) const;
+    void logEnded(attempt_end end, const coordination::worker_view &worker) const;
+    void logRefused(const protocol::caller_refusal &refusal) const;
+
     absl::Status findRoute(std::string_view path, std::string_view method); // sets m_route and m_pool
     coordination::refusal_reason readTicket();
     std::size_t chooseDoubtful(const coordination::pool_view &view); // the least doubtful worker that refused; insists on it
@@ -61,6 +68,7 @@
     boost::asio::awaitable<attempt_outcome> attempt(const coordination::worker_view &worker);
     boost::asio::awaitable<attempt_outcome> readAnswer(sent_attempt &sent);
     boost::asio::awaitable<attempt_outcome> recover(sent_attempt &sent); // asks for the outcome over another connection
+    std::optional<state::node_address> chooseRelay(const state::node_address &target);
     boost::asio::awaitable<std::optional<attempt_outcome>> takeHead(sent_attempt &sent, const protocol::frame &frame);
     boost::asio::awaitable<bool> takeBody(sent_attempt &sent, std::string_view bytes);
     boost::asio::awaitable<attempt_outcome> takeEnd(sent_attempt &sent, const protocol::answer_end &end);
@@ -81,6 +89,8 @@
     std::vector<std::string> m_tried;                                 // workers tried
     std::map<std::string, double> m_doubtful;                         // workers whose guard refused the request, with the risk they named
     bool m_insists = false;                                           // the next attempt runs whatever the guard says
+    std::string m_lastAttempt;                                        // id of the latest attempt, for logs
+    std::uint32_t m_status = 0;                                       // of the answer given
     std::uint32_t m_attempts = 0;                                     // attempts made
     std::uint32_t m_arrivals = 0;                                     // those that may have reached a worker
     coordination::run_state m_run = coordination::run_state::not_run; // of the request, over all its attempts
--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -55,6 +55,7 @@
     , m_reports(std::move(reports))
     , m_acceptor(io)
     , m_ticker(io)
+    , m_peers(io, settings)
     , m_registry(state::attempt_limits{})
     , m_limiter(coordination::makeOrganisationLimiter(settings.maxOrganisations, life))
 {
@@ -130,6 +131,7 @@
     if (now >= m_nextExpiry) {
         m_nextExpiry = now + ExpiryPeriod;
         m_registry.expire(now);
+        m_peers.closeIdle(now);
     }
     m_counters.setGauge("kept_answer_bytes", static_cast<double>(m_registry.keptBytes()));
     m_counters.setGauge("attempt_records", static_cast<double>(m_registry.size()));
@@ -293,6 +295,16 @@
 
 // [SECTION] Reports
 
+// One line when the guard begins to keep work away, and when it no longer does.
+void sidecar::noteDoubt(served_worker &worker, state::time_point now)
+{
+    const bool doubtful = !worker.guard->admits({{}, false, false}, now);
+    if (std::exchange(worker.doubtful, doubtful) != doubtful) {
+        transport::logEvent(transport::event::worker_doubtful,
+                            {{"worker", worker.settings.id}, {"doubtful", doubtful ? "yes" : "no"}, {"risk", std::to_string(worker.guard->risk(now))}});
+    }
+}
+
 worker_report sidecar::makeReport(const served_worker &worker, state::time_point now) const
 {
     worker_report report;
@@ -320,6 +332,7 @@
     std::vector<worker_report> reports;
     reports.reserve(m_workers.size());
     for (auto &[id, worker] : m_workers) {
+        noteDoubt(worker, now);
         ++worker.reportVersion;
         reports.push_back(makeReport(worker, now));
     }
--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "attempt_stream.h"
+#include "peer_directory.h"
 
 #include <dandelionstall/coordination/admission.h>
 #include <dandelionstall/coordination/evidence.h>
@@ -59,6 +60,7 @@
     std::shared_ptr<boost::asio::steady_timer> timer;          // for admission deadlines
     bool draining = false;                                     // it takes no new work
     bool replaced = false;                                     // another worker has its address; it is dropped once idle
+    bool doubtful = false;                                     // as last logged
     std::uint32_t probes = 0;                                  // under way
     std::uint64_t reportVersion = 0;                           // grows with every report
 };
@@ -78,6 +80,7 @@
 
     void takeAttempt(const std::shared_ptr<attempt_stream> &stream); // a whole attempt has arrived
     void takeQuery(const protocol::attempt_query &query, const std::shared_ptr<control_stream> &stream);
+    boost::asio::awaitable<void> relayQuery(protocol::attempt_query query, std::shared_ptr<control_stream> stream); // asks the node that is meant
     void takeAcknowledge(const protocol::attempt_acknowledge &message);
     void noteStreamLost(const state::attempt_id &id, transport::stream_end end); // the ingress can no longer be answered on it
 
@@ -119,9 +122,13 @@
                   coordination::run_state run,
                   std::optional<state::time_point> retryAt = std::nullopt);
 
+    std::string requestName(const protocol::attempt_head &head) const; // the caller's id of the request; empty when it sent none
+    void logRefusal(const protocol::attempt_head &head, coordination::refusal_reason reason, coordination::run_state run) const;
+    void logEnd(const protocol::attempt_head &head, const transport::worker_result &result, state::time_point startedAt) const;
     protocol::answer_head makeHead(const state::attempt_id &id, std::string_view worker) const;
     coordination::worker_report makeReport(const served_worker &worker, state::time_point now) const;
     void publishReports();
+    void noteDoubt(served_worker &worker, state::time_point now);
 
     boost::asio::io_context &m_io;
     const state::settings &m_settings;
@@ -135,6 +142,7 @@
     state::time_point m_nextExpiry;
     coordination::snapshot_ptr m_snapshot;
     std::map<std::string, served_worker, std::less<>> m_workers;
+    peer_directory m_peers; // for relayed queries
     state::attempt_registry m_registry;
     std::unique_ptr<coordination::organisation_limiter> m_limiter;
     std::unordered_map<state::attempt_id, local_attempt> m_attempts;
--- a/programs/dandelionstall/sidecar_attempts.cpp
+++ b/programs/dandelionstall/sidecar_attempts.cpp
@@ -349,6 +349,8 @@
     } else {
         worker.guard->noteEnd(id, outcome != work_outcome::answered, now);
     }
+    logEnd(head, result, startedAt);
+    noteDoubt(worker, now);
     const coordination::admission_actions actions = worker.admission->finish(id, workResultOf(result), now);
 
     if (result.end == worker_end::answered) {
--- a/programs/dandelionstall/sidecar_outcomes.cpp
+++ b/programs/dandelionstall/sidecar_outcomes.cpp
@@ -2,17 +2,25 @@
 #include "sidecar.h"
 
 #include <dandelionstall/protocol/caller_http.h>
+#include <dandelionstall/transport/events.h>
+
+#include <boost/asio.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 
 namespace dandelionstall {
 
+namespace asio = boost::asio;
 using coordination::refusal_reason;
 using coordination::run_state;
+using transport::event;
+using transport::logEvent;
 
 namespace {
 
 constexpr auto DuplicateRetryAfter = std::chrono::milliseconds(1000); // running elsewhere: ask again for its answer
+constexpr auto RelayTimeout = std::chrono::seconds(10);                 // of a relayed query whose attempt has run out meanwhile
 constexpr std::size_t MaxEjectedSiblings = 2;                         // reports of ejected siblings in one answer
 constexpr std::size_t MaxSiblings = 2;                                // sibling reports in one answer
 
@@ -49,6 +57,45 @@
 
 // [SECTION] Outcomes
 
+std::string sidecar::requestName(const protocol::attempt_head &head) const
+{
+    return std::string(protocol::findHeader(head.headers, m_settings.headers.requestId));
+}
+
+void sidecar::logRefusal(const protocol::attempt_head &head, refusal_reason reason, run_state run) const
+{
+    const auto worker = m_workers.find(head.worker);
+    const bool known = worker != m_workers.end() && worker->second.admission;
+    const state::time_point now = state::clock::now();
+    const coordination::admission_load load = known ? worker->second.admission->load(now) : coordination::admission_load{};
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(head.deadline - now);
+    logEvent(event::attempt_refused,
+             {{"request", requestName(head)},
+              {"attempt", state::formatAttemptId(head.id)},
+              {"worker", head.worker},
+              {"reason", std::string(coordination::reasonName(reason))},
+              {"run", std::string(coordination::runStateName(run))},
+              {"busy", fmt::to_string(load.busy)},
+              {"queued", fmt::to_string(load.queued)},
+              {"risk", fmt::format("{:.2f}", known ? worker->second.guard->risk(now) : -1.0)},
+              {"left_ms", fmt::to_string(left.count())}});
+}
+
+void sidecar::logEnd(const protocol::attempt_head &head, const transport::worker_result &result, state::time_point startedAt) const
+{
+    const auto runTime = std::chrono::duration_cast<std::chrono::milliseconds>(state::clock::now() - startedAt);
+    const auto worker = m_workers.find(head.worker);
+    const double risk = worker == m_workers.end() ? -1.0 : worker->second.guard->risk(state::clock::now());
+    logEvent(result.end == transport::worker_end::answered ? event::attempt_ended : event::attempt_broken,
+             {{"request", requestName(head)},
+              {"attempt", state::formatAttemptId(head.id)},
+              {"worker", head.worker},
+              {"end", std::string(transport::endName(result.end))},
+              {"status", fmt::to_string(result.status)},
+              {"run_ms", fmt::to_string(runTime.count())},
+              {"risk", fmt::format("{:.2f}", risk)}});
+}
+
 void sidecar::refuseAttempt(const state::attempt_id &id, refusal_reason reason, run_state run, state::time_point retryAt)
 {
     const auto found = m_attempts.find(id);
@@ -61,6 +108,7 @@
         m_registry.refuse(id, coordination::reasonName(reason));
     }
     m_counters.countNamed(std::string("attempts_refused_") + std::string(coordination::reasonName(reason)));
+    logRefusal(attempt.stream->head(), reason, run);
     protocol::answer_head head = makeHead(id, attempt.stream->head().worker);
     head.run = run;
     head.refusal = reason;
@@ -74,6 +122,7 @@
     answer_writer &writer, const protocol::attempt_head &attempt, refusal_reason reason, run_state run, std::optional<state::time_point> retryAt)
 {
     m_counters.countNamed(std::string("attempts_refused_") + std::string(coordination::reasonName(reason)));
+    logRefusal(attempt, reason, run);
     protocol::answer_head head = makeHead(attempt.id, attempt.worker);
     head.run = run;
     head.refusal = reason;
@@ -129,6 +178,10 @@
 void sidecar::takeQuery(const protocol::attempt_query &query, const std::shared_ptr<control_stream> &stream)
 {
     m_counters.countNamed("attempt_queries");
+    if (!query.relayTo.empty()) {
+        asio::co_spawn(m_io, relayQuery(query, stream), asio::detached);
+        return;
+    }
     if (query.home != m_life) {
         protocol::answer_head head = makeHead(query.id, {});
         head.run = run_state::unknown;
@@ -145,6 +198,41 @@
     sendOutcome(query.id, record, stream->writer());
 }
 
+// Frames of the answer are passed on as they are: the asker checks them.
+asio::awaitable<void> sidecar::relayQuery(protocol::attempt_query query, std::shared_ptr<control_stream> stream)
+{
+    const state::time_point giveUpAt = state::clock::now() + RelayTimeout;
+    const absl::StatusOr<state::node_address> target = state::parseNodeAddress(query.relayTo);
+    if (!target.ok() || *target == m_settings.advertise) {
+        stream->writer().breakOff();
+        co_return;
+    }
+    const auto link = co_await m_peers.connect(*target, giveUpAt);
+    const auto reader = std::make_shared<stream_reader>(m_io.get_executor());
+    const transport::stream_id id = link.ok() ? (*link)->session->open("/control", reader) : -1;
+    if (id < 0) {
+        stream->writer().breakOff();
+        co_return;
+    }
+    reader->attach((*link)->session, id);
+    query.relayTo.clear();
+    query.expiresAt = (*link)->clock.toPeer(query.expiresAt, state::clock::now());
+    (*link)->session->write(id, protocol::makeFrame(protocol::frame_type::query, protocol::encode(query)), true);
+    while (stream->writer().isOpen()) {
+        const read_event event = co_await reader->next(giveUpAt);
+        if (event.kind != read_kind::frame) {
+            (*link)->session->reset(id);
+            stream->writer().breakOff();
+            co_return;
+        }
+        const bool last = event.frame.type == protocol::frame_type::answer_end;
+        stream->sendFrame(event.frame, last);
+        if (last) {
+            co_return;
+        }
+    }
+}
+
 void sidecar::takeAcknowledge(const protocol::attempt_acknowledge &message)
 {
     m_registry.acknowledge(message.id);
--- a/protocol/include/dandelionstall/protocol/messages.h
+++ b/protocol/include/dandelionstall/protocol/messages.h
@@ -81,6 +81,7 @@
     state::attempt_id id;        // which attempt
     state::time_point expiresAt; // on the sidecar's clock: no frame of the attempt is valid after it
     state::incarnation home = 0; // life of the sidecar that it was sent to
+    std::string relayTo;         // node to ask in place of the one that receives this; empty when the receiver is meant
 };
 
 struct attempt_acknowledge {
--- a/protocol/src/messages.cpp
+++ b/protocol/src/messages.cpp
@@ -128,6 +128,7 @@
     writeId(message.id, *out.mutable_id());
     out.set_expires_us(toMicros(message.expiresAt));
     out.set_home(message.home);
+    out.set_relay_to(message.relayTo);
     return out.SerializeAsString();
 }
 
@@ -228,7 +229,7 @@
     if (!in.ok()) {
         return in.status();
     }
-    return attempt_query{readId(in->id()), fromMicros(in->expires_us()), in->home()};
+    return attempt_query{readId(in->id()), fromMicros(in->expires_us()), in->home(), in->relay_to()};
 }
 
 absl::StatusOr<attempt_acknowledge> decodeAttemptAcknowledge(std::string_view bytes)
--- a/state/include/dandelionstall/state/settings.h
+++ b/state/include/dandelionstall/state/settings.h
@@ -73,7 +73,8 @@
     header_names headers;
 
     // [log]
-    std::string logLevel = "info"; // trace, debug, info, warn, error
+    std::string logLevel = "info";            // trace, debug, info, warn, error
+    std::uint32_t maxLogLinesPerSecond = 500; // lines about ordinary successes; others may be twice as many
 
     std::vector<local_worker> workers; // [worker.<id>] sections
 
--- a/state/src/settings.cpp
+++ b/state/src/settings.cpp
@@ -26,6 +26,7 @@
 constexpr std::uint64_t MaxBodyLimit = 64 * Mebibyte;
 constexpr std::uint64_t MaxCallerLimit = 100'000;
 constexpr std::uint64_t MaxQueueLimit = 100'000;
+constexpr std::uint64_t MaxLogLines = 1'000'000;
 constexpr std::uint64_t MaxOrganisationLimit = 1'000'000;
 constexpr milliseconds MinCallerTimeout{10};
 constexpr milliseconds MaxCallerTimeout = std::chrono::hours(1);
@@ -155,6 +156,7 @@
 {
     section_reader reader(section, faults);
     reader.readChoice("level", target.logLevel, LogLevels);
+    reader.readCount("max_lines_per_second", target.maxLogLinesPerSecond, 1, MaxLogLines);
     reader.finish();
 }
 
--- a/transport/include/dandelionstall/transport/node_session.h
+++ b/transport/include/dandelionstall/transport/node_session.h
@@ -67,8 +67,8 @@
 enum class session_role { client, server };
 
 struct session_options {
-    std::chrono::milliseconds pingAfter{300};   // silence before a PING, while streams are open
-    std::chrono::milliseconds silentAfter{900}; // silence before the connection is given up, while streams are open
+    std::chrono::milliseconds pingAfter{100};   // silence before a PING, while streams are open
+    std::chrono::milliseconds silentAfter{400}; // silence before the connection is given up, while streams are open
     std::uint32_t maxStreams = 1000;            // streams that the peer may have open
     std::int32_t streamWindow = 262'144;        // bytes in flight per stream
     std::int32_t connectionWindow = 16'777'216; // bytes in flight per connection
--- a/transport/include/dandelionstall/transport/worker_client.h
+++ b/transport/include/dandelionstall/transport/worker_client.h
@@ -43,6 +43,8 @@
     cancelled,   // cancel() was called
 };
 
+std::string_view endName(worker_end end); // "answered", ...
+
 struct worker_result {
     worker_end end = worker_end::cut;        // how it ended
     std::uint32_t status = 0;                // HTTP status, when a header came
--- a/transport/src/events.cpp
+++ b/transport/src/events.cpp
@@ -1,13 +1,18 @@
 #include <dandelionstall/transport/events.h>
 
+#include <dandelionstall/transport/log_queue.h>
+
 #include <fmt/format.h>
-#include <log4cplus/consoleappender.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
 
 #include <algorithm>
 #include <array>
+#include <sstream>
+#include <unistd.h>
 
 namespace dandelionstall::transport {
 
@@ -20,7 +25,19 @@
     event_info{event::settings_refused, log_level::error, "settings_refused", "the settings file cannot be used"},
     event_info{event::listen_failed, log_level::error, "listen_failed", "an address cannot be bound"},
     event_info{event::reload_asked, log_level::info, "reload_asked", "SIGHUP has come; the settings are checked, and stay as they are until the next start"},
+    event_info{event::lines_dropped, log_level::warn, "lines_dropped", "log lines were dropped, by class: too many a second, or the reader is too slow"},
+    event_info{event::request_answered, log_level::info, "request_answered", "a caller has its answer"},
+    event_info{event::request_refused, log_level::warn, "request_refused", "a caller was refused"},
+    event_info{event::request_broken, log_level::warn, "request_broken", "an answer broke off after its first byte had gone out"},
+    event_info{event::request_gone, log_level::info, "request_gone", "the caller left before it had its answer"},
+    event_info{event::attempt_placed, log_level::info, "attempt_placed", "an attempt goes to a worker"},
+    event_info{event::attempt_failed, log_level::warn, "attempt_failed", "an attempt brought no answer for the caller"},
+    event_info{event::outcome_asked, log_level::info, "outcome_asked", "the path failed and the outcome is asked for over another connection"},
     event_info{event::worker_draining, log_level::info, "worker_draining", "a worker has started or stopped refusing new work"},
+    event_info{event::attempt_refused, log_level::warn, "attempt_refused", "the sidecar refused an attempt; it was not run"},
+    event_info{event::attempt_ended, log_level::info, "attempt_ended", "a worker has answered an attempt"},
+    event_info{event::attempt_broken, log_level::warn, "attempt_broken", "a worker did not answer an attempt"},
+    event_info{event::worker_doubtful, log_level::info, "worker_doubtful", "the guard keeps unrepeatable work from a worker, or no longer does"},
     event_info{event::config_accepted, log_level::info, "config_accepted", "a newer table is in force"},
     event_info{event::config_held, log_level::warn, "config_held", "a newer table waits for the other one"},
     event_info{event::config_refused, log_level::error, "config_refused", "a table cannot be parsed"},
@@ -36,6 +53,7 @@
     event_info{event::self_doubt, log_level::warn, "self_doubt", "this node slept or is isolated and declares nobody dead"},
     event_info{event::self_trust, log_level::info, "self_trust", "this node trusts its view again"},
     event_info{event::gossip_refused, log_level::warn, "gossip_refused", "datagrams that are no valid messages"},
+    event_info{event::worker_judged, log_level::info, "worker_judged", "this node uses a worker again, or no longer, or with another share"},
     event_info{event::worker_known, log_level::info, "worker_known", "a worker has announced itself, or that it is leaving"},
     event_info{event::worker_gone, log_level::info, "worker_gone", "the entry of a worker was removed"},
     event_info{event::worker_entry_refused, log_level::warn, "worker_entry_refused", "an entry of the platform names no usable worker"},
@@ -77,12 +95,58 @@
     return toLibraryLevel(found == LevelNames.end() ? log_level::info : found->level);
 }
 
-log4cplus::Logger logger()
+log4cplus::Logger &logger()
 {
     static log4cplus::Initializer initializer; // lives until exit, after the last event
-    return log4cplus::Logger::getInstance("dandelionstall");
+    static log4cplus::Logger instance = log4cplus::Logger::getInstance("dandelionstall");
+    return instance;
+}
+
+constexpr std::uint32_t FirstRequestEvent = 2000; // requests and attempts: 2000 to 3999
+constexpr std::uint32_t FirstControlEvent = 4000;
+
+// Lines about requests that go well may be dropped first.
+line_class classOf(const event_info &info)
+{
+    const auto number = static_cast<std::uint32_t>(info.id);
+    const bool aboutRequests = number >= FirstRequestEvent && number < FirstControlEvent;
+    return aboutRequests && info.level <= log_level::info ? line_class::ordinary : line_class::important;
 }
 
+thread_local line_class presentClass = line_class::important; // of the event that this thread is writing
+
+// Hands formatted lines to the queue of the writer's thread.
+class queue_appender final : public log4cplus::Appender
+{
+public:
+    explicit queue_appender(const log_limits &limits)
+        : m_queue(std::make_shared<log_queue>(limits))
+        , m_writer(m_queue, STDOUT_FILENO)
+    { }
+
+    ~queue_appender() override
+    {
+        destructorImpl();
+    }
+
+    void close() override
+    {
+        closed = true;
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        std::ostringstream line;
+        layout->formatAndAppend(line, event);
+        m_queue->push(std::move(line).str(), presentClass, state::clock::now());
+    }
+
+private:
+    std::shared_ptr<log_queue> m_queue;
+    log_writer m_writer;
+};
+
 bool needsQuotes(std::string_view value)
 {
     const auto isPlain = [](char c) {
@@ -128,10 +192,12 @@
     return Catalogue;
 }
 
-void configureLog(std::string_view level, std::string_view nodeName)
+void configureLog(std::string_view level, std::string_view nodeName, std::uint32_t maxLinesPerSecond)
 {
-    log4cplus::Logger target = logger();
-    const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true)); // to stderr, flushed after each line
+    log4cplus::Logger &target = logger();
+    log_limits limits;
+    limits.maxLinesPerSecond = maxLinesPerSecond;
+    const log4cplus::SharedAppenderPtr appender(new queue_appender(limits)); // to standard output
     std::string name(nodeName);
     std::replace(name.begin(), name.end(), '%', '_'); // the pattern language of log4cplus
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(fmt::format("%D{{%Y-%m-%dT%H:%M:%S.%q}}Z %p node={} %m%n", name)));
@@ -144,8 +210,9 @@
 void logEvent(event id, std::initializer_list<log_field> fields)
 {
     const log4cplus::LogLevel level = toLibraryLevel(eventInfo(id).level);
-    log4cplus::Logger target = logger();
+    const log4cplus::Logger &target = logger();
     if (target.isEnabledFor(level)) {
+        presentClass = classOf(eventInfo(id));
         target.forcedLog(level, formatEvent(id, fields), __FILE__, __LINE__);
     }
 }
--- /dev/null
+++ b/transport/src/log_queue.cpp
@@ -0,0 +1,140 @@
+#include <dandelionstall/transport/log_queue.h>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <future>
+#include <thread>
+#include <unistd.h>
+
+namespace dandelionstall::transport {
+
+namespace {
+
+constexpr std::chrono::milliseconds GatherTime{100}; // lines of this time are written at once
+constexpr std::chrono::milliseconds CloseTime{300};  // for the reader to take the last lines
+constexpr std::uint32_t ImportantFactor = 2;         // important lines a second, against ordinary ones
+
+bool writeAll(int descriptor, std::string_view text)
+{
+    while (!text.empty()) {
+        const ssize_t written = ::write(descriptor, text.data(), text.size());
+        if (written < 0 && errno == EINTR) {
+            continue;
+        }
+        if (written <= 0) {
+            return false; // nobody reads any more; there is nowhere else to say so
+        }
+        text.remove_prefix(static_cast<std::size_t>(written));
+    }
+    return true;
+}
+
+} // namespace
+
+// [SECTION] Queue
+
+log_queue::log_queue(const log_limits &limits)
+    : m_limits(limits)
+{ }
+
+bool log_queue::passesRate(line_class importance, state::time_point now)
+{
+    if (now >= m_secondEnds) {
+        m_secondEnds = now + std::chrono::seconds(1);
+        m_taken = 0;
+    }
+    const std::uint32_t most = m_limits.maxLinesPerSecond * (importance == line_class::important ? ImportantFactor : 1);
+    if (m_taken >= most) {
+        return false;
+    }
+    ++m_taken;
+    return true;
+}
+
+void log_queue::drop(line_class importance)
+{
+    ++(importance == line_class::important ? m_dropped.important : m_dropped.ordinary);
+}
+
+void log_queue::push(std::string line, line_class importance, state::time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_closed || !passesRate(importance, now)) {
+        return drop(importance);
+    }
+    if (m_lines.size() >= m_limits.maxLines) {
+        if (importance == line_class::ordinary || m_ordinary == 0) {
+            return drop(importance);
+        }
+        m_lines.erase(std::find_if(m_lines.begin(), m_lines.end(), [](const entry &waiting) { return waiting.importance == line_class::ordinary; }));
+        --m_ordinary;
+        drop(line_class::ordinary);
+    }
+    m_ordinary += importance == line_class::ordinary ? 1 : 0;
+    m_lines.push_back({std::move(line), importance});
+    if (m_lines.size() == 1) {
+        m_wakeup.notify_one();
+    }
+}
+
+log_batch log_queue::take(std::chrono::milliseconds gather)
+{
+    std::unique_lock lock(m_mutex);
+    m_wakeup.wait(lock, [this] { return m_closed || !m_lines.empty(); });
+    if (!m_closed) {
+        m_wakeup.wait_for(lock, gather, [this] { return m_closed; });
+    }
+    log_batch batch;
+    for (const entry &waiting : m_lines) {
+        batch.text += waiting.line;
+    }
+    m_lines.clear();
+    m_ordinary = 0;
+    batch.dropped = std::exchange(m_dropped, {});
+    batch.closed = m_closed;
+    return batch;
+}
+
+void log_queue::close()
+{
+    const std::lock_guard lock(m_mutex);
+    m_closed = true;
+    m_wakeup.notify_one();
+}
+
+// [SECTION] Writer
+
+// Outlives the writer when the reader has stopped reading for good.
+struct log_writer::shared {
+    std::shared_ptr<log_queue> queue;
+    std::promise<void> done;
+    std::future<void> finished = done.get_future();
+};
+
+log_writer::log_writer(std::shared_ptr<log_queue> queue, int descriptor)
+    : m_shared(std::make_shared<shared>())
+{
+    m_shared->queue = std::move(queue);
+    std::thread([state = m_shared, descriptor] {
+        while (true) {
+            const log_batch batch = state->queue->take(GatherTime);
+            std::string text = batch.text;
+            if (batch.dropped.ordinary + batch.dropped.important > 0) {
+                text += fmt::format("event=1007 name=lines_dropped ordinary={} important={}\n", batch.dropped.ordinary, batch.dropped.important);
+            }
+            if (!writeAll(descriptor, text) || batch.closed) {
+                break;
+            }
+        }
+        state->done.set_value();
+    }).detach();
+}
+
+log_writer::~log_writer()
+{
+    m_shared->queue->close();
+    m_shared->finished.wait_for(CloseTime);
+}
+
+} // namespace dandelionstall::transport
--- a/transport/src/worker_client.cpp
+++ b/transport/src/worker_client.cpp
@@ -119,6 +119,25 @@
 
 // [SECTION] Calls
 
+std::string_view endName(worker_end end)
+{
+    switch (end) {
+    case worker_end::answered:
+        return "answered";
+    case worker_end::refused:
+        return "refused";
+    case worker_end::unreachable:
+        return "unreachable";
+    case worker_end::cut:
+        return "cut";
+    case worker_end::timed_out:
+        return "timed_out";
+    case worker_end::cancelled:
+        return "cancelled";
+    }
+    return "cut";
+}
+
 void worker_call::cancel()
 {
     m_cancelled = true;
