--- a/coordination/include/dandelionstall/coordination/worker_spread.h
+++ b/coordination/include/dandelionstall/coordination/worker_spread.h
@@ -31,6 +31,7 @@
 
     worker_directory &m_directory;
     std::vector<discovered_worker> m_pushDue;
+    std::string m_cursor;         // last id of the latest page; a pull that was cut off goes on from there
     state::time_point m_nextPull; // a pull under way gets this long before another may begin
 };
 
--- a/coordination/src/worker_directory.cpp
+++ b/coordination/src/worker_directory.cpp
@@ -59,6 +59,8 @@
         const bool news = known == m_entries.end() || (known->second.phase != worker_phase::gone && known->second.revision < entry.revision);
         if (news) {
             apply(entry, now);
+        } else {
+            known->second.revision = std::max(known->second.revision, entry.revision); // what is older must not bring it back
         }
         return news;
     }
@@ -114,7 +116,11 @@
 void worker_directory::offerRemoval(std::string_view id, std::uint64_t revision, state::time_point now)
 {
     const auto known = m_entries.find(id);
-    if (known == m_entries.end() || known->second.phase == worker_phase::gone || known->second.revision >= revision) {
+    if (known == m_entries.end() || known->second.revision >= revision) {
+        return;
+    }
+    if (known->second.phase == worker_phase::gone) {
+        known->second.revision = revision;
         return;
     }
     if (known->second.phase == worker_phase::ready && (m_serviceLost || now < m_disturbedUntil)) {
--- a/coordination/src/worker_spread.cpp
+++ b/coordination/src/worker_spread.cpp
@@ -58,11 +58,15 @@
     }
     if (message.kind == gossip_kind::worker_pull) {
         servePage(message, now, out);
-    } else if (message.kind == gossip_kind::worker_page && message.workers.size() == RowsPerMessage) {
-        askPage(message.sender.address, message.workers.back().entry.id, out);
+    } else if (message.kind == gossip_kind::worker_page) {
+        const bool more = message.workers.size() == RowsPerMessage;
+        m_cursor = more ? message.workers.back().entry.id : std::string();
+        if (more) {
+            askPage(message.sender.address, m_cursor, out);
+        }
     } else if (message.workersDigest != m_directory.digest() && m_nextPull <= now) {
         m_nextPull = now + PullInterval;
-        askPage(message.sender.address, {}, out);
+        askPage(message.sender.address, m_cursor, out);
     }
     return out;
 }
--- a/coordination/tests/test_retry.cpp
+++ b/coordination/tests/test_retry.cpp
@@ -3,8 +3,11 @@
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <pcg_random.hpp>
 #include <rapidcheck.h>
 
+#include <algorithm>
+
 using namespace dandelionstall;
 using namespace dandelionstall::coordination;
 using namespace std::chrono_literals;
@@ -122,3 +125,86 @@
     failure.kind = retry_reason::path_silent;
     cr_assert(policy->decide(failure, Start).again);
 }
+
+// ---- An allowance that all nodes share ----
+
+namespace {
+
+failed_attempt shedAttempt(std::uint32_t nodes, state::time_point now)
+{
+    failed_attempt failure;
+    failure.kind = retry_reason::worker_refused;
+    failure.refusal = refusal_reason::worker_shed;
+    failure.run = run_state::not_run;
+    failure.arrivals = 1;
+    failure.maxArrivals = 4;
+    failure.allowance = {0.2, 56.0, std::chrono::seconds(10)};
+    failure.nodes = nodes;
+    failure.deadline = now + std::chrono::seconds(2);
+    return failure;
+}
+
+} // namespace
+
+// Nodes see different parts of the load and count the fleet a little differently; together they stay within the allowance.
+Test(retry_allowance, holds_over_the_whole_fleet_in_every_window)
+{
+    cr_assert(rc::check("repeats in any window stay within share and extra", [] {
+        const auto nodes = *rc::gen::inRange<std::uint32_t>(3, 40);
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        pcg32 random(seed);
+        std::vector<std::unique_ptr<retry_policy>> policies;
+        std::vector<std::uint32_t> countedNodes;
+        for (std::uint32_t i = 0; i < nodes; ++i) {
+            policies.push_back(*makeRetryPolicy("budgeted", seed + i));
+            countedNodes.push_back(nodes - random(std::max(1U, nodes / 8)));
+        }
+        const state::time_point start = state::time_point{} + std::chrono::hours(1);
+        std::vector<state::time_point> requests;
+        std::vector<state::time_point> repeats;
+        for (state::time_point now = start; now < start + std::chrono::seconds(30); now += std::chrono::milliseconds(12)) {
+            const std::uint32_t node = std::min(random(nodes), random(nodes)); // unevenly spread
+            policies[node]->noteRequest(now);
+            requests.push_back(now);
+            if (random(2) == 0 && policies[node]->decide(shedAttempt(countedNodes[node], now), now).again) {
+                repeats.push_back(now);
+            }
+        }
+        const auto within = [](const std::vector<state::time_point> &times, state::time_point from) {
+            return static_cast<double>(std::count_if(times.begin(), times.end(), [from](state::time_point at) {
+                return at >= from && at < from + std::chrono::seconds(10);
+            }));
+        };
+        for (state::time_point from = start; from < start + std::chrono::seconds(20); from += std::chrono::seconds(1)) {
+            RC_ASSERT(within(repeats, from) <= 0.2 * within(requests, from) + 56.0);
+        }
+    }));
+}
+
+Test(retry_allowance, charges_only_what_a_worker_may_have_seen)
+{
+    const state::time_point now = state::time_point{} + std::chrono::hours(1);
+    auto policy = *makeRetryPolicy("budgeted", 1);
+    failed_attempt bounced = shedAttempt(1000, now);
+    bounced.kind = retry_reason::refused;
+    bounced.refusal = refusal_reason::worker_at_risk;
+    bounced.arrivals = 0;
+    for (int i = 0; i < 200; ++i) {
+        cr_assert(policy->decide(bounced, now).again);
+    }
+    int granted = 0;
+    for (int i = 0; i < 200; ++i) {
+        granted += policy->decide(shedAttempt(1000, now), now).again ? 1 : 0;
+    }
+    cr_assert(granted <= 2);
+}
+
+Test(retry_allowance, ends_with_the_arrivals_of_the_route)
+{
+    const state::time_point now = state::time_point{} + std::chrono::hours(1);
+    auto policy = *makeRetryPolicy("budgeted", 1);
+    failed_attempt failure = shedAttempt(1, now);
+    failure.arrivals = 2;
+    failure.maxArrivals = 2;
+    cr_assert(not(policy->decide(failure, now).again));
+}
--- /dev/null
+++ b/coordination/tests/test_worker_directory.cpp
@@ -0,0 +1,267 @@
+// Tests of coordination/worker_directory.h, worker_spread.h, pool_choice.h and path_memory.h.
+#include <dandelionstall/coordination/path_memory.h>
+#include <dandelionstall/coordination/pool_choice.h>
+#include <dandelionstall/coordination/worker_spread.h>
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace dandelionstall;
+using namespace dandelionstall::coordination;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const state::time_point Start = state::time_point{} + std::chrono::hours(1);
+
+discovered_worker makeWorker(const std::string &id, std::uint64_t revision, worker_phase phase = worker_phase::ready)
+{
+    discovered_worker worker;
+    worker.id = id;
+    worker.pool = "catalogue";
+    worker.dataCentre = "thika";
+    worker.node = {"10.0.0.1", 7400};
+    worker.address = {"10.0.0.1", static_cast<std::uint16_t>(8000 + id.size())};
+    worker.slots = 3;
+    worker.phase = phase;
+    worker.revision = revision;
+    return worker;
+}
+
+worker_phase phaseOf(const worker_directory &directory, const std::string &id)
+{
+    return directory.entries().at(id).phase;
+}
+
+state::pool_table discoveredTable()
+{
+    state::pool pool;
+    pool.name = "catalogue";
+    pool.discovered = true;
+    state::pool_table table;
+    table.pools.push_back(pool);
+    return table;
+}
+
+} // namespace
+
+// ---- Merging ----
+
+Test(worker_directory, ends_up_the_same_whatever_the_order)
+{
+    cr_assert(rc::check("the highest revision of each entry wins", [] {
+        const auto revisions = *rc::gen::nonEmpty(rc::gen::container<std::vector<std::uint8_t>>(rc::gen::inRange<std::uint8_t>(1, 40)));
+        std::vector<discovered_worker> news;
+        for (const std::uint8_t revision : revisions) {
+            const auto phase = static_cast<worker_phase>(revision % 3);
+            news.push_back(makeWorker(revision % 2 == 0 ? "a" : "bb", revision, phase));
+        }
+        std::vector<discovered_worker> shuffled = news;
+        const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+        for (std::size_t i = shuffled.size(); i > 1; --i) {
+            std::swap(shuffled[i - 1], shuffled[(seed / i) % i]);
+        }
+        worker_directory first;
+        worker_directory second;
+        for (const discovered_worker &entry : news) {
+            first.offer(entry, Start);
+        }
+        for (const discovered_worker &entry : shuffled) {
+            second.offer(entry, Start);
+        }
+        RC_ASSERT(first.digest() == second.digest());
+        for (const auto &[id, entry] : first.entries()) {
+            RC_ASSERT(second.entries().at(id).revision == entry.revision || entry.phase == worker_phase::gone);
+            RC_ASSERT(second.entries().at(id).phase == entry.phase);
+        }
+    }));
+}
+
+Test(worker_directory, never_goes_back)
+{
+    worker_directory directory;
+    cr_assert(directory.offer(makeWorker("a", 5, worker_phase::leaving), Start));
+    cr_assert(not(directory.offer(makeWorker("a", 4), Start)));
+    cr_assert(phaseOf(directory, "a") == worker_phase::leaving);
+    directory.offerRemoval("a", 6, Start);
+    cr_assert(not(directory.offer(makeWorker("a", 5, worker_phase::leaving), Start)));
+    cr_assert(phaseOf(directory, "a") == worker_phase::gone);
+    cr_assert(directory.offer(makeWorker("a", 7), Start)); // it has announced itself anew
+    cr_assert(phaseOf(directory, "a") == worker_phase::ready);
+}
+
+Test(worker_directory, reports_content_only)
+{
+    worker_directory directory;
+    directory.offer(makeWorker("a", 1), Start);
+    cr_assert(directory.takeChanges().size() == 1u);
+    const std::uint64_t version = directory.version();
+    cr_assert(not(directory.offer(makeWorker("a", 2), Start))); // a heartbeat
+    cr_assert(directory.takeChanges().empty());
+    cr_assert(directory.version() == version);
+    cr_assert(not(directory.offer(makeWorker("a", 1, worker_phase::leaving), Start))); // older than the heartbeat
+}
+
+Test(worker_directory, takes_what_a_whole_list_lacks_as_gone)
+{
+    worker_directory directory;
+    directory.offer(makeWorker("a", 1), Start);
+    directory.offer(makeWorker("bb", 9), Start);
+    directory.replaceAll({makeWorker("ccc", 3)}, 5, Start);
+    cr_assert(phaseOf(directory, "a") == worker_phase::gone);
+    cr_assert(phaseOf(directory, "bb") == worker_phase::ready); // newer than the list
+    cr_assert(phaseOf(directory, "ccc") == worker_phase::ready);
+}
+
+// ---- Lapses while the service is away ----
+
+Test(worker_directory, holds_lapsed_entries_until_the_service_is_back_for_a_while)
+{
+    worker_directory directory;
+    directory.offer(makeWorker("a", 1), Start);
+    directory.offer(makeWorker("bb", 2), Start);
+    directory.noteServiceLost(Start);
+    directory.noteServiceBack(Start + seconds(5));
+    directory.offerRemoval("a", 10, Start + seconds(5));
+    directory.offerRemoval("bb", 11, Start + seconds(5));
+    cr_assert(phaseOf(directory, "a") == worker_phase::ready);
+    directory.offer(makeWorker("a", 12), Start + seconds(6)); // it lives
+    directory.tick(Start + seconds(10));
+    cr_assert(phaseOf(directory, "a") == worker_phase::ready);
+    cr_assert(phaseOf(directory, "bb") == worker_phase::gone);
+}
+
+Test(worker_directory, takes_removals_at_once_while_the_service_is_sound)
+{
+    worker_directory directory;
+    directory.offer(makeWorker("a", 1), Start);
+    directory.offerRemoval("a", 2, Start);
+    cr_assert(phaseOf(directory, "a") == worker_phase::gone);
+}
+
+Test(worker_directory, takes_the_removal_of_a_leaving_worker_at_once)
+{
+    worker_directory directory;
+    directory.offer(makeWorker("a", 1, worker_phase::leaving), Start);
+    directory.noteServiceLost(Start);
+    directory.offerRemoval("a", 2, Start);
+    cr_assert(phaseOf(directory, "a") == worker_phase::gone);
+}
+
+// ---- Joining ----
+
+Test(worker_directory, joins_the_last_worker_started_at_an_address)
+{
+    worker_directory directory;
+    discovered_worker old = makeWorker("old", 7);
+    old.startedAtMs = 100;
+    discovered_worker fresh = makeWorker("new", 5);
+    fresh.startedAtMs = 200;
+    directory.offer(old, Start);
+    directory.offer(fresh, Start);
+    const state::pool_table table = joinWorkers(discoveredTable(), directory);
+    cr_assert(table.pools.front().workers.size() == 1u);
+    cr_assert(table.pools.front().workers.front().id == "new");
+}
+
+Test(worker_directory, joins_no_worker_of_an_unknown_pool_and_marks_leaving_ones)
+{
+    worker_directory directory;
+    discovered_worker stray = makeWorker("stray", 1);
+    stray.pool = "elsewhere";
+    directory.offer(stray, Start);
+    directory.offer(makeWorker("b", 2, worker_phase::leaving), Start);
+    const state::pool_table table = joinWorkers(discoveredTable(), directory);
+    cr_assert(table.pools.front().workers.size() == 1u);
+    cr_assert(table.pools.front().workers.front().leaving);
+}
+
+// ---- Spread ----
+
+// What one node has learnt reaches all, although a third of the messages is lost: whoever was missed pulls.
+Test(worker_spread, reaches_every_node_despite_lost_messages)
+{
+    cr_assert(rc::check("all directories become equal", [] {
+        constexpr std::size_t Nodes = 12;
+        auto random = *rc::gen::arbitrary<std::uint64_t>();
+        const auto draw = [&random](std::size_t limit) {
+            random = random * 6364136223846793005ULL + 1442695040888963407ULL;
+            return static_cast<std::size_t>(random >> 33U) % limit;
+        };
+        std::vector<worker_directory> directories(Nodes);
+        std::vector<worker_spread> spreads;
+        std::vector<state::node_address> addresses;
+        for (std::size_t i = 0; i < Nodes; ++i) {
+            spreads.emplace_back(directories[i]);
+            addresses.push_back({"10.0.0." + std::to_string(i + 1), 7400});
+        }
+        for (int i = 0; i < 20; ++i) {
+            directories[0].offer(makeWorker(std::string(static_cast<std::size_t>(i) + 1, 'w'), static_cast<std::uint64_t>(i) + 1), Start);
+        }
+        state::time_point now = Start;
+        std::vector<std::pair<std::size_t, gossip_out>> mail; // sender and message
+        const auto post = [&](std::size_t from, gossip_batch batch) {
+            for (gossip_out &out : batch) {
+                out.message.sender.address = addresses[from];
+                out.message.workersDigest = directories[from].digest();
+                if (draw(3) != 0) {
+                    mail.emplace_back(from, std::move(out));
+                }
+            }
+        };
+        for (int round = 0; round < 200; ++round) {
+            now += milliseconds(50);
+            for (std::size_t i = 0; i < Nodes; ++i) {
+                spreads[i].collect();
+                post(i, spreads[i].push({addresses[draw(Nodes)], addresses[draw(Nodes)]}, now));
+                post(i, {{addresses[draw(Nodes)], gossip_message{}}}); // the pings that go on anyway
+            }
+            for (auto &[from, out] : std::exchange(mail, {})) {
+                const auto to = static_cast<std::size_t>(std::find(addresses.begin(), addresses.end(), out.to) - addresses.begin());
+                post(to, spreads[to].receive(out.message, now));
+            }
+        }
+        for (const worker_directory &directory : directories) {
+            RC_ASSERT(directory.digest() == directories[0].digest());
+            RC_ASSERT(directory.entries().size() == 20u);
+        }
+    }));
+}
+
+// ---- Choice of a pool ----
+
+Test(pool_choice, follows_the_weights)
+{
+    state::route route;
+    route.pool = "a";
+    cr_assert(choosePool(route, 12345) == "a");
+    route.shares = {{"a", 90}, {"b", 10}};
+    std::size_t toB = 0;
+    for (std::uint64_t random = 0; random < 1000; ++random) {
+        toB += choosePool(route, random * 7919) == "b" ? 1 : 0;
+    }
+    cr_assert(toB == 100u);
+    route.shares = {{"a", 0}, {"b", 5}};
+    cr_assert(choosePool(route, 3) == "b");
+}
+
+// ---- Paths ----
+
+Test(path_memory, avoids_a_failed_path_for_longer_each_time)
+{
+    const state::node_address node{"10.0.0.1", 7400};
+    path_memory paths;
+    cr_assert(not(paths.isAvoided(node, Start)));
+    paths.noteFailure(node, Start);
+    paths.noteFailure(node, Start + milliseconds(1)); // under way together: counts once
+    cr_assert(paths.isAvoided(node, Start + milliseconds(499)));
+    cr_assert(not(paths.isAvoided(node, Start + milliseconds(501))));
+    paths.noteFailure(node, Start + milliseconds(600));
+    cr_assert(paths.isAvoided(node, Start + milliseconds(1500)));
+    paths.noteSuccess(node);
+    cr_assert(not(paths.isAvoided(node, Start + milliseconds(1500))));
+}
--- a/state/include/dandelionstall/state/tables.h
+++ b/state/include/dandelionstall/state/tables.h
@@ -86,8 +86,8 @@
     node_address node;       // the node process on the worker's VM
     std::uint32_t slots = 0; // requests it runs at a time; 0 means the pool's value
     bool leaving = false;    // discovered workers only: takes no new work
-    node_address address;    // discovered workers only: where the worker itself listens
-    time_point coldUntil;    // discovered workers only: slow until then
+    node_address address{};  // discovered workers only: where the worker itself listens
+    time_point coldUntil{};  // discovered workers only: slow until then
 
     friend bool operator==(const pool_worker &, const pool_worker &) = default;
 };
