--- a/coordination/include/dandelionstall/coordination/failure_guard.h
+++ b/coordination/include/dandelionstall/coordination/failure_guard.h
@@ -34,11 +34,11 @@
 public:
     virtual ~failure_guard() = default;
 
-    virtual bool admits(const guarded_item &item, state::time_point now) const = 0; // false: refuse it, it was not run
-    virtual void noteStart(const guarded_item &item, state::time_point now) = 0;    // it is handed to the worker
-    virtual void noteEnd(const state::attempt_id &id, bool failed, state::time_point now) = 0;   // a real outcome
-    virtual void noteDropped(const state::attempt_id &id) = 0;                      // it ended without telling anything
-    virtual double risk(state::time_point now) const = 0;                           // chance that the worker is sick, 0..1; negative when not estimated
+    virtual bool admits(const guarded_item &item, state::time_point now) const = 0;            // false: refuse it, it was not run
+    virtual void noteStart(const guarded_item &item, state::time_point now) = 0;               // it is handed to the worker
+    virtual void noteEnd(const state::attempt_id &id, bool failed, state::time_point now) = 0; // a real outcome
+    virtual void noteDropped(const state::attempt_id &id) = 0;                                 // it ended without telling anything
+    virtual double risk(state::time_point now) const = 0; // chance that the worker is sick, 0..1; negative when not estimated
 };
 
 // Names: "belief" (chosen), "off" (baseline: admits everything).
--- a/coordination/include/dandelionstall/coordination/gossip_node.h
+++ b/coordination/include/dandelionstall/coordination/gossip_node.h
@@ -35,22 +35,22 @@
 
     offer_result offerFromService(table_kind kind, std::string text, state::time_point now);
     void setVmList(const std::vector<vm_record> &vms, state::time_point now);
-    void addLeavingVms(const std::vector<vm_record> &vms, state::time_point now); // a part of the list
-    void offerWorker(const discovered_worker &entry, state::time_point now);                                             // from the service
-    void offerWorkers(const std::vector<discovered_worker> &entries, std::uint64_t asOf, state::time_point now);         // all of them, from the service
-    void offerWorkerRemoval(std::string_view id, std::uint64_t revision, state::time_point now);                         // from the service
-    void noteReadFailed(state::time_point now);                                   // a call at the platform's service has failed
-    void noteRead(state::time_point now);                                         // a call at the platform's service has succeeded
-    bool readsService(state::time_point now) const;                               // this node is a reader now
-    bool trustsService(state::time_point now) const;                              // peers have been asked, or nobody answers
+    void addLeavingVms(const std::vector<vm_record> &vms, state::time_point now);                                // a part of the list
+    void offerWorker(const discovered_worker &entry, state::time_point now);                                     // from the service
+    void offerWorkers(const std::vector<discovered_worker> &entries, std::uint64_t asOf, state::time_point now); // all of them, from the service
+    void offerWorkerRemoval(std::string_view id, std::uint64_t revision, state::time_point now);                 // from the service
+    void noteReadFailed(state::time_point now);                                                                  // a call at the platform's service has failed
+    void noteRead(state::time_point now);            // a call at the platform's service has succeeded
+    bool readsService(state::time_point now) const;  // this node is a reader now
+    bool trustsService(state::time_point now) const; // peers have been asked, or nobody answers
 
     membership &members();
     const membership &members() const;
     const config_store &store() const;
-    const worker_directory &workers() const;                  // discovered workers
-    std::shared_ptr<const state::pool_table> pools() const;   // in force, with the discovered workers filled in; null when none
-    std::vector<offered_table> takeResults(); // tables offered since the last call, from the service and from peers
-    std::vector<worker_report> takeReports(); // received from other nodes since the last call
+    const worker_directory &workers() const;                // discovered workers
+    std::shared_ptr<const state::pool_table> pools() const; // in force, with the discovered workers filled in; null when none
+    std::vector<offered_table> takeResults();               // tables offered since the last call, from the service and from peers
+    std::vector<worker_report> takeReports();               // received from other nodes since the last call
     std::array<table_hint, TableKinds.size()> hintsOf(const state::node_address &node) const; // as last heard
     std::vector<std::string> ownPools() const;                                                // pools with a worker on this node
 
@@ -82,9 +82,9 @@
     std::map<state::node_address, std::array<table_hint, TableKinds.size()>> m_hints;
     std::vector<worker_report> m_reports;
     std::shared_ptr<const state::pool_table> m_poolsSeen;
-    std::shared_ptr<const state::pool_table> m_joined;  // m_poolsSeen with the discovered workers
-    std::uint64_t m_membersSeen = 0;                    // version of the directory in the list of members
-    std::uint64_t m_directorySeen = 0;                  // version of the directory in m_joined
+    std::shared_ptr<const state::pool_table> m_joined; // m_poolsSeen with the discovered workers
+    std::uint64_t m_membersSeen = 0;                   // version of the directory in the list of members
+    std::uint64_t m_directorySeen = 0;                 // version of the directory in m_joined
     std::size_t m_nextReport = 0;
     std::uint64_t m_readerVersion = 0; // of membership, when m_isReader was worked out
     std::uint32_t m_readerRound = 0;   // likewise
--- a/coordination/include/dandelionstall/coordination/worker_directory.h
+++ b/coordination/include/dandelionstall/coordination/worker_directory.h
@@ -59,19 +59,19 @@
 class worker_directory
 {
 public:
-    bool offer(const discovered_worker &entry, state::time_point now);                                              // true when something was learnt
-    void replaceAll(const std::vector<discovered_worker> &entries, std::uint64_t asOf, state::time_point now);      // entries missing in it are gone as of asOf
-    void offerRemoval(std::string_view id, std::uint64_t revision, state::time_point now);                          // held back while the service is disturbed
-    void noteServiceLost(state::time_point now);                                                                    // a call failed
-    void noteServiceBack(state::time_point now);                                                                    // a call succeeded
-    void tick(state::time_point now);                                                                               // held removals that are due; old markers
-
-    std::vector<discovered_worker> takeChanges();                                   // content changes since the last call
+    bool offer(const discovered_worker &entry, state::time_point now);                                         // true when something was learnt
+    void replaceAll(const std::vector<discovered_worker> &entries, std::uint64_t asOf, state::time_point now); // entries missing in it are gone as of asOf
+    void offerRemoval(std::string_view id, std::uint64_t revision, state::time_point now);                     // held back while the service is disturbed
+    void noteServiceLost(state::time_point now);                                                               // a call failed
+    void noteServiceBack(state::time_point now);                                                               // a call succeeded
+    void tick(state::time_point now);                                                                          // held removals that are due; old markers
+
+    std::vector<discovered_worker> takeChanges();                                           // content changes since the last call
     std::vector<discovered_worker> pageAfter(std::string_view id, std::size_t limit) const; // by id, markers included
-    const std::map<std::string, discovered_worker, std::less<>> &entries() const;   // by id, markers included
-    std::uint32_t digest() const;                                                   // equal for equal content, markers left out
-    std::uint64_t version() const;                                                  // grows with every change of content
-    bool isEmpty() const;                                                           // nothing is known at all
+    const std::map<std::string, discovered_worker, std::less<>> &entries() const;           // by id, markers included
+    std::uint32_t digest() const;                                                           // equal for equal content, markers left out
+    std::uint64_t version() const;                                                          // grows with every change of content
+    bool isEmpty() const;                                                                   // nothing is known at all
 
 private:
     struct held_removal {
--- a/coordination/src/balancer_least_wait.cpp
+++ b/coordination/src/balancer_least_wait.cpp
@@ -13,18 +13,18 @@
 using std::chrono::duration;
 using seconds = duration<double>;
 
-constexpr seconds RemoteRoundTrip{0.010}; // to a worker in another data centre and back
-constexpr seconds DefaultLatency{0.010};  // assumed run time of a worker that has reported none
-constexpr double TrustLatencies = 1.0;    // a report is half trusted when this many run times old
-constexpr double OwnLoadFactor = 2.0;     // own running attempts count for those of other nodes that nothing is known of yet
-constexpr std::size_t LocalDraws = 2;     // candidates compared in the own data centre
-constexpr std::size_t DistantDraws = 1;   // candidates compared in the whole pool, beside local ones
-constexpr std::size_t Draws = 2;          // the same without local ones
-constexpr seconds RiskCost{1.0};            // what a surely failing worker costs work that must not run twice
-constexpr seconds RepeatableRiskCost{0.1};  // the same for work that is tried elsewhere
-constexpr seconds RemoteByteCost{4e-6};     // of a byte that crosses between data centres, in waiting that it is worth
-constexpr double TrustedRisk = 0.3;         // work that must not run twice goes to workers below it while there are any
-constexpr double LeastShare = 0.001;      // keeps draws possible
+constexpr seconds RemoteRoundTrip{0.010};  // to a worker in another data centre and back
+constexpr seconds DefaultLatency{0.010};   // assumed run time of a worker that has reported none
+constexpr double TrustLatencies = 1.0;     // a report is half trusted when this many run times old
+constexpr double OwnLoadFactor = 2.0;      // own running attempts count for those of other nodes that nothing is known of yet
+constexpr std::size_t LocalDraws = 2;      // candidates compared in the own data centre
+constexpr std::size_t DistantDraws = 1;    // candidates compared in the whole pool, beside local ones
+constexpr std::size_t Draws = 2;           // the same without local ones
+constexpr seconds RiskCost{1.0};           // what a surely failing worker costs work that must not run twice
+constexpr seconds RepeatableRiskCost{0.1}; // the same for work that is tried elsewhere
+constexpr seconds RemoteByteCost{4e-6};    // of a byte that crosses between data centres, in waiting that it is worth
+constexpr double TrustedRisk = 0.3;        // work that must not run twice goes to workers below it while there are any
+constexpr double LeastShare = 0.001;       // keeps draws possible
 
 // Workers that a draw may choose from, with the running sum of their shares.
 class candidate_group
--- a/coordination/src/failure_guard.cpp
+++ b/coordination/src/failure_guard.cpp
@@ -14,13 +14,13 @@
 
 using seconds = std::chrono::duration<double>;
 
-constexpr double LongRunRisk = 0.2;         // share of the time for which a worker is sick
-constexpr seconds DriftTime{2.5};           // for about two thirds of the way back to it
+constexpr double LongRunRisk = 0.2;          // share of the time for which a worker is sick
+constexpr seconds DriftTime{2.5};            // for about two thirds of the way back to it
 constexpr double HealthyFailureShare = 0.02; // of the work of a healthy worker
 constexpr double SickFailureShare = 0.75;    // of the work of a sick one
-constexpr double UnrepeatableLimit = 0.12;  // more doubt keeps work out that must not run twice
-constexpr double TrialLimit = 0.7;          // more doubt keeps out trials too
-constexpr double LeastRisk = 0.002;         // no number of successes proves more
+constexpr double UnrepeatableLimit = 0.12;   // more doubt keeps work out that must not run twice
+constexpr double TrialLimit = 0.7;           // more doubt keeps out trials too
+constexpr double LeastRisk = 0.002;          // no number of successes proves more
 
 class belief_guard final : public failure_guard
 {
--- a/coordination/src/retry.cpp
+++ b/coordination/src/retry.cpp
@@ -13,9 +13,9 @@
 namespace {
 
 constexpr std::uint32_t MaxAttempts = 3;
-constexpr std::uint32_t MaxSharedAttempts = 8; // where arrivals at workers are limited of their own
-constexpr double AllowanceShare = 0.85;        // of a stated allowance, for all repeats
-constexpr double RerunShare = 0.5;             // of it, for repeats of work that ran: these repeat their own calls to other pools too
+constexpr std::uint32_t MaxSharedAttempts = 8;  // where arrivals at workers are limited of their own
+constexpr double AllowanceShare = 0.85;         // of a stated allowance, for all repeats
+constexpr double RerunShare = 0.5;              // of it, for repeats of work that ran: these repeat their own calls to other pools too
 constexpr double RefusalTokensPerRequest = 0.1; // refusals mean load: retries must stay few
 constexpr double FailureTokensPerRequest = 0.5; // failures of one worker or path: another one can do the work
 constexpr double TokensPerSecond = 0.5;         // lets a node that sees few requests retry too
--- a/coordination/tests/test_failure_guard.cpp
+++ b/coordination/tests/test_failure_guard.cpp
@@ -36,10 +36,10 @@
 }
 
 struct replay_result {
-    std::size_t unrepeatable = 0;       // offered
-    std::size_t failed = 0;             // of them
-    std::size_t healthyOffers = 0;      // unrepeatable work offered to a healthy worker
-    std::size_t healthyRefusals = 0;    // of them, refused
+    std::size_t unrepeatable = 0;    // offered
+    std::size_t failed = 0;          // of them
+    std::size_t healthyOffers = 0;   // unrepeatable work offered to a healthy worker
+    std::size_t healthyRefusals = 0; // of them, refused
 };
 
 // 15 workers; each turns sick for 3 s, on average every 9 s, and then fails 85 % of its work within a millisecond. A
@@ -154,7 +154,10 @@
         const replay_result guarded = replayGrayWorkers("belief", seed);
         const double openShare = static_cast<double>(open.failed) / static_cast<double>(open.unrepeatable);
         const double share = static_cast<double>(guarded.failed) / static_cast<double>(guarded.unrepeatable);
-        cr_log_info("seed %lu: failed %.3f, baseline %.3f, healthy refused %.3f", static_cast<unsigned long>(seed), share, openShare,
+        cr_log_info("seed %lu: failed %.3f, baseline %.3f, healthy refused %.3f",
+                    static_cast<unsigned long>(seed),
+                    share,
+                    openShare,
                     static_cast<double>(guarded.healthyRefusals) / static_cast<double>(guarded.healthyOffers));
         cr_assert(share * 3.0 <= openShare, "seed %lu: %.3f against %.3f", static_cast<unsigned long>(seed), share, openShare);
         cr_assert(static_cast<double>(guarded.healthyRefusals) <= 0.25 * static_cast<double>(guarded.healthyOffers));
--- a/coordination/tests/test_retry.cpp
+++ b/coordination/tests/test_retry.cpp
@@ -171,9 +171,8 @@
             }
         }
         const auto within = [](const std::vector<state::time_point> &times, state::time_point from) {
-            return static_cast<double>(std::count_if(times.begin(), times.end(), [from](state::time_point at) {
-                return at >= from && at < from + std::chrono::seconds(10);
-            }));
+            return static_cast<double>(
+                std::count_if(times.begin(), times.end(), [from](state::time_point at) { return at >= from && at < from + std::chrono::seconds(10); }));
         };
         for (state::time_point from = start; from < start + std::chrono::seconds(20); from += std::chrono::seconds(1)) {
             RC_ASSERT(within(repeats, from) <= 0.2 * within(requests, from) + 56.0);
--- a/programs/dandelionstall/control.cpp
+++ b/programs/dandelionstall/control.cpp
@@ -19,8 +19,8 @@
 
 namespace {
 
-std::unique_ptr<transport::config_source> makeSource(
-    asio::io_context &io, const state::settings &settings, transport::metrics &metrics, transport::source_events events, std::uint64_t seed)
+std::unique_ptr<transport::config_source>
+makeSource(asio::io_context &io, const state::settings &settings, transport::metrics &metrics, transport::source_events events, std::uint64_t seed)
 {
     if (settings.platformKind == "keyed_store") {
         return std::make_unique<key_value_source>(io, settings, platform::makeStoreDialect(settings), metrics, std::move(events), seed);
--- a/programs/dandelionstall/control_detail.h
+++ b/programs/dandelionstall/control_detail.h
@@ -67,8 +67,8 @@
     bool m_reader = false;
     bool m_doubts = false;
     bool m_vmListRead = false;
-    bool m_workersRead = false;        // the whole list of workers was read once
-    std::uint64_t m_workersSeen = 0;   // version of the directory at the last publication
+    bool m_workersRead = false;      // the whole list of workers was read once
+    std::uint64_t m_workersSeen = 0; // version of the directory at the last publication
     bool m_publishDue = false;
     std::uint64_t m_generation = 0;
     mutable std::mutex m_currentMutex; // guards m_current
--- a/programs/dandelionstall/control_sources.cpp
+++ b/programs/dandelionstall/control_sources.cpp
@@ -23,7 +23,8 @@
 
 } // namespace
 
-control_sources::control_sources(asio::io_context &io, const state::settings &settings, transport::metrics &metrics, transport::source_events events, std::uint64_t seed)
+control_sources::control_sources(
+    asio::io_context &io, const state::settings &settings, transport::metrics &metrics, transport::source_events events, std::uint64_t seed)
     : m_metrics(metrics)
     , m_events(std::move(events))
     , m_tables(settings.configService, settings.listen.ip)
--- a/programs/dandelionstall/control_sources.h
+++ b/programs/dandelionstall/control_sources.h
@@ -20,7 +20,8 @@
 class control_sources final : public transport::config_source
 {
 public:
-    control_sources(boost::asio::io_context &io, const state::settings &settings, transport::metrics &metrics, transport::source_events events, std::uint64_t seed);
+    control_sources(
+        boost::asio::io_context &io, const state::settings &settings, transport::metrics &metrics, transport::source_events events, std::uint64_t seed);
 
     void start() override;
     void setActive(bool tables, bool vmList) override; // inactive watches make no calls
--- a/programs/dandelionstall/ingress.h
+++ b/programs/dandelionstall/ingress.h
@@ -87,7 +87,7 @@
     coordination::snapshot_ptr m_snapshot;
     std::unique_ptr<state::route_index> m_routes;                                                  // over the snapshot's routes; null without them
     std::map<std::string, std::shared_ptr<const coordination::pool_view>, std::less<>> m_ownViews; // pools without a published view
-    std::shared_ptr<const state::pool_table> m_ownViewsOf; // table that those views were made from
+    std::shared_ptr<const state::pool_table> m_ownViewsOf;                                         // table that those views were made from
     std::map<std::string, state::time_point, std::less<>> m_interestDueAt;
     std::map<std::string, std::unique_ptr<coordination::balancer>, std::less<>> m_balancers;   // by policy name
     std::map<std::string, std::unique_ptr<coordination::retry_policy>, std::less<>> m_retries; // by pool and policy name
--- a/programs/dandelionstall/key_value_source.cpp
+++ b/programs/dandelionstall/key_value_source.cpp
@@ -18,11 +18,11 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds ReadDeadline{1500};    // for one page
-constexpr std::chrono::milliseconds WatchWait{2000};       // a watch without changes is answered after this
-constexpr std::chrono::milliseconds WatchGrace{800};       // on top of the wait
-constexpr std::chrono::milliseconds WatchInterval{500};    // between two watches while changes keep coming
-constexpr std::chrono::milliseconds FirstPause{100};       // after one failure
+constexpr std::chrono::milliseconds ReadDeadline{1500}; // for one page
+constexpr std::chrono::milliseconds WatchWait{2000};    // a watch without changes is answered after this
+constexpr std::chrono::milliseconds WatchGrace{800};    // on top of the wait
+constexpr std::chrono::milliseconds WatchInterval{500}; // between two watches while changes keep coming
+constexpr std::chrono::milliseconds FirstPause{100};    // after one failure
 constexpr std::chrono::milliseconds LongestPause{1000};
 constexpr std::uint32_t MaxDoublings = 4;
 constexpr std::uint32_t StatusOk = 200;
--- a/programs/dandelionstall/key_value_source.h
+++ b/programs/dandelionstall/key_value_source.h
@@ -35,8 +35,8 @@
 
 private:
     boost::asio::awaitable<void> run();
-    boost::asio::awaitable<bool> readAll();                                                          // false when a call failed
-    boost::asio::awaitable<bool> watchOnce();                                                        // likewise
+    boost::asio::awaitable<bool> readAll();   // false when a call failed
+    boost::asio::awaitable<bool> watchOnce(); // likewise
     boost::asio::awaitable<absl::StatusOr<std::vector<protocol::store_item>>> readRange(std::string prefix, std::uint64_t &asOf);
     boost::asio::awaitable<absl::StatusOr<transport::platform_answer>> call(std::string target, state::time_point deadline);
     boost::asio::awaitable<void> pauseUntil(state::time_point until);
--- a/programs/dandelionstall/main.cpp
+++ b/programs/dandelionstall/main.cpp
@@ -39,7 +39,9 @@
 {
     options::options_description described("Usage: dandelionstall --config FILE\n\nOptions");
     auto add = described.add_options();
-    add("config,c", options::value<std::string>()->value_name("FILE"), "settings of this node (INI, see docs/SETTINGS.md); DANDELIONSTALL_SETTINGS names them otherwise");
+    add("config,c",
+        options::value<std::string>()->value_name("FILE"),
+        "settings of this node (INI, see docs/SETTINGS.md); DANDELIONSTALL_SETTINGS names them otherwise");
     add("check", "check the settings and exit");
     add("help,h", "print this text and exit");
     add("version,v", "print the version and exit");
@@ -86,10 +88,10 @@
     return settings;
 }
 
-int serve(const state::settings &settings)
+int serve(const state::settings &settings, const std::string &path)
 {
     transport::configureLog(settings.logLevel, settings.name, settings.maxLogLinesPerSecond);
-    node process(settings);
+    node process(settings, [path] { return loadSettings(path); });
     if (const absl::Status status = process.start(); !status.ok()) {
         transport::logEvent(transport::event::listen_failed, {{"reason", std::string(state::messageOf(status))}});
         return ExitStart;
@@ -122,7 +124,7 @@
         std::cout << line->config << ": ok\n";
         return ExitOk;
     }
-    return serve(*settings);
+    return serve(*settings, line->config);
 }
 
 } // namespace
--- a/programs/dandelionstall/node.cpp
+++ b/programs/dandelionstall/node.cpp
@@ -3,6 +3,7 @@
 #include "version.h"
 #include "wall_clock.h"
 
+#include <dandelionstall/state/text.h>
 #include <dandelionstall/transport/events.h>
 
 #include <boost/asio.hpp>
@@ -32,8 +33,9 @@
 
 } // namespace
 
-node::node(state::settings settings)
+node::node(state::settings settings, settings_loader reload)
     : m_settings(std::move(settings))
+    , m_reload(std::move(reload))
     , m_life(static_cast<state::incarnation>(systemNowMs()))
     , m_startedAt(state::clock::now())
     , m_signals(m_controlIo, SIGTERM, SIGINT)
@@ -177,12 +179,22 @@
     });
 }
 
-// Settings are read once; a reload tells others nothing and cuts nothing.
+// A changed file is checked and reported; addresses and limits are those of the start until the next one.
+void node::checkSettings()
+{
+    const absl::StatusOr<state::settings> read = m_reload();
+    if (!read.ok()) {
+        logEvent(event::settings_refused, {{"reason", std::string(state::messageOf(read.status()))}});
+        return;
+    }
+    logEvent(event::reload_asked, {{"changed", *read == m_settings ? "no" : "yes"}});
+}
+
 void node::waitForReload()
 {
     m_reloadSignals.async_wait([this](const boost::system::error_code &error, int) {
         if (!error) {
-            logEvent(event::reload_asked, {});
+            checkSettings();
             waitForReload();
         }
     });
--- a/programs/dandelionstall/node.h
+++ b/programs/dandelionstall/node.h
@@ -18,6 +18,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -27,7 +28,9 @@
 class node
 {
 public:
-    explicit node(state::settings settings);
+    using settings_loader = std::function<absl::StatusOr<state::settings>()>;
+
+    node(state::settings settings, settings_loader reload); // reload reads the settings file again
 
     absl::Status start(); // binds all addresses and starts the threads
     void run();           // serves until a graceful stop has ended
@@ -45,6 +48,7 @@
     absl::Status startReady();
     bool isReady() const; // serves callers: configuration and workers are known, and it is not stopping
     void waitForReload();
+    void checkSettings();
     void publish(const coordination::snapshot_ptr &snapshot);
     void waitForSignal();
     void beginShutdown();
@@ -53,6 +57,7 @@
     boost::asio::awaitable<void> waitUntilIdle(state::time_point giveUpAt);
 
     state::settings m_settings;
+    settings_loader m_reload;
     state::incarnation m_life;
     state::time_point m_startedAt; // for the admin API
     transport::metrics m_counters;
--- a/programs/dandelionstall/peer_directory.cpp
+++ b/programs/dandelionstall/peer_directory.cpp
@@ -117,6 +117,12 @@
     co_return absl::OkStatus();
 }
 
+state::time_point peer_directory::heardAt(const state::node_address &node) const
+{
+    const auto found = m_links.find(node);
+    return found == m_links.end() ? state::time_point{} : found->second->session->lastHeardAt();
+}
+
 void peer_directory::drop(const state::node_address &node, const std::shared_ptr<peer_link> &link)
 {
     const auto found = m_links.find(node);
--- a/programs/dandelionstall/peer_directory.h
+++ b/programs/dandelionstall/peer_directory.h
@@ -31,6 +31,7 @@
 
     // The link to a node; connects when there is none. Fails with transport errors before anything has been sent.
     boost::asio::awaitable<absl::StatusOr<std::shared_ptr<peer_link>>> connect(state::node_address node, state::time_point deadline);
+    state::time_point heardAt(const state::node_address &node) const;                   // last bytes on the link to it; epoch without one
     void drop(const state::node_address &node, const std::shared_ptr<peer_link> &link); // forgets a link that has failed
     void closeIdle(state::time_point now);                                              // ends links that were not used lately
     std::size_t size() const;                                                           // open links
--- a/programs/dandelionstall/request_attempt.cpp
+++ b/programs/dandelionstall/request_attempt.cpp
@@ -1,5 +1,5 @@
-// One attempt of a request: sends it to a sidecar, reads the answer, asks for the outcome when the path fails.
-#include "request_run.h"
+// One attempt of a request: sends it to a sidecar and reads the answer. When the path fails: request_outcome.cpp.
+#include "request_attempt.h"
 
 #include <dandelionstall/protocol/caller_http.h>
 #include <dandelionstall/transport/events.h>
@@ -22,11 +22,8 @@
 
 namespace {
 
-constexpr auto AnswerGrace = std::chrono::milliseconds(150);   // the sidecar's own refusal may arrive this late
-constexpr auto QueryPause = std::chrono::milliseconds(50);     // between tries to ask for an outcome
-constexpr auto QueryTimeout = std::chrono::milliseconds(1200); // for one try, dial included, beyond the deadline
-constexpr std::size_t HoldBytes = 1'048'576;                      // answers up to this are checked before anything is sent
-constexpr std::size_t BodyFrameBytes = 131'072;                // of one body frame
+constexpr std::size_t HoldBytes = 1'048'576;    // answers up to this are checked before anything is sent
+constexpr std::size_t BodyFrameBytes = 131'072; // of one body frame
 
 bool isServerError(std::uint32_t status)
 {
@@ -49,51 +46,6 @@
 
 } // namespace
 
-// The part of an answer that has arrived.
-struct request_run::answer_state {
-    protocol::answer_head head;                // status 0 until it came
-    std::string held;                          // body not yet sent to the caller
-    std::uint64_t bodyBytes = 0;               // arrived on the present stream
-    std::uint64_t skipBytes = 0;               // of it, already sent to the caller from an earlier stream
-    std::uint64_t sentBytes = 0;               // sent to the caller
-    bool streaming = false;                    // the head has gone to the caller
-    XXH3_state_t *digest = XXH3_createState(); // of the body on the present stream
-
-    answer_state()
-    {
-        XXH3_64bits_reset(digest);
-    }
-    ~answer_state()
-    {
-        XXH3_freeState(digest);
-    }
-    answer_state(const answer_state &) = delete;
-    answer_state &operator=(const answer_state &) = delete;
-
-    void restart() // the same answer begins again on another stream
-    {
-        head = {};
-        skipBytes = sentBytes;
-        bodyBytes = 0;
-        held.clear();
-        XXH3_64bits_reset(digest);
-    }
-};
-
-struct request_run::sent_attempt {
-    state::attempt_id id;             // of the attempt
-    state::node_address node;         // where it went
-    state::node_address via;          // who is asked at present: that node, or a third one for its outcome
-    std::uint32_t queries = 0;        // times its outcome was asked for
-    std::shared_ptr<peer_link> link;  // on which connection
-    transport::stream_id stream = -1; // on which stream
-    state::incarnation home = 0;      // which life of the sidecar
-    bool tracked = false;             // the sidecar keeps its outcome
-    bool headArrived = false;         // an answer head has come
-    bool recovering = false;          // its outcome is being asked for
-    answer_state answer;              // what has arrived
-};
-
 // [SECTION] Sending
 
 // The caller's headers; those that the node answers for are its own, whatever the caller sent.
@@ -344,124 +296,4 @@
     }
 }
 
-// [SECTION] Recovery
-
-// A node that may still reach the one that this node cannot: any other of the pool, in that node's data centre if possible.
-std::optional<state::node_address> request_run::chooseRelay(const state::node_address &target)
-{
-    const auto view = m_owner.viewOf(*m_pool);
-    const auto there = std::find_if(view->workers.begin(), view->workers.end(), [&](const auto &worker) { return worker.node == target; });
-    std::vector<state::node_address> near;
-    std::vector<state::node_address> others;
-    for (const coordination::worker_view &worker : view->workers) {
-        const bool usable = coordination::isUsable(worker) && !m_owner.paths().isAvoided(worker.node, state::clock::now());
-        if (!usable || worker.node == target || worker.node == m_owner.settings().advertise) {
-            continue;
-        }
-        const bool isNear = there != view->workers.end() && worker.dataCentre == there->dataCentre;
-        (isNear ? near : others).push_back(worker.node);
-    }
-    const std::vector<state::node_address> &relays = near.empty() ? others : near;
-    return relays.empty() ? std::nullopt : std::optional(relays[m_owner.random() % relays.size()]);
-}
-
-// Over a new connection and through a third node in turn; through the third node first when the path has just gone silent.
-asio::awaitable<attempt_outcome> request_run::recover(sent_attempt &sent)
-{
-    const state::time_point giveUpAt = m_deadline + AnswerGrace;
-    while (state::clock::now() < giveUpAt && !m_callerGone) {
-        const bool avoided = m_owner.paths().isAvoided(sent.node, state::clock::now());
-        const bool wantsRelay = (sent.queries++ % 2 == 0) == avoided;
-        const std::optional<state::node_address> relay = wantsRelay ? chooseRelay(sent.node) : std::nullopt;
-        const state::node_address asked = relay ? *relay : sent.node;
-        m_owner.counters().countNamed("outcomes_asked_for");
-        logEvent(transport::event::outcome_asked,
-                 {{"request", requestName()},
-                  {"attempt", state::formatAttemptId(sent.id)},
-                  {"node", state::formatNodeAddress(sent.node)},
-                  {"asked", state::formatNodeAddress(asked)}});
-        const auto link = co_await m_owner.peers().connect(asked, std::min(giveUpAt, state::clock::now() + QueryTimeout));
-        if (!link.ok()) {
-            m_owner.notePath(asked, false);
-            asio::steady_timer pause(m_owner.io(), QueryPause);
-            co_await pause.async_wait(asio::as_tuple(asio::use_awaitable));
-            continue;
-        }
-        if (!relay && (*link)->incarnation != sent.home) {
-            co_return sent.answer.streaming ? cutAnswer(sent) : failedBy(retry_reason::path_silent, refusal_reason::stale_incarnation, run_state::unknown);
-        }
-        m_reader = std::make_shared<stream_reader>(m_owner.io().get_executor());
-        sent.link = *link;
-        sent.headArrived = false;
-        sent.recovering = true;
-        sent.answer.restart();
-        sent.stream = sent.link->session->open("/control", m_reader);
-        if (sent.stream < 0) {
-            m_owner.peers().drop(asked, *link);
-            continue;
-        }
-        m_reader->attach(sent.link->session, sent.stream);
-        protocol::attempt_query query{sent.id, sent.link->clock.toPeer(m_deadline, state::clock::now()), sent.home, {}};
-        query.relayTo = relay ? state::formatNodeAddress(sent.node) : std::string();
-        sent.via = asked;
-        sent.link->session->write(sent.stream, protocol::makeFrame(frame_type::query, protocol::encode(query)), true);
-        co_return co_await readAnswer(sent);
-    }
-    if (m_callerGone) {
-        co_return attempt_outcome{attempt_end::caller_gone, {}, {}, -1.0, false};
-    }
-    co_return sent.answer.streaming ? cutAnswer(sent) : failedBy(retry_reason::path_silent, refusal_reason::unknown_outcome, run_state::unknown);
-}
-
-// [SECTION] Failures
-
-attempt_outcome request_run::refusedBy(const sent_attempt &sent, const protocol::answer_head &head)
-{
-    retry_reason kind = retry_reason::refused;
-    refusal_reason reason = head.refusal;
-    if (sent.recovering && head.run == run_state::not_run) {
-        kind = retry_reason::path_silent; // the path failed, and the sidecar has fenced the attempt
-    } else if (reason == refusal_reason::worker_shed) {
-        kind = retry_reason::worker_refused;
-    } else if (head.run != run_state::not_run) {
-        kind = retry_reason::worker_failed;
-        reason = reason == refusal_reason::none ? refusal_reason::unknown_outcome : reason;
-    }
-    attempt_outcome outcome = failedBy(kind, reason, head.run);
-    if (head.retryAfter.count() > 0) {
-        outcome.failure.retryAt = state::clock::now() + head.retryAfter;
-    }
-    outcome.betterSibling = head.betterSibling;
-    outcome.risk = !head.reports.empty() ? head.reports.front().risk : -1.0;
-    return outcome;
-}
-
-attempt_outcome request_run::failedBy(retry_reason kind, refusal_reason reason, run_state run) const
-{
-    attempt_outcome outcome;
-    outcome.end = attempt_end::failed;
-    outcome.failure.kind = kind;
-    outcome.failure.refusal = reason;
-    outcome.failure.run = run;
-    outcome.failure.idempotent = m_route->idempotent && m_ticket.empty();
-    outcome.failure.attempts = m_attempts;
-    outcome.failure.deadline = m_deadline;
-    outcome.failure.expectedCost = m_route->costHint;
-    outcome.failure.arrivals = m_arrivals;
-    outcome.failure.maxArrivals = m_route->maxAttempts;
-    outcome.failure.allowance = m_pool->retries;
-    outcome.failure.nodes = m_hold->liveNodes;
-    return outcome;
-}
-
-attempt_outcome request_run::cutAnswer(const sent_attempt &sent)
-{
-    if (sent.answer.streaming) {
-        m_owner.counters().countNamed("answers_broken_off");
-        m_connection.breakOff();
-        return attempt_outcome{attempt_end::broken_off, {}, {}, -1.0, false};
-    }
-    return failedBy(retry_reason::cut_answer, refusal_reason::unknown_outcome, run_state::unknown);
-}
-
 } // namespace dandelionstall
--- a/programs/dandelionstall/request_run.cpp
+++ b/programs/dandelionstall/request_run.cpp
@@ -24,7 +24,7 @@
 
 namespace {
 
-constexpr std::size_t MaxDoubtful = 4;                                  // guards asked before a request insists
+constexpr std::size_t MaxDoubtful = 4;                                 // guards asked before a request insists
 constexpr auto NotReadyRetryAfter = std::chrono::milliseconds(1000);   // before the first configuration
 constexpr auto NoCapacityRetryAfter = std::chrono::milliseconds(1000); // no worker is in use
 constexpr auto OutcomeRetryAfter = std::chrono::milliseconds(1000);    // a ticket can be asked about again
@@ -249,7 +249,9 @@
         m_arrivals += mayHaveArrived(outcome.failure) ? 1 : 0;
         outcome.failure.arrivals = m_arrivals;
         last = outcome.failure;
-        if (last.refusal == refusal_reason::worker_at_risk && !m_insists) {
+        if (m_insists) {
+            m_doubtful.erase(worker.id); // it refused for another reason: the next least doubtful one is asked
+        } else if (last.refusal == refusal_reason::worker_at_risk) {
             m_doubtful[worker.id] = outcome.risk;
         }
         m_insists = false;
@@ -277,7 +279,8 @@
 asio::awaitable<bool> request_run::refuse(refusal_reason reason, run_state run, state::time_point retryAt)
 {
     if (m_callerGone) {
-        logEvent(event::request_gone, {{"request", requestName()}, {"route", m_route != nullptr ? m_route->name : ""}, {"attempts", std::to_string(m_attempts)}});
+        logEvent(event::request_gone,
+                 {{"request", requestName()}, {"route", m_route != nullptr ? m_route->name : ""}, {"attempts", std::to_string(m_attempts)}});
         co_return false;
     }
     const state::time_point now = state::clock::now();
--- a/programs/dandelionstall/request_run.h
+++ b/programs/dandelionstall/request_run.h
@@ -68,7 +68,7 @@
     boost::asio::awaitable<attempt_outcome> attempt(const coordination::worker_view &worker);
     boost::asio::awaitable<attempt_outcome> readAnswer(sent_attempt &sent);
     boost::asio::awaitable<attempt_outcome> recover(sent_attempt &sent); // asks for the outcome over another connection
-    std::optional<state::node_address> chooseRelay(const state::node_address &target);
+    std::optional<state::node_address> chooseRelay(const sent_attempt &sent);
     boost::asio::awaitable<std::optional<attempt_outcome>> takeHead(sent_attempt &sent, const protocol::frame &frame);
     boost::asio::awaitable<bool> takeBody(sent_attempt &sent, std::string_view bytes);
     boost::asio::awaitable<attempt_outcome> takeEnd(sent_attempt &sent, const protocol::answer_end &end);
--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -205,7 +205,8 @@
 {
     std::erase_if(m_workers, [this](const auto &entry) {
         const served_worker &worker = entry.second;
-        const bool used = std::any_of(m_attempts.begin(), m_attempts.end(), [&](const auto &attempt) { return attempt.second.stream->head().worker == entry.first; });
+        const bool used
+            = std::any_of(m_attempts.begin(), m_attempts.end(), [&](const auto &attempt) { return attempt.second.stream->head().worker == entry.first; });
         return worker.replaced && !used && worker.probes == 0;
     });
 }
--- a/programs/dandelionstall/sidecar_outcomes.cpp
+++ b/programs/dandelionstall/sidecar_outcomes.cpp
@@ -20,7 +20,7 @@
 namespace {
 
 constexpr auto DuplicateRetryAfter = std::chrono::milliseconds(1000); // running elsewhere: ask again for its answer
-constexpr auto RelayTimeout = std::chrono::seconds(10);                 // of a relayed query whose attempt has run out meanwhile
+constexpr auto RelayTimeout = std::chrono::seconds(10);               // of a relayed query whose attempt has run out meanwhile
 constexpr std::size_t MaxEjectedSiblings = 2;                         // reports of ejected siblings in one answer
 constexpr std::size_t MaxSiblings = 2;                                // sibling reports in one answer
 
--- a/protocol/include/dandelionstall/protocol/caller_http.h
+++ b/protocol/include/dandelionstall/protocol/caller_http.h
@@ -34,9 +34,9 @@
     std::chrono::milliseconds retryAfter{0};                                  // when to come back; 0 when coming back is no use
 };
 
-std::uint32_t statusOf(const caller_refusal &refusal);          // HTTP status
-std::string bodyOf(const caller_refusal &refusal);              // JSON
-std::uint64_t retryAfterSeconds(const caller_refusal &refusal); // rounded up; 0 when none
+std::uint32_t statusOf(const caller_refusal &refusal);                     // HTTP status
+std::string bodyOf(const caller_refusal &refusal);                         // JSON
+std::uint64_t retryAfterSeconds(const caller_refusal &refusal);            // rounded up; 0 when none
 std::string retryAfterText(const caller_refusal &refusal, bool fractions); // value of the header
 
 bool equalNames(std::string_view a, std::string_view b);                         // header names, without case
--- a/protocol/include/dandelionstall/protocol/keyed_store.h
+++ b/protocol/include/dandelionstall/protocol/keyed_store.h
@@ -43,7 +43,7 @@
 public:
     virtual ~store_dialect() = default;
 
-    virtual std::string rangeTarget(std::string_view prefix, std::string_view after) const = 0; // items whose keys follow "after"
+    virtual std::string rangeTarget(std::string_view prefix, std::string_view after) const = 0;        // items whose keys follow "after"
     virtual std::string watchTarget(std::uint64_t revision, std::chrono::milliseconds wait) const = 0; // changes of configuration and workers after a revision
     virtual absl::StatusOr<store_page> decodePage(std::string_view body) const = 0;
     virtual absl::StatusOr<store_page> decodeChanges(std::string_view body) const = 0;
--- a/protocol/include/dandelionstall/protocol/messages.h
+++ b/protocol/include/dandelionstall/protocol/messages.h
@@ -51,7 +51,7 @@
     http_headers headers;                  // end-to-end headers
     std::string ticket;                    // at-most-once ticket; empty when none
     std::string organisation;              // of the caller; empty when not stated
-    bool insisted = false;                // run it although the worker is doubtful: all others are more so
+    bool insisted = false;                 // run it although the worker is doubtful: all others are more so
     double organisationRate = 0.0;         // requests a second allowed to it over the fleet; 0 is unlimited
     std::uint64_t bodyBytes = 0;           // length of the body that follows
 };
--- a/state/include/dandelionstall/state/settings.h
+++ b/state/include/dandelionstall/state/settings.h
@@ -19,32 +19,36 @@
     std::string pool;                    // as in the pool table
     node_address address;                // where the worker listens, on this VM
     std::string healthPath = "/healthz"; // its health and load endpoint; empty disables probes
+
+    friend bool operator==(const local_worker &, const local_worker &) = default;
 };
 
 // Header names between callers, nodes and workers. An empty name switches the feature off.
 struct header_names {
-    std::string requestId;                    // drawn by the caller, echoed by the worker; tells whose answer it is
-    std::string timeLeft = "X-Deadline-Ms";   // milliseconds that the caller waits, or that the worker has
-    std::string originPool;                   // pool of the VM at which the request came in; always set by the node
-    std::string expectedWorker;               // id of the worker that may run the request
-    std::string notRun = "X-Worker-Refused";  // on a worker's answer: it was not run
-    std::string seal;                         // on a worker's answer: proof that the worker made it
+    std::string requestId;                   // drawn by the caller, echoed by the worker; tells whose answer it is
+    std::string timeLeft = "X-Deadline-Ms";  // milliseconds that the caller waits, or that the worker has
+    std::string originPool;                  // pool of the VM at which the request came in; always set by the node
+    std::string expectedWorker;              // id of the worker that may run the request
+    std::string notRun = "X-Worker-Refused"; // on a worker's answer: it was not run
+    std::string seal;                        // on a worker's answer: proof that the worker made it
+
+    friend bool operator==(const header_names &, const header_names &) = default;
 };
 
 // The one settings aggregate of a node.
 struct settings {
     // [node]
-    std::string name;                 // shown in logs and the admin API; the advertised address when empty
-    std::string dataCentre;           // data centre of this VM
-    std::string region;               // region of the data centre
-    node_address listen;              // streams (TCP) and gossip (UDP) between nodes
-    node_address advertise;           // what other nodes use to reach this one; the listen address when absent
-    node_address callers;             // HTTP/1.1 from callers
-    node_address admin;               // admin API and /metrics; loopback by default
-    node_address ready;               // where readiness is asked for; port 0 when nowhere
-    std::string readyPath = "/ready"; // path of that question
-    std::string ownPool;              // pool of the service on this VM, stated to workers as the origin of its requests
-    std::uint32_t ingressThreads = 1; // threads that serve callers, 1..16
+    std::string name;                       // shown in logs and the admin API; the advertised address when empty
+    std::string dataCentre;                 // data centre of this VM
+    std::string region;                     // region of the data centre
+    node_address listen;                    // streams (TCP) and gossip (UDP) between nodes
+    node_address advertise;                 // what other nodes use to reach this one; the listen address when absent
+    node_address callers;                   // HTTP/1.1 from callers
+    node_address admin;                     // admin API and /metrics; loopback by default
+    node_address ready;                     // where readiness is asked for; port 0 when nowhere
+    std::string readyPath = "/ready";       // path of that question
+    std::string ownPool;                    // pool of the service on this VM, stated to workers as the origin of its requests
+    std::uint32_t ingressThreads = 1;       // threads that serve callers, 1..16
     std::chrono::milliseconds stopGrace{0}; // a graceful stop ends within this; 0 waits for all work
 
     // [platform]
@@ -67,7 +71,7 @@
     std::chrono::milliseconds idleTimeout{60000};     // idle caller connection is closed after this
     std::chrono::milliseconds ticketLifetime{600000}; // tickets and kept outcomes expire after this
 
-    bool retryAfterFractions = false;                 // Retry-After in fractions of a second, for callers that take them
+    bool retryAfterFractions = false; // Retry-After in fractions of a second, for callers that take them
 
     // [headers]
     header_names headers;
@@ -79,8 +83,10 @@
     std::vector<local_worker> workers; // [worker.<id>] sections
 
     // [discovered_worker]
-    std::string discoveredPool;        // pool of the one worker here that announces itself; empty when none does
-    node_address discoveredAddress;    // where it listens
+    std::string discoveredPool;     // pool of the one worker here that announces itself; empty when none does
+    node_address discoveredAddress; // where it listens
+
+    friend bool operator==(const settings &, const settings &) = default;
 };
 
 absl::StatusOr<settings> parseSettings(std::string_view text, std::string_view source); // error names line and reason
--- a/state/include/dandelionstall/state/tables.h
+++ b/state/include/dandelionstall/state/tables.h
@@ -94,8 +94,8 @@
 
 // Repeats allowed in one pool over all nodes: within any window, the share of its requests plus the extra ones.
 struct retry_allowance {
-    double share = 0.5;                    // repeats per request
-    double extra = 0.0;                    // repeats on top, in each window; 0 leaves the policy's own allowance
+    double share = 0.5; // repeats per request
+    double extra = 0.0; // repeats on top, in each window; 0 leaves the policy's own allowance
     std::chrono::milliseconds window{10000};
 
     friend bool operator==(const retry_allowance &, const retry_allowance &) = default;
--- a/state/src/tables_routes.cpp
+++ b/state/src/tables_routes.cpp
@@ -97,7 +97,8 @@
             share.weight = static_cast<std::uint32_t>(*weight);
         }
         if (!isName(share.pool)) {
-            return reader.fault(*entry, state_error::malformed, fmt::format("expected pool names, each with a weight when there are several, got \"{}\"", entry->value));
+            return reader.fault(
+                *entry, state_error::malformed, fmt::format("expected pool names, each with a weight when there are several, got \"{}\"", entry->value));
         }
         row.shares.push_back(std::move(share));
     }
--- a/state/tests/test_settings.cpp
+++ b/state/tests/test_settings.cpp
@@ -48,7 +48,8 @@
 {
     cr_assert(reasonFor("[limits]\nmax_caller = 7\n") == "node.ini:9: unknown key \"max_caller\" in [limits]; did you mean \"max_callers\"?");
     cr_assert(reasonFor("[limit]\n")
-              == "node.ini:8: unknown section [limit], expected [node], [platform], [limits], [headers], [log], [discovered_worker] or [worker.<id>]; did you mean \"limits\"?");
+              == "node.ini:8: unknown section [limit], expected [node], [platform], [limits], [headers], [log], [discovered_worker] or [worker.<id>]; did you "
+                 "mean \"limits\"?");
     cr_assert(reasonFor("[limits]\nmax_callers = 0\n") == "node.ini:9: max_callers: expected a whole number from 1 to 100000, got \"0\"");
     cr_assert(reasonFor("[log]\nlevel = inf\n") == "node.ini:9: level: expected one of trace, debug, info, warn, error, got \"inf\"; did you mean \"info\"?");
     cr_assert(reasonFor("[worker.d-1]\naddress = localhost:1\n") == "node.ini:8: [worker.d-1] needs the key \"pool\"");
--- a/tests/integration/test_caller_input.cpp
+++ b/tests/integration/test_caller_input.cpp
@@ -51,6 +51,13 @@
     expectStatus(sendBytes(ip, post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"), "400", "bad_request");
     expectStatus(sendBytes(ip, post + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n"), "400", "bad_request");
     expectStatus(sendBytes(ip, post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"), "400", "bad_request");
+    // A coding that is not understood: the bytes of the body must not be read as the next request.
+    expectStatus(sendBytes(ip, post + "Transfer-Encoding: xchunked\r\n\r\nGET /lookup HTTP/1.1\r\nHost: x\r\n\r\n"), "400", "bad_request");
+    expectStatus(sendBytes(ip, post + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"), "400", "bad_request");
+    for (const char *value : {"-5", "soon", "1.5", "5 ms"}) {
+        const std::string stated = "GET /lookup HTTP/1.1\r\nHost: x\r\nConnection: close\r\nX-Deadline-Ms: " + std::string(value) + "\r\n\r\n";
+        expectStatus(sendBytes(ip, stated), "400", "bad_request");
+    }
     expectStatus(sendBytes(ip, "GET /lookup HTTP/1.1\r\n\r\n"), "400", "bad_request");
     expectStatus(sendBytes(ip, "GET /lookup HTTP/1.1\r\nHost: x\r\nA: " + std::string(HeaderOverLimit, 'a') + "\r\n\r\n"), "400", "bad_request");
     expectStatus(sendBytes(ip, post + "Content-Length: 99999999\r\n\r\n"), "413", "body_too_large");
--- a/tests/standins/config_service.cpp
+++ b/tests/standins/config_service.cpp
@@ -1,6 +1,7 @@
 #include "config_service.h"
 
 #include "key_values.h"
+#include "query_text.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -8,7 +9,6 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
-#include <charconv>
 #include <utility>
 
 namespace dandelionstall::standins {
@@ -24,26 +24,6 @@
 constexpr std::chrono::minutes DefaultWait{5};
 constexpr std::chrono::milliseconds MaxWait{600000};
 
-std::uint64_t leadingNumber(std::string_view text)
-{
-    std::uint64_t value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
-}
-
-std::string parameterOf(std::string_view query, std::string_view name)
-{
-    while (!query.empty()) {
-        const std::string_view item = query.substr(0, query.find('&'));
-        query.remove_prefix(std::min(query.size(), item.size() + 1));
-        const std::size_t equals = item.find('=');
-        if (item.substr(0, equals) == name) {
-            return equals == std::string_view::npos ? "" : std::string(item.substr(equals + 1));
-        }
-    }
-    return {};
-}
-
 // "10s", "250ms", "5m"
 std::chrono::milliseconds parseWait(std::string_view text)
 {
--- /dev/null
+++ b/tests/standins/keyed_store.cpp
@@ -0,0 +1,179 @@
+#include "keyed_store.h"
+
+#include "key_values.h"
+#include "query_text.h"
+
+#include <absl/strings/escaping.h>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+namespace dandelionstall::standins {
+
+using namespace asio::experimental::awaitable_operators;
+
+namespace {
+
+constexpr std::size_t PageItems = 3; // small, so that tests see several pages
+constexpr std::string_view PutPrefix = "/_put/";
+constexpr std::string_view RemovePrefix = "/_remove/";
+
+boost::json::object describe(const std::string &key, const std::string &value, std::uint64_t revision, bool removed)
+{
+    boost::json::object out;
+    out["key"] = key;
+    out["rev"] = revision;
+    if (removed) {
+        out["tombstone"] = true;
+        return out;
+    }
+    std::string encoded;
+    absl::Base64Escape(value, &encoded);
+    out["value"] = encoded;
+    out["created"] = revision;
+    out["lease"] = 0;
+    return out;
+}
+
+http_reply jsonReply(const boost::json::object &body)
+{
+    return makeReply(http::status::ok, boost::json::serialize(body), "application/json");
+}
+
+} // namespace
+
+keyed_store::keyed_store(asio::io_context &io)
+    : m_changed(io, asio::steady_timer::time_point::max())
+{ }
+
+void keyed_store::change(const std::string &key, std::string value, bool removed)
+{
+    m_items[key] = {std::move(value), ++m_revision, removed};
+    m_changed.cancel();
+}
+
+asio::awaitable<http_reply> keyed_store::answer(const http_request &request, tcp::socket &peer)
+{
+    const std::string target(request.target());
+    if (target.starts_with(PutPrefix)) {
+        change(target.substr(PutPrefix.size()), request.body(), false);
+        co_return makeReply(http::status::ok, "true\n");
+    }
+    if (target.starts_with(RemovePrefix)) {
+        change(target.substr(RemovePrefix.size()), {}, true);
+        co_return makeReply(http::status::ok, "true\n");
+    }
+    if (target == "/_fault") {
+        co_return setFaults(request.body());
+    }
+    co_return co_await read(target, peer);
+}
+
+asio::awaitable<http_reply> keyed_store::read(std::string target, tcp::socket &peer)
+{
+    if (m_silent) {
+        co_await awaitPeerClosed(peer);
+        co_return makeDropped();
+    }
+    if (m_absent == "close") {
+        co_return makeDropped();
+    }
+    boost::system::error_code ignored;
+    const bool refused = !m_refused.empty() && peer.remote_endpoint(ignored).address().to_string() == m_refused;
+    if (refused || m_absent == "error") {
+        co_return makeReply(http::status::service_unavailable, "unavailable\n");
+    }
+    if (target.starts_with("/dandelionstall/kv-range?")) {
+        co_return range(queryOf(target));
+    }
+    if (target.starts_with("/dandelionstall/kv-watch?")) {
+        co_return co_await watch(std::string(queryOf(target)), peer);
+    }
+    co_return makeReply(http::status::bad_request, "no such call\n");
+}
+
+http_reply keyed_store::range(std::string_view query) const
+{
+    const std::string prefix = parameterOf(query, "prefix");
+    const std::string after = parameterOf(query, "after");
+    boost::json::array items;
+    bool truncated = false;
+    for (const auto &[key, entry] : m_items) {
+        if (entry.removed || !key.starts_with(prefix) || key <= after) {
+            continue;
+        }
+        if (items.size() == PageItems) {
+            truncated = true;
+            break;
+        }
+        items.push_back(describe(key, entry.value, entry.revision, false));
+    }
+    boost::json::object body;
+    body["items"] = std::move(items);
+    body["truncated"] = truncated;
+    body["asOf"] = m_revision;
+    return jsonReply(body);
+}
+
+asio::awaitable<http_reply> keyed_store::watch(std::string query, tcp::socket &peer)
+{
+    const std::string prefix = parameterOf(query, "prefix");
+    const std::uint64_t after = leadingNumber(parameterOf(query, "after"));
+    const std::chrono::milliseconds wait(leadingNumber(parameterOf(query, "waitMs")));
+    if (after < m_oldest) {
+        co_return makeReply(http::status::gone, "history dropped\n");
+    }
+    co_await (awaitChange(prefix, after) || pauseFor(wait) || awaitPeerClosed(peer));
+    co_return changesAfter(prefix, after);
+}
+
+asio::awaitable<void> keyed_store::awaitChange(std::string prefix, std::uint64_t after)
+{
+    while (!hasChange(prefix, after)) {
+        boost::system::error_code ignored;
+        co_await m_changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+bool keyed_store::hasChange(std::string_view prefix, std::uint64_t after) const
+{
+    return std::any_of(m_items.begin(), m_items.end(), [&](const auto &entry) { return entry.second.revision > after && entry.first.starts_with(prefix); });
+}
+
+http_reply keyed_store::changesAfter(std::string_view prefix, std::uint64_t after) const
+{
+    std::map<std::uint64_t, const std::pair<const std::string, item> *> ordered;
+    for (const auto &entry : m_items) {
+        if (entry.second.revision > after && entry.first.starts_with(prefix)) {
+            ordered[entry.second.revision] = &entry;
+        }
+    }
+    boost::json::array events;
+    for (const auto &[revision, entry] : ordered) {
+        events.push_back(describe(entry->first, entry->second.value, revision, entry->second.removed));
+    }
+    boost::json::object body;
+    body["events"] = std::move(events);
+    body["asOf"] = m_revision;
+    return jsonReply(body);
+}
+
+http_reply keyed_store::setFaults(const std::string &text)
+{
+    try {
+        key_values values(text);
+        m_absent = values.take("absent", std::string());
+        m_refused = values.take("refuse", std::string());
+        m_silent = values.takeFlag("silent");
+        if (values.takeFlag("compact")) {
+            m_oldest = m_revision;
+        }
+        values.expectEmpty();
+    } catch (const std::invalid_argument &error) {
+        return makeReply(http::status::bad_request, std::string(error.what()) + "\n");
+    }
+    return makeReply(http::status::ok, "true\n");
+}
+
+} // namespace dandelionstall::standins
--- a/tests/standins/standin_worker_main.cpp
+++ b/tests/standins/standin_worker_main.cpp
@@ -14,6 +14,10 @@
     add("listen", options::value(&listen)->default_value("127.0.0.1:0"), "ip:port; port 0 lets the kernel choose");
     add("name", options::value(&worker.name)->default_value("worker"), "sent as X-Worker with each answer");
     add("slots", options::value(&worker.slots)->default_value(3), "requests run at a time");
+    add("echo", options::value(&worker.echoHeader), "request header that each answer repeats");
+    add("seal", options::value(&worker.sealHeader), "header set on each answer");
+    add("identity", options::value(&worker.identityHeader), "request header that names the worker meant");
+    add("not-run", options::value(&worker.notRunHeader), "header set on refusals");
     add("seed", options::value(&worker.seed)->default_value(1), "of the draws behind the shares of faults");
     return standins::runProgram(argc, argv, description, [&](const options::variables_map &) {
         boost::asio::io_context io(1);
--- a/tests/standins/worker_service.cpp
+++ b/tests/standins/worker_service.cpp
@@ -43,8 +43,11 @@
     if (request.target() == "/_fault") {
         co_return setFaults(request.body());
     }
+    const std::string meant = m_options.identityHeader.empty() ? std::string() : headerOf(request, m_options.identityHeader);
     http_reply reply;
-    if (request.target() == "/healthz") {
+    if (!meant.empty() && meant != m_options.name) {
+        reply = makeReply(http::status::misdirected_request, "another worker is meant\n");
+    } else if (request.target() == "/healthz") {
         reply = describeHealth();
     } else if (request.target() == "/load") {
         reply = describeLoad();
@@ -52,6 +55,12 @@
         reply = co_await work(request, peer);
     }
     reply.message.set("X-Worker", m_options.name);
+    if (!m_options.echoHeader.empty()) {
+        reply.message.set(m_options.echoHeader, headerOf(request, m_options.echoHeader));
+    }
+    if (!m_options.sealHeader.empty()) {
+        reply.message.set(m_options.sealHeader, m_options.name);
+    }
     if (faultsNow().draining) {
         reply.message.set("X-Worker-State", "draining");
     }
@@ -62,7 +71,7 @@
 {
     if (draw(faultsNow().shed)) {
         http_reply refusal = makeReply(http::status::service_unavailable, "shedding load\n");
-        refusal.message.set("X-Worker-Refused", "not-run");
+        refusal.message.set(m_options.notRunHeader, "not-run");
         co_return refusal;
     }
     std::string outcome;
--- a/tests/standins/worker_service.h
+++ b/tests/standins/worker_service.h
@@ -24,8 +24,12 @@
 struct worker_options {
     std::string name = "worker"; // sent as X-Worker
     std::uint32_t slots = 3;
-    std::size_t defaultBytes = 64; // answer size without X-Test-Bytes
-    std::uint64_t seed = 1;        // of the draws behind the shares of faults
+    std::size_t defaultBytes = 64;                 // answer size without X-Test-Bytes
+    std::uint64_t seed = 1;                        // of the draws behind the shares of faults
+    std::string echoHeader;                        // request header that each answer repeats; empty repeats none
+    std::string sealHeader;                        // set on each answer of a run; empty sets none
+    std::string identityHeader;                    // request header that names the worker meant; another name is answered with 421
+    std::string notRunHeader = "X-Worker-Refused"; // set on refusals
 };
 
 class worker_service : public http_service
--- a/transport/src/worker_client.cpp
+++ b/transport/src/worker_client.cpp
@@ -18,9 +18,9 @@
 namespace {
 
 constexpr auto ConnectTimeout = std::chrono::milliseconds(500);
-constexpr auto DefaultIdleLife = std::chrono::seconds(5);          // of a connection whose worker states none
-constexpr auto IdleMargin = std::chrono::milliseconds(1000);       // closed this long before the worker would
-constexpr auto UnrepeatableIdleLife = std::chrono::seconds(2);     // a worker that forgets idle connections has not yet done so
+constexpr auto DefaultIdleLife = std::chrono::seconds(5);      // of a connection whose worker states none
+constexpr auto IdleMargin = std::chrono::milliseconds(1000);   // closed this long before the worker would
+constexpr auto UnrepeatableIdleLife = std::chrono::seconds(2); // a worker that forgets idle connections has not yet done so
 constexpr std::size_t MaxIdleConnections = 16;
 constexpr std::size_t BodyChunkBytes = 32'768;
 constexpr std::uint32_t HeaderLimitBytes = 65'536;
