Processes end when they have stopped; a stopping node still hands work to its worker for a second

Ruled out: work in flight (isIdle held). The guard learns nothing from successes that began before a failure, and lets two trials in while it is in even doubt; a worker that could not be connected to is avoided for a while.

--- a/coordination/include/dandelionstall/coordination/path_memory.h
+++ b/coordination/include/dandelionstall/coordination/path_memory.h
@@ -1,21 +1,24 @@
-// Which nodes one ingress could not reach a moment ago. Pure; used from one thread.
+// Which nodes and workers one ingress could not reach a moment ago. Pure; used from one thread.
 //
-// A path that has failed is avoided for a while, longer with each further failure, so that requests do not wait for it one
-// after the other. It is a preference only: with nobody else to ask, an avoided node is tried.
+// What has failed is avoided for a while, longer with each further failure, so that requests do not wait for it one after
+// the other, nor spend their retries on it before reports of its state have come. It is a preference only: with nobody
+// else to ask, it is tried.
 #pragma once
 
 #include <dandelionstall/state/types.h>
 
 #include <map>
+#include <string>
+#include <string_view>
 
 namespace dandelionstall::coordination {
 
 class path_memory
 {
 public:
-    void noteFailure(const state::node_address &node, state::time_point now);
-    void noteSuccess(const state::node_address &node);
-    bool isAvoided(const state::node_address &node, state::time_point now) const;
+    void noteFailure(std::string_view name, state::time_point now);
+    void noteSuccess(std::string_view name);
+    bool isAvoided(std::string_view name, state::time_point now) const;
     void forgetOld(state::time_point now); // now and then; keeps the memory small
 
 private:
@@ -24,7 +27,7 @@
         std::uint32_t failures = 0; // in a row
     };
 
-    std::map<state::node_address, entry> m_failed;
+    std::map<std::string, entry, std::less<>> m_failed; // by address of a node or id of a worker
 };
 
 } // namespace dandelionstall::coordination
--- a/coordination/src/failure_guard.cpp
+++ b/coordination/src/failure_guard.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <set>
 
 namespace dandelionstall::coordination {
@@ -20,6 +21,7 @@
 constexpr double SickFailureShare = 0.75;    // of the work of a sick one
 constexpr double UnrepeatableLimit = 0.12;   // more doubt keeps work out that must not run twice
 constexpr double TrialLimit = 0.7;           // more doubt keeps out trials too
+constexpr double EvenRisk = 0.5;             // up to it two trials run at a time
 constexpr double LeastRisk = 0.002;          // no number of successes proves more
 
 class belief_guard final : public failure_guard
@@ -31,11 +33,13 @@
         if (item.insisted || present <= UnrepeatableLimit) {
             return true;
         }
-        return item.repeatable && present <= TrialLimit && m_trials.empty();
+        const std::size_t trials = present <= EvenRisk ? 2 : 1;
+        return item.repeatable && present <= TrialLimit && m_trials.size() < trials;
     }
 
     void noteStart(const guarded_item &item, state::time_point now) override
     {
+        m_startedAt[item.id] = now;
         if (risk(now) > UnrepeatableLimit) {
             m_trials.insert(item.id);
         }
@@ -44,6 +48,11 @@
     void noteEnd(const state::attempt_id &id, bool failed, state::time_point now) override
     {
         m_trials.erase(id);
+        const state::time_point startedAt = takeStart(id);
+        if (!failed && startedAt <= m_failedAt) {
+            return; // it began before the worker failed other work, and sick workers fail work as it begins
+        }
+        m_failedAt = failed ? now : m_failedAt;
         const double before = risk(now);
         const double ifSick = failed ? SickFailureShare : 1.0 - SickFailureShare;
         const double ifHealthy = failed ? HealthyFailureShare : 1.0 - HealthyFailureShare;
@@ -54,6 +63,7 @@
     void noteDropped(const state::attempt_id &id) override
     {
         m_trials.erase(id);
+        m_startedAt.erase(id);
     }
 
     double risk(state::time_point now) const override
@@ -62,9 +72,19 @@
     }
 
 private:
+    state::time_point takeStart(const state::attempt_id &id)
+    {
+        const auto known = m_startedAt.find(id);
+        const state::time_point at = known == m_startedAt.end() ? state::time_point::max() : known->second;
+        m_startedAt.erase(id);
+        return at;
+    }
+
     double m_risk = LongRunRisk;
-    state::time_point m_knownAt; // last outcome; epoch when there was none
+    state::time_point m_knownAt;  // last outcome; epoch when there was none
+    state::time_point m_failedAt; // last failure; epoch when there was none
     std::set<state::attempt_id> m_trials;
+    std::map<state::attempt_id, state::time_point> m_startedAt; // of running work
 };
 
 class open_guard final : public failure_guard
--- a/coordination/src/path_memory.cpp
+++ b/coordination/src/path_memory.cpp
@@ -13,9 +13,9 @@
 
 } // namespace
 
-void path_memory::noteFailure(const state::node_address &node, state::time_point now)
+void path_memory::noteFailure(std::string_view name, state::time_point now)
 {
-    entry &known = m_failed[node];
+    entry &known = m_failed[std::string(name)];
     if (now < known.avoidUntil) {
         return; // attempts that were under way together fail together
     }
@@ -24,14 +24,16 @@
     ++known.failures;
 }
 
-void path_memory::noteSuccess(const state::node_address &node)
+void path_memory::noteSuccess(std::string_view name)
 {
-    m_failed.erase(node);
+    if (const auto known = m_failed.find(name); known != m_failed.end()) {
+        m_failed.erase(known);
+    }
 }
 
-bool path_memory::isAvoided(const state::node_address &node, state::time_point now) const
+bool path_memory::isAvoided(std::string_view name, state::time_point now) const
 {
-    const auto known = m_failed.find(node);
+    const auto known = m_failed.find(name);
     return known != m_failed.end() && now < known->second.avoidUntil;
 }
 
--- a/programs/dandelionstall/ingress.cpp
+++ b/programs/dandelionstall/ingress.cpp
@@ -262,16 +262,27 @@
 void ingress::notePath(const state::node_address &node, bool ok)
 {
     if (ok) {
-        m_paths.noteSuccess(node);
+        m_paths.noteSuccess(state::formatNodeAddress(node));
     } else {
-        m_paths.noteFailure(node, state::clock::now());
+        m_paths.noteFailure(state::formatNodeAddress(node), state::clock::now());
     }
     m_events.path(node, ok);
 }
 
-const coordination::path_memory &ingress::paths() const
+void ingress::noteUnreachable(const std::string &worker)
 {
-    return m_paths;
+    m_paths.noteFailure(worker, state::clock::now());
+}
+
+bool ingress::isAvoided(const coordination::worker_view &worker) const
+{
+    const state::time_point now = state::clock::now();
+    return m_paths.isAvoided(worker.id, now) || isAvoided(worker.node);
+}
+
+bool ingress::isAvoided(const state::node_address &node) const
+{
+    return m_paths.isAvoided(state::formatNodeAddress(node), state::clock::now());
 }
 
 transport::metrics &ingress::counters()
--- a/programs/dandelionstall/ingress.h
+++ b/programs/dandelionstall/ingress.h
@@ -57,7 +57,9 @@
     coordination::retry_policy &retryOf(const coordination::pool_view &view);
     peer_directory &peers();
     void notePath(const state::node_address &node, bool ok); // an attempt reached the node, or did not
-    const coordination::path_memory &paths() const;
+    void noteUnreachable(const std::string &worker);         // its sidecar could not connect to it
+    bool isAvoided(const coordination::worker_view &worker) const;
+    bool isAvoided(const state::node_address &node) const;
     transport::metrics &counters();
     const ingress_events &events() const;
     std::uint64_t random();
--- a/programs/dandelionstall/main.cpp
+++ b/programs/dandelionstall/main.cpp
@@ -97,7 +97,8 @@
         return ExitStart;
     }
     process.run();
-    return ExitOk;
+    transport::closeLog();
+    std::quick_exit(ExitOk); // destructors of static objects would wait for threads of libraries
 }
 
 int runProgram(int argc, const char *const *argv)
--- a/programs/dandelionstall/node.cpp
+++ b/programs/dandelionstall/node.cpp
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr auto LeaveGrace = std::chrono::milliseconds(3000);    // other nodes and callers learn of the leaving in this time
+constexpr auto HandOverTime = std::chrono::milliseconds(1000);  // of it, in which its worker still gets work through this node
 constexpr auto IdlePoll = std::chrono::milliseconds(20);        // between checks for work in flight
 constexpr auto StopMargin = std::chrono::milliseconds(250);     // a bounded stop ends this long before the grace does
 constexpr auto ShortLinger = std::chrono::milliseconds(500);    // in place of OutcomeLinger where a stop is bounded
@@ -202,13 +203,17 @@
 
 void node::beginShutdown()
 {
-    m_control->beginShutdown();
-    asio::post(m_sidecarIo, [this] { m_sidecar->beginShutdown(); });
     for (const auto &entry : m_ingresses) {
         asio::post(entry->io, [server = entry->server.get()] { server->beginShutdown(); });
     }
 }
 
+void node::stopSidecar()
+{
+    m_control->beginShutdown();
+    asio::post(m_sidecarIo, [this] { m_sidecar->beginShutdown(); });
+}
+
 void node::closeCallers()
 {
     for (const auto &entry : m_ingresses) {
@@ -245,7 +250,10 @@
     const state::time_point startedAt = state::clock::now();
     const state::time_point endsAt = bounded ? startedAt + m_settings.stopGrace - StopMargin : state::time_point::max();
     beginShutdown();
-    asio::steady_timer pause(m_controlIo, std::min<state::duration>(LeaveGrace, endsAt - startedAt));
+    asio::steady_timer pause(m_controlIo, std::min(startedAt + HandOverTime, endsAt));
+    co_await pause.async_wait(asio::use_awaitable);
+    stopSidecar();
+    pause.expires_at(std::min(startedAt + LeaveGrace, endsAt));
     co_await pause.async_wait(asio::use_awaitable);
     closeCallers();
     co_await waitUntilIdle(endsAt);
--- a/programs/dandelionstall/node.h
+++ b/programs/dandelionstall/node.h
@@ -51,7 +51,8 @@
     void checkSettings();
     void publish(const coordination::snapshot_ptr &snapshot);
     void waitForSignal();
-    void beginShutdown();
+    void beginShutdown(); // callers are told to go elsewhere
+    void stopSidecar();   // its workers get no new work through this node
     void closeCallers();
     boost::asio::awaitable<void> shutdown();
     boost::asio::awaitable<void> waitUntilIdle(state::time_point giveUpAt);
--- a/programs/dandelionstall/request_outcome.cpp
+++ b/programs/dandelionstall/request_outcome.cpp
@@ -36,7 +36,7 @@
     std::pair<state::time_point, bool> bestRank;
     for (const coordination::worker_view &worker : view->workers) {
         const bool asked = std::find(sent.relays.begin(), sent.relays.end(), worker.node) != sent.relays.end();
-        const bool avoided = m_owner.paths().isAvoided(worker.node, state::clock::now());
+        const bool avoided = m_owner.isAvoided(worker);
         if (!coordination::isUsable(worker) || asked || avoided || worker.node == sent.node || worker.node == m_owner.settings().advertise) {
             continue;
         }
@@ -55,7 +55,7 @@
 {
     const state::time_point giveUpAt = m_deadline + AnswerGrace;
     while (state::clock::now() < giveUpAt && !m_callerGone) {
-        const bool avoided = m_owner.paths().isAvoided(sent.node, state::clock::now());
+        const bool avoided = m_owner.isAvoided(sent.node);
         const bool wantsRelay = avoided || sent.queries % 2 == 1;
         ++sent.queries;
         const std::optional<state::node_address> relay = wantsRelay ? chooseRelay(sent) : std::nullopt;
--- a/programs/dandelionstall/request_run.cpp
+++ b/programs/dandelionstall/request_run.cpp
@@ -183,7 +183,7 @@
     pick.route = m_route->name;
     std::vector<std::string> exclude = m_tried;
     for (const coordination::worker_view &worker : view.workers) {
-        if (m_owner.paths().isAvoided(worker.node, state::clock::now())) {
+        if (m_owner.isAvoided(worker)) {
             exclude.push_back(worker.id);
         }
     }
@@ -249,6 +249,9 @@
         m_arrivals += mayHaveArrived(outcome.failure) ? 1 : 0;
         outcome.failure.arrivals = m_arrivals;
         last = outcome.failure;
+        if (last.refusal == refusal_reason::worker_unreachable) {
+            m_owner.noteUnreachable(worker.id);
+        }
         if (m_insists) {
             m_doubtful.erase(worker.id); // it refused for another reason: the next least doubtful one is asked
         } else if (last.refusal == refusal_reason::worker_at_risk) {
--- a/transport/include/dandelionstall/transport/events.h
+++ b/transport/include/dandelionstall/transport/events.h
@@ -83,6 +83,7 @@
 };
 
 void configureLog(std::string_view level, std::string_view nodeName, std::uint32_t maxLinesPerSecond = 500); // once at start; level as in the settings
+void closeLog();                                                                                             // writes what is left; no events afterwards
 void logEvent(event id, std::initializer_list<log_field> fields);                                            // thread-safe
 std::string formatEvent(event id, std::initializer_list<log_field> fields);                                  // "event=1001 name=node_started listen=..."
 
--- a/transport/src/events.cpp
+++ b/transport/src/events.cpp
@@ -207,6 +207,11 @@
     target.setLogLevel(parseLibraryLevel(level));
 }
 
+void closeLog()
+{
+    logger().removeAllAppenders();
+}
+
 void logEvent(event id, std::initializer_list<log_field> fields)
 {
     const log4cplus::LogLevel level = toLibraryLevel(eventInfo(id).level);
