--- a/coordination/src/worker_directory.cpp
+++ b/coordination/src/worker_directory.cpp
@@ -138,7 +138,7 @@
     }
     std::vector<std::string> missing;
     for (const auto &[id, known] : m_entries) {
-        const bool listed = std::any_of(entries.begin(), entries.end(), [&id = id](const discovered_worker &entry) { return entry.id == id; });
+        const bool listed = std::any_of(entries.begin(), entries.end(), [&name = id](const discovered_worker &entry) { return entry.id == name; });
         if (!listed && known.phase != worker_phase::gone && known.revision < asOf) {
             missing.push_back(id);
         }
