A transfer of configuration turns to another node sooner when the first one does not answer at all

A node that hears a peer which does not hear it asked that peer for 2.1 s before it turned to another one, which may have been cut as well. Test: config_spread::turns_to_another_node_when_the_first_does_not_hear_it failed before.

--- a/coordination/src/config_spread.cpp
+++ b/coordination/src/config_spread.cpp
@@ -11,6 +11,7 @@
 constexpr std::chrono::milliseconds ChunkTimeout{300};
 constexpr std::chrono::seconds HeldFetchInterval{5}; // for an older table while the only one known is held back
 constexpr std::uint32_t MaxAttempts = 6;             // then another node is tried
+constexpr std::uint32_t MaxFirstAttempts = 1;        // of a node that has not sent a single chunk: it may not hear this one
 constexpr std::size_t ChunksUnderWay = 8;            // asked for at a time
 constexpr std::uint32_t MaxTransferBytes = 64'000'000;
 constexpr std::size_t OldTexts = 8;    // versions that differences are made from
@@ -331,7 +332,7 @@
         if (!current || current->retryAt > now) {
             continue;
         }
-        if (++current->attempts > MaxAttempts) {
+        if (++current->attempts > (current->chunks.empty() ? MaxFirstAttempts : MaxAttempts)) {
             current.reset(); // the next message from any node that is ahead starts again
             continue;
         }
--- a/coordination/tests/test_config_spread.cpp
+++ b/coordination/tests/test_config_spread.cpp
@@ -206,3 +206,33 @@
     });
     cr_assert(holds);
 }
+
+// A node hears a peer that is ahead, but the peer does not hear it. Another one that is ahead must be asked within a second.
+Test(config_spread, turns_to_another_node_when_the_first_does_not_hear_it)
+{
+    config_store store;
+    config_spread spread(store, Seed);
+    const state::node_address deaf{"10.0.0.1", 7400};
+    const state::node_address hears{"10.0.0.2", 7400};
+    const auto hintFrom = [](const state::node_address &sender) {
+        gossip_message message;
+        message.sender.address = sender;
+        message.tables[0] = {9, 1};
+        return message;
+    };
+    const state::time_point start{1h};
+    bool askedOther = false;
+    const auto note = [&](const gossip_batch &batch) {
+        askedOther = askedOther || std::any_of(batch.begin(), batch.end(), [&](const gossip_out &out) { return out.to == hears; });
+    };
+    for (state::time_point now = start; now < start + 1s && !askedOther; now += 50ms) {
+        if ((now - start) % 200ms == 0ms) {
+            note(spread.receive(hintFrom(deaf), now));
+        }
+        note(spread.tick(now));
+        if ((now - start) % 200ms == 150ms) {
+            note(spread.receive(hintFrom(hears), now));
+        }
+    }
+    cr_assert(askedOther);
+}
