The handler of an admission timer looks its worker up

Cause, found by reading: discovered workers can be dropped while the process runs. A timer that expires in the same turn of the event loop leaves a handler behind that cancelling no longer stops, and it held a reference to the worker. No test forces that order; the handler now holds the id and does nothing for a worker that has gone.

--- a/programs/dandelionstall/sidecar_attempts.cpp
+++ b/programs/dandelionstall/sidecar_attempts.cpp
@@ -270,9 +270,11 @@
         return;
     }
     worker.timer->expires_at(due);
-    worker.timer->async_wait([this, &worker](const boost::system::error_code &error) {
-        if (!error) {
-            applyActions(worker, worker.admission->advance(state::clock::now()));
+    // The wait may end just before the worker is dropped, and its handler run just after.
+    worker.timer->async_wait([this, id = worker.settings.id, timer = std::weak_ptr(worker.timer)](const boost::system::error_code &error) {
+        served_worker *present = error || timer.expired() ? nullptr : findWorker(id);
+        if (present != nullptr) {
+            applyActions(*present, present->admission->advance(state::clock::now()));
         }
     });
 }
