--- a/protocol/tests/test_caller_http.cpp
+++ b/protocol/tests/test_caller_http.cpp
@@ -20,6 +20,9 @@
     cr_assert(pathOf("/a/b?c=d") == "/a/b");
     cr_assert(pathOf("http://host:80/a?b") == "/a");
     cr_assert(pathOf("http://host") == "/");
+    cr_assert(authorityOf("http://user@host:80/a?b") == "host:80");
+    cr_assert(authorityOf("http://host") == "host");
+    cr_assert(authorityOf("/a?u=http://other/b").empty());
     cr_assert(hostWithoutPort("Example.org:80") == "Example.org");
     cr_assert(hostWithoutPort("[::1]:80") == "[::1]");
 }
