--- a/state/src/tables_routes.cpp
+++ b/state/src/tables_routes.cpp
@@ -55,7 +55,7 @@
     const bool isPath = path.starts_with('/') && std::all_of(path.begin(), path.end(), isPathCharacter);
     if (!isPath) {
         reader.fault(*entry, state_error::malformed, fmt::format("expected a path that starts with \"/\" and has no query, got \"{}\"", entry->value));
-        row.pathPrefix = "/";
+        row.pathPrefix = std::string(1, '/');
         return;
     }
     const std::size_t last = path.find_last_not_of('/');
