Reports of a node count after its time of day was set back

Cause: a restarted node draws its life from the time of day. When that was set back in between, membership takes the next number after the known one, but the sidecar went on to report under the old, lower one, so that others dropped its reports of load and risk as stale until the clock had caught up. A change of it is published like any other. Ruled out: ordering lives by the steady clock, which a reboot resets. Test: membership::a_new_life_with_an_earlier_time_of_day_comes_back_as_the_latest (fails without the new version: nothing would be published).

--- a/coordination/src/membership.cpp
+++ b/coordination/src/membership.cpp
@@ -1,3 +1,4 @@
+// Beliefs about members, messages and sources of names. Probes: membership_probe.cpp; queries: membership_views.cpp.
 #include <dandelionstall/coordination/membership.h>
 
 #include <algorithm>
@@ -11,11 +12,6 @@
 
 constexpr std::uint32_t BaseRides = 6; // of one item of news, besides those that grow with the fleet
 
-bool isLive(const member &value)
-{
-    return value.state == member_state::alive || value.state == member_state::suspect;
-}
-
 } // namespace
 
 membership::membership(const self_identity &identity, std::uint64_t seed)
@@ -80,6 +76,7 @@
     if (update.incarnation > m_self.incarnation) { // an earlier life had a clock ahead of the present one
         m_self.incarnation = update.incarnation + 1;
         m_self.refutations = 0;
+        ++m_version;
         spread(m_self.address, true);
         return;
     }
@@ -295,94 +292,6 @@
     m_indexStale = true;
 }
 
-// ---- Views ----
-
-std::vector<member> membership::members() const
-{
-    std::vector<member> result;
-    result.reserve(m_members.size());
-    for (const auto &[address, known] : m_members) {
-        result.push_back(known.about);
-    }
-    return result;
-}
-
-const member *membership::find(const state::node_address &address) const
-{
-    const auto it = m_members.find(address);
-    return it == m_members.end() ? nullptr : &it->second.about;
-}
-
-std::size_t membership::countLive() const
-{
-    const auto live = std::count_if(m_members.begin(), m_members.end(), [](const auto &row) { return isLive(row.second.about) && !row.second.about.leaving; });
-    return static_cast<std::size_t>(live) + (m_self.leaving ? 0 : 1);
-}
-
-std::vector<state::node_address> membership::candidates(std::string_view dataCentre) const
-{
-    std::vector<state::node_address> result;
-    for (const auto &[address, known] : m_members) {
-        if (known.about.state == member_state::alive && !known.about.leaving && known.about.dataCentre == dataCentre) {
-            result.push_back(address);
-        }
-    }
-    if (!m_self.leaving && m_self.dataCentre == dataCentre) {
-        result.insert(std::lower_bound(result.begin(), result.end(), m_self.address), m_self.address);
-    }
-    return result;
-}
-
-std::uint64_t membership::version() const
-{
-    return m_version;
-}
-
-bool membership::isLeaving() const
-{
-    return m_self.leaving;
-}
-
-const gossip_sender &membership::self() const
-{
-    return m_self;
-}
-
-member membership::selfAsMember() const
-{
-    return {m_self.address, m_self.dataCentre, m_self.incarnation, m_self.refutations, member_state::alive, m_self.leaving};
-}
-
-std::optional<member> membership::rowOf(const state::node_address &address) const
-{
-    if (address == m_self.address) {
-        return selfAsMember();
-    }
-    const member *known = find(address);
-    return known != nullptr ? std::optional(*known) : std::nullopt;
-}
-
-std::vector<member> membership::takeChanges()
-{
-    std::vector<member> result;
-    for (const state::node_address &address : std::exchange(m_changed, {})) {
-        if (const member *known = find(address)) {
-            result.push_back(*known);
-        }
-    }
-    return result;
-}
-
-std::vector<path_observation> membership::takePaths()
-{
-    return std::exchange(m_paths, {});
-}
-
-bool membership::takePause()
-{
-    return std::exchange(m_paused, false);
-}
-
 // ---- Sending ----
 
 gossip_message membership::make(gossip_kind kind, std::uint64_t sequence) const
--- /dev/null
+++ b/coordination/src/membership_views.cpp
@@ -0,0 +1,104 @@
+// What others read of the members. Beliefs: membership.cpp.
+#include <dandelionstall/coordination/membership.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace dandelionstall::coordination {
+
+namespace {
+
+bool isLive(const member &value)
+{
+    return value.state == member_state::alive || value.state == member_state::suspect;
+}
+
+} // namespace
+
+std::vector<member> membership::members() const
+{
+    std::vector<member> result;
+    result.reserve(m_members.size());
+    for (const auto &[address, known] : m_members) {
+        result.push_back(known.about);
+    }
+    return result;
+}
+
+const member *membership::find(const state::node_address &address) const
+{
+    const auto it = m_members.find(address);
+    return it == m_members.end() ? nullptr : &it->second.about;
+}
+
+std::size_t membership::countLive() const
+{
+    const auto live = std::count_if(m_members.begin(), m_members.end(), [](const auto &row) { return isLive(row.second.about) && !row.second.about.leaving; });
+    return static_cast<std::size_t>(live) + (m_self.leaving ? 0 : 1);
+}
+
+std::vector<state::node_address> membership::candidates(std::string_view dataCentre) const
+{
+    std::vector<state::node_address> result;
+    for (const auto &[address, known] : m_members) {
+        if (known.about.state == member_state::alive && !known.about.leaving && known.about.dataCentre == dataCentre) {
+            result.push_back(address);
+        }
+    }
+    if (!m_self.leaving && m_self.dataCentre == dataCentre) {
+        result.insert(std::lower_bound(result.begin(), result.end(), m_self.address), m_self.address);
+    }
+    return result;
+}
+
+std::uint64_t membership::version() const
+{
+    return m_version;
+}
+
+bool membership::isLeaving() const
+{
+    return m_self.leaving;
+}
+
+const gossip_sender &membership::self() const
+{
+    return m_self;
+}
+
+member membership::selfAsMember() const
+{
+    return {m_self.address, m_self.dataCentre, m_self.incarnation, m_self.refutations, member_state::alive, m_self.leaving};
+}
+
+std::optional<member> membership::rowOf(const state::node_address &address) const
+{
+    if (address == m_self.address) {
+        return selfAsMember();
+    }
+    const member *known = find(address);
+    return known != nullptr ? std::optional(*known) : std::nullopt;
+}
+
+std::vector<member> membership::takeChanges()
+{
+    std::vector<member> result;
+    for (const state::node_address &address : std::exchange(m_changed, {})) {
+        if (const member *known = find(address)) {
+            result.push_back(*known);
+        }
+    }
+    return result;
+}
+
+std::vector<path_observation> membership::takePaths()
+{
+    return std::exchange(m_paths, {});
+}
+
+bool membership::takePause()
+{
+    return std::exchange(m_paused, false);
+}
+
+} // namespace dandelionstall::coordination
--- a/coordination/tests/test_membership.cpp
+++ b/coordination/tests/test_membership.cpp
@@ -53,6 +53,27 @@
     cr_assert(fleet.at(3).members().find(gossip_loop::addressOf(7))->incarnation == 2);
 }
 
+Test(membership, a_new_life_with_an_earlier_time_of_day_comes_back_as_the_latest)
+{
+    gossip_loop fleet = makeFleet(20);
+    cr_assert(settle(fleet));
+    fleet.restart(7, 5000);
+    cr_assert(settle(fleet));
+    fleet.run(2s);
+    fleet.restart(7, 3000); // the time of day was set back in between
+    const std::uint64_t before = fleet.at(7).members().version();
+    const auto isKnownAgain = [&] {
+        const state::incarnation present = fleet.at(7).members().self().incarnation;
+        const auto sees = [&](std::size_t viewer) {
+            return viewer == 7 || fleet.at(viewer).members().find(gossip_loop::addressOf(7))->incarnation == present;
+        };
+        return present > 5000 && fleet.all(sees);
+    };
+    cr_assert(fleet.runUntil(isKnownAgain, 3s));
+    cr_assert(allBelieve(fleet, 7, member_state::alive));
+    cr_assert(fleet.at(7).members().version() != before); // so that it is published, and reports carry it
+}
+
 Test(membership, a_paused_member_refutes_its_death_and_declares_nobody_dead)
 {
     gossip_loop fleet = makeFleet(20);
--- a/programs/dandelionstall/control.cpp
+++ b/programs/dandelionstall/control.cpp
@@ -125,6 +125,7 @@
     next->workersKnown = m_workersRead || !m_node.workers().isEmpty();
     next->views = m_tracker.views();
     next->liveNodes = static_cast<std::uint32_t>(m_node.members().countLive());
+    next->ownIncarnation = m_node.members().self().incarnation;
     next->leaving = m_node.members().isLeaving();
     {
         const std::lock_guard lock(m_currentMutex);
@@ -173,7 +174,7 @@
     };
     protocol::fleet_description result;
     result.self = m_settings.advertise;
-    result.incarnation = m_own;
+    result.incarnation = m_node.members().self().incarnation;
     result.dataCentre = m_settings.dataCentre;
     result.leaving = m_node.members().isLeaving();
     result.doubtsItself = m_doubts;
--- a/programs/dandelionstall/control_gossip.cpp
+++ b/programs/dandelionstall/control_gossip.cpp
@@ -152,7 +152,8 @@
     takeMembers(now);
     takePaths(now);
     takeReports(now);
-    if (m_node.members().isLeaving() != current()->leaving) {
+    const coordination::gossip_sender &self = m_node.members().self();
+    if (self.leaving != current()->leaving || self.incarnation != current()->ownIncarnation) {
         publish();
     }
 }
--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -312,7 +312,7 @@
     report.worker = worker.settings.id;
     report.pool = worker.settings.pool;
     report.node = m_settings.advertise;
-    report.incarnation = m_life;
+    report.incarnation = m_snapshot ? std::max(m_life, m_snapshot->ownIncarnation) : m_life; // the time of day may have been set back
     report.version = worker.reportVersion;
     if (worker.admission) {
         const coordination::admission_load load = worker.admission->load(now);
--- a/transport/src/node_session.cpp
+++ b/transport/src/node_session.cpp
@@ -1,3 +1,4 @@
+// Life and streams of a connection. Bytes in and out, and the watch over silence: node_session_io.cpp.
 #include <dandelionstall/transport/node_session.h>
 
 #include <boost/asio.hpp>
@@ -13,11 +14,6 @@
 
 namespace {
 
-constexpr std::size_t ReadChunkBytes = 65'536;
-constexpr std::size_t WriteBatchBytes = 131'072;
-constexpr auto WatchPeriod = std::chrono::milliseconds(100);
-constexpr auto PauseTolerance = std::chrono::milliseconds(400); // a later tick means that this process was paused
-
 nghttp2_nv makeField(std::string_view name, std::string_view value)
 {
     nghttp2_nv field{};
@@ -316,133 +312,6 @@
     handler->onClosed(end);
 }
 
-// [SECTION] Input and output
-
-void node_session::readMore()
-{
-    m_socket.async_wait(boost::asio::socket_base::wait_read, [self = shared_from_this()](const boost::system::error_code &error) {
-        if (error || !self->m_open) {
-            self->close(stream_end::connection_lost);
-            return;
-        }
-        self->receive();
-    });
-}
-
-void node_session::receive()
-{
-    // Bytes are used up before this function returns, so all connections of a thread share one buffer.
-    thread_local std::array<char, ReadChunkBytes> buffer;
-    boost::system::error_code error;
-    const std::size_t bytes = m_socket.read_some(boost::asio::buffer(buffer), error);
-    if (error == boost::asio::error::would_block) {
-        readMore();
-        return;
-    }
-    if (error) {
-        close(stream_end::connection_lost);
-        return;
-    }
-    m_lastHeardAt = state::clock::now();
-    m_inReceive = true;
-    const ssize_t used = nghttp2_session_mem_recv(m_session, reinterpret_cast<const std::uint8_t *>(buffer.data()), bytes);
-    m_inReceive = false;
-    if (used < 0 || !m_open) {
-        close(stream_end::connection_lost);
-        return;
-    }
-    flush();
-    const bool finished = nghttp2_session_want_read(m_session) == 0 && nghttp2_session_want_write(m_session) == 0;
-    if (finished && !m_writing) {
-        close(stream_end::connection_lost);
-        return;
-    }
-    if (m_open) {
-        readMore();
-    }
-}
-
-void node_session::flush()
-{
-    if (!m_open || m_writing || m_inReceive) {
-        return;
-    }
-    m_writeBuffer.clear();
-    while (m_writeBuffer.size() < WriteBatchBytes) {
-        const std::uint8_t *data = nullptr;
-        const ssize_t length = nghttp2_session_mem_send(m_session, &data);
-        if (length < 0) {
-            close(stream_end::connection_lost);
-            return;
-        }
-        if (length == 0) {
-            break;
-        }
-        m_writeBuffer.append(reinterpret_cast<const char *>(data), static_cast<std::size_t>(length));
-    }
-    if (m_writeBuffer.empty() || !m_open) {
-        return;
-    }
-    m_writing = true;
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_writeBuffer), [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
-        self->m_writing = false;
-        if (error) {
-            self->close(stream_end::connection_lost);
-            return;
-        }
-        std::vector<std::shared_ptr<stream_handler>> writable;
-        for (const auto &[id, stream] : self->m_streams) {
-            if (stream.outBytes < WriteLowWater && !stream.outEnd) {
-                writable.push_back(stream.handler);
-            }
-        }
-        for (const std::shared_ptr<stream_handler> &handler : writable) {
-            handler->onWritable();
-        }
-        self->flush();
-    });
-}
-
-// [SECTION] Silence
-
-void node_session::watch()
-{
-    if (!m_open || m_watchArmedFor > state::clock::now()) {
-        return;
-    }
-    m_watchArmedFor = state::clock::now() + WatchPeriod;
-    m_timer.expires_at(m_watchArmedFor);
-    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
-        const std::shared_ptr<node_session> self = weak.lock();
-        if (!error && self && self->m_open) {
-            self->checkSilence();
-        }
-    });
-}
-
-void node_session::checkSilence()
-{
-    const state::time_point now = state::clock::now();
-    if (now - m_watchArmedFor > PauseTolerance) {
-        m_lastHeardAt = now; // this process slept: the peer's silence proves nothing
-    }
-    m_watchArmedFor = {};
-    if (m_streams.empty()) {
-        m_lastHeardAt = now;
-        return;
-    }
-    if (now - m_lastHeardAt > m_options.silentAfter) {
-        close(stream_end::silent);
-        return;
-    }
-    if (now - m_lastHeardAt > m_options.pingAfter && now - m_pingSentAt > m_options.pingAfter) {
-        m_pingSentAt = now;
-        nghttp2_submit_ping(m_session, NGHTTP2_FLAG_NONE, nullptr);
-        flush();
-    }
-    watch();
-}
-
 // [SECTION] Queries
 
 std::size_t node_session::pendingBytes(stream_id stream) const
