dandelionctl trace: the life of a request from the logs of several nodes

Puts the lines that name a request in order, says what the last one means, and shows what the nodes involved came to believe about its workers and about each other from ten seconds before. Works on plain files, with a bounded number of lines kept; standard input gives the lines without beliefs. Found by its test: "node" is both the writer of a line and a field of some events; the writer is what stands before the event.

--- a/programs/dandelionctl/command_line.cpp
+++ b/programs/dandelionctl/command_line.cpp
@@ -110,7 +110,8 @@
             "  pools [POOL]         all pools, or the workers of one pool with their state and why\n"
             "  explain              route, pool and candidates of a request given by --host, --path and --method\n"
             "  config               revisions in force on each node\n"
-            "  events [NUMBER]      the event catalogue, or one event of it\n\n"
+            "  events [NUMBER]      the event catalogue, or one event of it\n"
+            "  trace ID [FILES...]  the life of request ID from the logs of nodes (default standard input)\n\n"
          << describeOptions(line, raw)
          << "\nExit codes: 0 nothing is wrong, 1 a fault was found, 2 usage, 3 a file cannot be read, 4 a node cannot be reached.\n";
     return text.str();
--- a/programs/dandelionctl/main.cpp
+++ b/programs/dandelionctl/main.cpp
@@ -1,6 +1,7 @@
-// The operator's tool: checks tables and settings and reads the admin API of nodes. It writes nothing.
+// The operator's tool: checks tables and settings, reads the admin API of nodes and their logs. It writes nothing.
 #include "check.h"
 #include "show.h"
+#include "trace.h"
 
 #include <dandelionstall/state/ini_reader.h>
 
@@ -26,6 +27,7 @@
     command{"explain", showExplain},
     command{"config", showConfig},
     command{"events", showEvents},
+    command{"trace", runTrace},
 };
 
 int refuseCommand(const std::string &name)
--- /dev/null
+++ b/programs/dandelionctl/tests/test_trace.cpp
@@ -0,0 +1,137 @@
+// Tests of "dandelionctl trace": order, beliefs, messages and exit codes.
+#include <boost/json/parse.hpp>
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <string>
+
+namespace {
+
+struct outcome {
+    int exitCode = -1;
+    std::string text; // standard output and error
+};
+
+outcome runTrace(const std::string &arguments)
+{
+    outcome result;
+    FILE *pipe = popen((std::string(DANDELIONCTL) + " trace " + arguments + " 2>&1").c_str(), "r");
+    cr_assert(pipe != nullptr);
+    std::array<char, 4096> chunk{};
+    for (std::size_t count = 0; (count = fread(chunk.data(), 1, chunk.size(), pipe)) > 0;) {
+        result.text.append(chunk.data(), count);
+    }
+    const int status = pclose(pipe);
+    result.exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return result;
+}
+
+class log_file
+{
+public:
+    explicit log_file(const std::string &text)
+    {
+        const int file = mkstemp(m_path.data());
+        cr_assert(file >= 0);
+        close(file);
+        std::ofstream(m_path) << text;
+    }
+
+    ~log_file()
+    {
+        std::remove(m_path.c_str());
+    }
+
+    const std::string &path() const
+    {
+        return m_path;
+    }
+
+private:
+    std::string m_path = "/tmp/trace-XXXXXX";
+};
+
+std::string line(const std::string &seconds, const std::string &node, const std::string &rest)
+{
+    return "2026-12-03T10:00:" + seconds + "Z INFO node=" + node + " " + rest + "\n";
+}
+
+// The ingress's log, with a prefix as a collector writes it, and the log of the node beside the worker.
+const std::string IngressLog = "   5.1 thika-1| "
+                               + line("05.100", "thika-1", "event=2010 name=attempt_placed request=r7 attempt=a-1 worker=w1 node=10.0.0.2:7400")
+                               + line("04.000", "thika-1", "event=4027 name=worker_judged worker=w2 state=ejected")
+                               + line("04.500", "thika-1", "event=4021 name=member_suspected member=10.0.0.2:7400")
+                               + line("05.300", "thika-1", "event=2002 name=request_refused request=r7 reason=worker_shed route=\"a \\\"b\\\" request=r8\"")
+                               + line("05.301", "thika-1", "event=2001 name=request_answered request=r77 status=200") + "no event at all request=r7\n";
+const std::string SidecarLog = line("05.200", "ruiru-2", "event=3010 name=attempt_refused request=r7 attempt=a-1 worker=w1 reason=worker_shed")
+                               + line("01.000", "ruiru-2", "event=3013 name=worker_doubtful worker=w1 doubtful=yes")
+                               + line("40.000", "ruiru-2", "event=3013 name=worker_doubtful worker=w1 doubtful=no");
+
+std::size_t placeOf(const outcome &result, std::string_view text)
+{
+    const std::size_t at = result.text.find(text);
+    cr_assert(at != std::string::npos, "missing \"%s\" in\n%s", std::string(text).c_str(), result.text.c_str());
+    return at;
+}
+
+} // namespace
+
+Test(trace, puts_the_lines_of_several_nodes_in_order_with_the_beliefs_behind_them)
+{
+    const log_file ingress(IngressLog);
+    const log_file sidecar(SidecarLog);
+    const outcome result = runTrace("r7 " + ingress.path() + " " + sidecar.path());
+    cr_assert_eq(result.exitCode, 0);
+    cr_assert(placeOf(result, "3 lines of 2 nodes") < placeOf(result, "+0.000 thika-1"));
+    cr_assert(placeOf(result, "attempt_placed") < placeOf(result, "+0.100 ruiru-2"));
+    cr_assert(placeOf(result, "attempt_refused") < placeOf(result, "request_refused"));
+    cr_assert(placeOf(result, "last line: request_refused: a caller was refused") < placeOf(result, "-4.100 ruiru-2"));
+    cr_assert(placeOf(result, "doubtful=yes") < placeOf(result, "member_suspected"));
+    for (const char *foreign : {"w2", "r77", "doubtful=no", "no event"}) {
+        cr_assert(result.text.find(foreign) == std::string::npos, "%s in\n%s", foreign, result.text.c_str());
+    }
+}
+
+Test(trace, reads_standard_input_and_prints_json)
+{
+    const log_file ingress(IngressLog);
+    const outcome result = runTrace("r7 --json < " + ingress.path());
+    cr_assert_eq(result.exitCode, 0);
+    const boost::json::value body = boost::json::parse(result.text);
+    cr_assert_eq(body.at("request").as_array().size(), 2U);
+    const boost::json::value &last = body.at("request").as_array().back();
+    cr_assert(last.at("fields").at("route").as_string() == "a \"b\" request=r8");
+    cr_assert(body.at("beliefs").as_array().empty());
+}
+
+Test(trace, says_what_is_wrong)
+{
+    const log_file ingress(IngressLog);
+    const outcome unknown = runTrace("r6 " + ingress.path());
+    cr_assert_eq(unknown.exitCode, 1);
+    placeOf(unknown, "no line names request r6");
+    const outcome unreadable = runTrace("r7 /nowhere.log");
+    cr_assert_eq(unreadable.exitCode, 3);
+    placeOf(unreadable, "/nowhere.log: cannot be read");
+    cr_assert_eq(runTrace("").exitCode, 2);
+}
+
+Test(trace, shows_a_bounded_number_of_lines)
+{
+    std::string text;
+    for (int i = 0; i < 5000; ++i) {
+        text += line("05.100", "thika-1", "event=2010 name=attempt_placed request=r7 attempt=a-" + std::to_string(i));
+    }
+    const log_file many(text);
+    const outcome result = runTrace("r7 " + many.path());
+    cr_assert_eq(result.exitCode, 0);
+    placeOf(result, "request r7: 2000 lines");
+    placeOf(result, "only the first 2000 lines");
+}
