A soak of real processes under drawn faults

A program of its own (soak/): a seed gives a plan of twenty kinds of faults, in series and overlapping (nodes and workers killed, paused, stopped and started; gray workers; paths cut, cut one way, slow, lossy, reset, silenced; the configuration service closed, silent, stale; changes of the route table).

--- /dev/null
+++ b/soak/injector.cpp
@@ -0,0 +1,332 @@
+#include "injector.h"
+
+#include <http_call.h>
+#include <run_log.h>
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+
+namespace dandelionstall::soak {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr double SlowFactor = 20.0;
+
+bool isNodeKind(fault_kind kind)
+{
+    return kind == fault_kind::node_kill || kind == fault_kind::node_pause || kind == fault_kind::node_stop;
+}
+
+bool isWorkerFault(fault_kind kind)
+{
+    return kind >= fault_kind::worker_fail && kind <= fault_kind::worker_reset;
+}
+
+bool isPathRule(fault_kind kind)
+{
+    return kind >= fault_kind::path_cut && kind <= fault_kind::path_reset;
+}
+
+bool isStoreKind(fault_kind kind)
+{
+    return kind >= fault_kind::store_closed && kind <= fault_kind::store_stale;
+}
+
+std::string workerLines(const fault_step &step)
+{
+    switch (step.kind) {
+    case fault_kind::worker_fail:
+        return fmt::format("fail={:.3f}\nhealth=ok\n", step.strength);
+    case fault_kind::worker_hang:
+        return fmt::format("hang={:.3f}\nhealth=ok\n", step.strength);
+    case fault_kind::worker_slow:
+        return fmt::format("slow={:.3f}\n", 1.0 + SlowFactor * step.strength);
+    case fault_kind::worker_shed:
+        return fmt::format("shed={:.3f}\n", step.strength);
+    default:
+        return fmt::format("reset={:.3f}\n", step.strength);
+    }
+}
+
+std::string storeLines(fault_kind kind)
+{
+    if (kind == fault_kind::store_closed) {
+        return "absent=close\n";
+    }
+    return kind == fault_kind::store_silent ? "silent=yes\n" : "stale=yes\n";
+}
+
+void addRule(json::array &rules, const std::string &from, const std::string &to, const fault_step &step)
+{
+    json::object rule{{"from", from}, {"to", to}};
+    switch (step.kind) {
+    case fault_kind::path_slow:
+        rule["delay_ms"] = step.strength * 1000.0;
+        break;
+    case fault_kind::path_lossy:
+        rule["loss"] = step.strength;
+        break;
+    case fault_kind::path_reset:
+        rule["reset"] = step.strength;
+        break;
+    default:
+        rule["cut"] = "hold";
+        break;
+    }
+    rules.push_back(std::move(rule));
+}
+
+} // namespace
+
+injector::injector(testing::fleet &fleet, fault_plan plan)
+    : m_fleet(fleet)
+    , m_plan(std::move(plan))
+{ }
+
+// ---- Time ----
+
+void injector::advance(std::chrono::milliseconds elapsed)
+{
+    restartEnded();
+    for (std::size_t i = 0; i < m_open.size();) {
+        if (m_open[i].at + m_open[i].lasts > elapsed) {
+            ++i;
+            continue;
+        }
+        const fault_step step = m_open[i];
+        m_open.erase(m_open.begin() + static_cast<std::ptrdiff_t>(i));
+        end(step);
+    }
+    while (m_next < m_plan.steps.size() && m_plan.steps[m_next].at <= elapsed) {
+        const fault_step &step = m_plan.steps[m_next++];
+        if (step.lasts.count() > 0) {
+            m_open.push_back(step);
+        }
+        begin(step);
+    }
+}
+
+void injector::endAll()
+{
+    m_next = m_plan.steps.size();
+    while (!m_open.empty()) {
+        const fault_step step = m_open.back();
+        m_open.pop_back();
+        end(step);
+    }
+    restartEnded();
+}
+
+void injector::begin(const fault_step &step)
+{
+    if (isNodeKind(step.kind)) {
+        beginNode(step);
+    } else if (step.kind == fault_kind::worker_kill || step.kind == fault_kind::worker_pause) {
+        beginWorker(step);
+    } else if (isWorkerFault(step.kind)) {
+        applyWorker(step.target);
+    } else if (isPathRule(step.kind)) {
+        applyPaths();
+    } else if (isStoreKind(step.kind)) {
+        applyStore();
+    } else if (step.kind == fault_kind::table_change) {
+        changeTable();
+    } else {
+        m_fleet.silence(m_fleet.node(step.target).ip, m_fleet.node(step.peer).ip);
+    }
+}
+
+void injector::end(const fault_step &step)
+{
+    if (step.kind == fault_kind::node_pause && m_pausedNodes[step.target] > 0 && --m_pausedNodes[step.target] == 0) {
+        m_fleet.node(step.target).process.signal(SIGCONT);
+    } else if (step.kind == fault_kind::node_kill && m_downNodes.erase(step.target) > 0) {
+        m_fleet.startNode(step.target);
+        ++m_lives[step.target];
+    } else if (step.kind == fault_kind::worker_kill || step.kind == fault_kind::worker_pause) {
+        endWorker(step);
+    } else if (isWorkerFault(step.kind)) {
+        applyWorker(step.target);
+    } else if (isPathRule(step.kind)) {
+        applyPaths();
+    } else if (isStoreKind(step.kind)) {
+        applyStore();
+    }
+}
+
+// ---- Nodes ----
+
+void injector::beginNode(const fault_step &step)
+{
+    testing::child_process &process = m_fleet.node(step.target).process;
+    if (!process.running()) {
+        return;
+    }
+    if (step.kind != fault_kind::node_stop && !m_blown.contains(step.target)) {
+        m_blown[step.target] = m_log.blows.size();
+        m_log.blows.push_back({step.target, standins::steadyNow(), {}});
+    }
+    if (step.kind == fault_kind::node_pause) {
+        process.signal(SIGSTOP);
+        ++m_pausedNodes[step.target];
+    } else if (step.kind == fault_kind::node_kill) {
+        process.kill();
+        m_pausedNodes[step.target] = 0;
+        m_stopping.erase(step.target);
+        m_downNodes.insert(step.target);
+    } else {
+        process.signal(SIGTERM);
+        if (!m_stopping.contains(step.target)) {
+            m_stopping[step.target] = m_log.stops.size();
+            m_log.stops.push_back({step.target, standins::steadyNow(), {}});
+        }
+    }
+}
+
+// A node that has ended after SIGTERM is started again at once; one that ended otherwise is noted.
+void injector::restartEnded()
+{
+    for (std::size_t i = 0; i < m_fleet.nodeCount(); ++i) {
+        testing::fleet_node &node = m_fleet.node(i);
+        if (m_downNodes.contains(i) || node.process.running()) {
+            continue;
+        }
+        const auto stop = m_stopping.find(i);
+        if (stop == m_stopping.end() || node.process.exitCode() != 0) {
+            m_log.unwanted.push_back(fmt::format("{} ended with code {}", node.name, node.process.exitCode()));
+        }
+        if (stop != m_stopping.end()) {
+            m_log.stops[stop->second].until = standins::steadyNow();
+            m_stopping.erase(stop);
+        }
+        m_pausedNodes[i] = 0;
+        m_fleet.startNode(i);
+        ++m_lives[i];
+    }
+    for (auto blow = m_blown.begin(); blow != m_blown.end();) {
+        const bool over = isUp(blow->first) && testing::getHttp(m_fleet.node(blow->first).admin, "/v1/ready").status == 200;
+        if (over) {
+            m_log.blows[blow->second].until = standins::steadyNow();
+        }
+        blow = over ? m_blown.erase(blow) : std::next(blow);
+    }
+}
+
+bool injector::isUp(std::size_t node)
+{
+    return m_fleet.node(node).process.running() && m_pausedNodes[node] == 0 && !m_stopping.contains(node);
+}
+
+bool injector::isWhole()
+{
+    for (std::size_t i = 0; i < m_fleet.nodeCount(); ++i) {
+        if (!isUp(i)) {
+            return false;
+        }
+    }
+    return m_open.empty() && m_downNodes.empty() && m_downWorkers.empty() && m_blown.empty();
+}
+
+std::uint64_t injector::lifeOf(std::size_t node) const
+{
+    const auto known = m_lives.find(node);
+    return known == m_lives.end() ? 0 : known->second;
+}
+
+const injection_log &injector::log() const
+{
+    return m_log;
+}
+
+// ---- Workers ----
+
+std::string injector::workerOf(std::size_t node)
+{
+    return m_fleet.node(node).workers.front().plan.id;
+}
+
+void injector::beginWorker(const fault_step &step)
+{
+    testing::child_process &process = m_fleet.node(step.target).workers.front().process;
+    if (!process.running()) {
+        return;
+    }
+    if (step.kind == fault_kind::worker_pause) {
+        process.signal(SIGSTOP);
+        ++m_pausedWorkers[step.target];
+    } else {
+        process.kill();
+        m_pausedWorkers[step.target] = 0;
+        m_downWorkers.insert(step.target);
+    }
+}
+
+void injector::endWorker(const fault_step &step)
+{
+    testing::fleet_worker &worker = m_fleet.node(step.target).workers.front();
+    if (step.kind == fault_kind::worker_pause) {
+        if (m_pausedWorkers[step.target] > 0 && --m_pausedWorkers[step.target] == 0) {
+            worker.process.signal(SIGCONT);
+        }
+    } else if (m_downWorkers.erase(step.target) > 0) {
+        m_fleet.startWorker(worker);
+    }
+    applyWorker(step.target);
+}
+
+// The latest open fault of a worker holds.
+void injector::applyWorker(std::size_t node)
+{
+    if (m_downWorkers.contains(node) || m_pausedWorkers[node] > 0) {
+        return; // it takes no commands; the faults are set when it runs again
+    }
+    std::string lines;
+    for (const fault_step &step : m_open) {
+        lines = isWorkerFault(step.kind) && step.target == node ? workerLines(step) : lines;
+    }
+    m_fleet.setFault(workerOf(node), lines);
+}
+
+// ---- Paths and tables ----
+
+void injector::applyPaths()
+{
+    json::array rules;
+    for (const fault_step &step : m_open) {
+        if (!isPathRule(step.kind)) {
+            continue;
+        }
+        addRule(rules, m_fleet.node(step.target).ip, m_fleet.node(step.peer).ip, step);
+        if (step.kind != fault_kind::path_one_way) {
+            addRule(rules, m_fleet.node(step.peer).ip, m_fleet.node(step.target).ip, step);
+        }
+    }
+    m_fleet.setPaths(json::serialize(rules));
+}
+
+void injector::applyStore()
+{
+    std::string lines;
+    for (const fault_step &step : m_open) {
+        lines = isStoreKind(step.kind) ? storeLines(step.kind) : lines;
+    }
+    testing::command(m_fleet.configService(), "/_fault", lines);
+}
+
+// Each table holds the routes of all tables before it, so that a node on an older one shows by a missing route.
+void injector::changeTable()
+{
+    const std::uint64_t revision = ++m_log.lastTable;
+    std::string text = m_fleet.routesText(revision);
+    for (std::uint64_t i = 2; i <= revision; ++i) {
+        text += fmt::format("\n[route.table-{}]\npath = /table-{}\npool = orders\nidempotent = yes\n", i, i);
+    }
+    m_fleet.publishRoutes(text);
+}
+
+} // namespace dandelionstall::soak
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,141 @@
+// Randomized soak: plays drawn or stored plans of faults against real processes and checks the promises meanwhile.
+#include "soak_run.h"
+
+#include <program_options.h>
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <iostream>
+
+namespace soak = dandelionstall::soak;
+namespace standins = dandelionstall::standins;
+namespace options = boost::program_options;
+
+namespace {
+
+constexpr int ExitBroken = 1; // a promise was broken
+
+struct soak_command {
+    std::uint64_t seed = 1;
+    std::size_t count = 1;
+    std::size_t nodes = 6;
+    double minutes = 0;
+    double seconds = 15;
+    double rate = 80;
+    std::string replay;
+    std::string regressions;
+    std::string report;
+};
+
+soak::fault_plan readPlan(const std::string &path)
+{
+    absl::StatusOr<soak::fault_plan> plan = soak::parsePlan(standins::readFile(path));
+    if (!plan.ok()) {
+        throw std::invalid_argument(path + ": " + std::string(plan.status().message()));
+    }
+    return *std::move(plan);
+}
+
+soak::soak_result play(const soak::fault_plan &plan, const soak_command &command)
+{
+    soak::soak_result result = soak::runSoak(plan, {command.rate});
+    std::cout << soak::formatResult(result) << std::flush;
+    if (!command.report.empty()) {
+        soak::writeReport(result, command.report);
+    }
+    return result;
+}
+
+// Leaves steps out, half of them at a time and then fewer, while a promise is still broken.
+soak::fault_plan shrink(soak::fault_plan plan, const soak_command &command)
+{
+    for (std::size_t count = std::max<std::size_t>(1, plan.steps.size() / 2); count > 0; count /= 2) {
+        for (std::size_t first = 0; first < plan.steps.size();) {
+            const soak::fault_plan fewer = soak::withoutSteps(plan, first, count);
+            if (play(fewer, command).broken.empty()) {
+                first += count;
+            } else {
+                plan = fewer;
+            }
+        }
+    }
+    return plan;
+}
+
+// One plan a line of the file: "seed=5 nodes=6 length_ms=15000  # cause".
+std::vector<soak::fault_plan> readRegressions(const std::string &path)
+{
+    std::vector<soak::fault_plan> plans;
+    std::istringstream lines(standins::readFile(path));
+    for (std::string line; std::getline(lines, line);) {
+        const std::string head = line.substr(0, line.find('#'));
+        if (head.find('=') == std::string::npos) {
+            continue;
+        }
+        const absl::StatusOr<soak::fault_plan> plan = soak::parsePlan("plan " + head);
+        if (!plan.ok()) {
+            throw std::invalid_argument(path + ": " + line);
+        }
+        plans.push_back(soak::drawPlan({plan->seed, plan->nodes, plan->length}));
+    }
+    return plans;
+}
+
+std::vector<soak::fault_plan> choosePlans(const soak_command &command)
+{
+    if (!command.replay.empty()) {
+        return {readPlan(command.replay)};
+    }
+    if (!command.regressions.empty()) {
+        return readRegressions(command.regressions);
+    }
+    const auto length = std::chrono::milliseconds(static_cast<std::int64_t>(command.seconds * 1000));
+    std::vector<soak::fault_plan> plans;
+    for (std::size_t i = 0; i < command.count; ++i) {
+        plans.push_back(soak::drawPlan({command.seed + i, command.nodes, length}));
+    }
+    return plans;
+}
+
+int run(const soak_command &command, bool wantsShrinking)
+{
+    const auto endsAt = std::chrono::steady_clock::now() + std::chrono::duration<double, std::ratio<60>>(command.minutes);
+    std::size_t broken = 0;
+    std::size_t played = 0;
+    for (const soak::fault_plan &plan : choosePlans(command)) {
+        if (command.minutes > 0 && std::chrono::steady_clock::now() >= endsAt) {
+            break;
+        }
+        ++played;
+        if (play(plan, command).broken.empty()) {
+            continue;
+        }
+        ++broken;
+        if (wantsShrinking) {
+            std::cout << "fewest faults that still break a promise:\n" << soak::formatPlan(shrink(plan, command));
+        }
+    }
+    std::cout << fmt::format("{} plans played, {} with broken promises\n", played, broken);
+    return broken == 0 ? 0 : ExitBroken;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    soak_command command;
+    options::options_description description("Plays faults against real processes on this machine and checks the promises.\nOptions");
+    auto add = description.add_options();
+    add("seed", options::value(&command.seed)->default_value(1), "of the first plan");
+    add("count", options::value(&command.count)->default_value(1), "plans, with rising seeds");
+    add("minutes", options::value(&command.minutes)->default_value(0), "begin no further plan after this time; 0: no limit");
+    add("seconds", options::value(&command.seconds)->default_value(15), "time in which the faults of a plan come");
+    add("nodes", options::value(&command.nodes)->default_value(6), "nodes, each with a worker");
+    add("rate", options::value(&command.rate)->default_value(80), "requests a second");
+    add("replay", options::value(&command.replay), "play the plan in this file");
+    add("regressions", options::value(&command.regressions), "play the seeds listed in this file");
+    add("report", options::value(&command.report), "directory for plans, plots and logs");
+    add("shrink", "look for the fewest faults that still break a promise");
+    return standins::runProgram(argc, argv, description, [&](const options::variables_map &given) { return run(command, given.contains("shrink")); });
+}
--- /dev/null
+++ b/soak/tests/test_verdict.cpp
@@ -0,0 +1,100 @@
+// Tests of soak/verdict.h: each promise is found broken, and what is allowed is not.
+#include "report.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+using namespace dandelionstall;
+using namespace dandelionstall::soak;
+using namespace std::chrono_literals;
+
+namespace {
+
+standins::call_record makeCall(const std::string &node, std::uint32_t status, const std::string &reason)
+{
+    standins::call_record call;
+    call.id = "r1";
+    call.requestClass = "lookup";
+    call.node = node;
+    call.due = 10s;
+    call.sent = 10s;
+    call.answered = 10s + 50ms;
+    call.deadline = 2s;
+    call.status = status;
+    call.reason = reason;
+    call.body = status == 200 ? "own" : "";
+    return call;
+}
+
+soak_evidence makeEvidence(const standins::call_record &call)
+{
+    soak_evidence evidence;
+    evidence.callers = {"a", "b"};
+    evidence.seen.calls = {call};
+    return evidence;
+}
+
+bool breaks(const soak_evidence &evidence, const std::string &rule)
+{
+    const auto found = findBrokenPromises(evidence);
+    return found.size() == 1 && found.front().rule == rule;
+}
+
+} // namespace
+
+Test(verdict, a_request_cut_by_a_graceful_stop_is_found)
+{
+    soak_evidence evidence = makeEvidence(makeCall("b", 0, "closed"));
+    cr_assert(findBrokenPromises(evidence).empty(), "without a stop it says nothing");
+    evidence.done.stops = {{1, 9s, 0us}};
+    cr_assert(breaks(evidence, "stop_cut"));
+    evidence.done.stops = {{0, 9s, 12s}};
+    cr_assert(findBrokenPromises(evidence).empty(), "another node stopped");
+    evidence.done.stops = {{1, 9s, 12s}};
+    evidence.done.blows = {{1, 10s + 20ms, 11s}};
+    cr_assert(findBrokenPromises(evidence).empty(), "the node was killed meanwhile");
+    evidence.done.blows.clear();
+    evidence.seen.calls.front().reason = "timeout";
+    cr_assert(findBrokenPromises(evidence).empty(), "the caller gave up");
+}
+
+Test(verdict, deaths_and_old_tables_are_found)
+{
+    soak_evidence evidence = makeEvidence(makeCall("a", 200, ""));
+    cr_assert(findBrokenPromises(evidence).empty());
+    evidence.done.unwanted = {"node-1 ended with code 134"};
+    cr_assert(breaks(evidence, "died"));
+    evidence.done.unwanted.clear();
+    evidence.tables = {"table_back node-1 had served revision 4"};
+    cr_assert(breaks(evidence, "table_back"));
+}
+
+Test(verdict, missing_recovery_is_found)
+{
+    soak_evidence evidence = makeEvidence(makeCall("a", 200, ""));
+    evidence.afterwards.assign(20, makeCall("a", 200, ""));
+    cr_assert(findBrokenPromises(evidence).empty());
+    for (std::size_t i = 0; i < evidence.afterwards.size(); ++i) {
+        evidence.afterwards[i].id = std::to_string(i);
+        evidence.afterwards[i].status = i < 2 ? 503 : 200;
+    }
+    cr_assert(breaks(evidence, "recovery"));
+}
+
+Test(verdict, served_shares_and_plot_follow_the_seconds)
+{
+    std::vector<standins::call_record> calls{makeCall("a", 200, ""), makeCall("a", 503, "low_worth"), makeCall("a", 200, "")};
+    calls[1].run = "not_run";
+    calls[2].due = 12s;
+    calls[2].answered = 12s + 50ms;
+    const auto served = servedBySecond(calls, 10s);
+    cr_assert_eq(served.size(), 3U);
+    cr_assert(served[0].requests == 2 && served[0].useful == 1 && served[0].refused == 1);
+    cr_assert(served[1].requests == 0 && served[2].useful == 1);
+    soak_result result;
+    result.plan = drawPlan({});
+    result.served = served;
+    const std::string plot = drawServed(result);
+    cr_assert(plot.starts_with("<svg") && plot.find("polyline") != std::string::npos && plot.find("<rect") != std::string::npos);
+    cr_assert(formatResult(result).find("3 requests, 0.667 useful") != std::string::npos);
+}
--- a/tests/integration/support/fleet.cpp
+++ b/tests/integration/support/fleet.cpp
@@ -34,6 +34,11 @@
     , m_logPath(std::move(logPath))
 { }
 
+bool load_job::running()
+{
+    return m_process.running();
+}
+
 std::vector<standins::call_record> load_job::finish()
 {
     const bool ended = m_process.awaitExit(LoadCap);
@@ -172,19 +177,25 @@
 {
     for (fleet_node &node : m_nodes) {
         for (fleet_worker &worker : node.workers) {
-            const std::string &id = worker.plan.id;
-            std::uint32_t slots = 1;
-            for (const pool_plan &pool : m_plan.pools) {
-                slots = pool.name == worker.plan.pool ? pool.slots : slots;
-            }
-            worker.process = child_process(programPath("standin_worker"),
-                                           {"--listen", worker.address, "--name", id, "--slots", std::to_string(slots), "--seed", std::to_string(m_plan.seed)},
-                                           m_directory.path("worker-" + id + ".log"));
-            awaitPort(worker.process);
+            startWorker(worker);
         }
     }
 }
 
+void fleet::startWorker(fleet_worker &worker)
+{
+    const std::string &id = worker.plan.id;
+    std::uint32_t slots = 1;
+    for (const pool_plan &pool : m_plan.pools) {
+        slots = pool.name == worker.plan.pool ? pool.slots : slots;
+    }
+    worker.process = child_process(programPath("standin_worker"),
+                                   {"--listen", worker.address, "--name", id, "--slots", std::to_string(slots), "--seed", std::to_string(m_plan.seed)},
+                                   m_directory.path("worker-" + id + ".log"));
+    awaitPort(worker.process);
+    waitUntil([&] { return getHttp(worker.address, "/healthz").status != 0; }); // the port of an earlier life stands in the log
+}
+
 void fleet::startProxy()
 {
     json::array links;
--- a/tests/integration/support/fleet.h
+++ b/tests/integration/support/fleet.h
@@ -98,6 +98,7 @@
 public:
     load_job(child_process process, std::string logPath);
 
+    bool running();                              // requests are still being sent or answered
     std::vector<standins::call_record> finish(); // waits for the end; throws when it failed
 
 private:
@@ -110,9 +111,10 @@
 public:
     explicit fleet(fleet_plan plan);
 
-    void start();                       // everything, and waits until all nodes are ready
-    void startNode(std::size_t index);  // again, after it has ended
-    bool awaitReady(std::size_t index); // configuration in force
+    void start();                           // everything, and waits until all nodes are ready
+    void startNode(std::size_t index);      // again, after it has ended
+    bool awaitReady(std::size_t index);     // configuration in force
+    void startWorker(fleet_worker &worker); // again, after it has ended; its log goes on
     fleet_node &node(std::size_t index);
     std::size_t nodeCount() const;
     fleet_worker &worker(const std::string &id); // throws when unknown
