At a crest slots go to work that can end by its target; doubt is accepted in steps; late repeatable work is asked for elsewhere

Queues served all callers a little too late. A route's target decided nothing, and work of one route was ordered by tiny differences of its learned cost. Guards kept capacity idle. Unknown workers are now admitted (limit 0.25), and each refusal by a guard raises the risk that a request takes (0.35, 0.55). Idempotent work stayed at workers that hang or have turned slow until no time for another one was left. The ingress learns how long answers take and asks another worker when one is far later, if the retry policy grants it. Refusals by guards were paid as signs of load, and a repeat took the best of three draws, or the sibling that looked idlest because it failed fast. Such refusals are free, a repeat takes the best worker of all, siblings are named by risk first. "belief" is the product's default guard.

Latency histograms for the whole request, the added time, the queue and the worker, by class of work.

--- a/coordination/include/dandelionstall/coordination/admission.h
+++ b/coordination/include/dandelionstall/coordination/admission.h
@@ -26,12 +26,13 @@
 
 // One attempt that wants a slot.
 struct work_item {
-    state::attempt_id id;                  // unique
-    std::string route;                     // route name; costs are learned per route
-    double worth = 1.0;                    // value of the answer before the deadline, > 0
-    state::time_point deadline;            // worthless afterwards
-    std::chrono::microseconds costHint{0}; // expected run time from the table; zero when unknown
-    std::size_t statedBytes = 0;           // request body size; part of the learned cost where it matters
+    state::attempt_id id;                                  // unique
+    std::string route;                                     // route name; costs are learned per route
+    double worth = 1.0;                                    // value of the answer before the deadline, > 0
+    state::time_point deadline;                            // worthless afterwards
+    state::time_point targetAt = state::time_point::max(); // worth less after it; max() when the route has no target
+    std::chrono::microseconds costHint{0};                 // expected run time from the table; zero when unknown
+    std::size_t statedBytes = 0;                           // request body size; part of the learned cost where it matters
 };
 
 // An item that gets no slot. It was not run.
--- a/coordination/include/dandelionstall/coordination/failure_guard.h
+++ b/coordination/include/dandelionstall/coordination/failure_guard.h
@@ -6,15 +6,16 @@
 // run twice is let in only while that estimate is low; work that may be repeated is let in one at a time as a trial, so
 // that a worker which has recovered is soon known to have.
 //
-// A refusal by the guard is free: nothing was run, and the next worker is asked at once. When all are doubtful, the
-// ingress asks the least doubtful one again and insists.
+// A refusal by the guard is free: nothing was run, and the next worker is asked at once. Each refusal, by a guard or by a
+// full queue, shows that trusted workers are scarce, so that the next one may be more doubtful; when all are, the ingress
+// asks the least doubtful one again and takes any risk.
 //
 // Index:
 //   [SECTION] Guard
 //   [SECTION] Risk
 #pragma once
 
-#include <dandelionstall/state/types.h>
+#include <dandelionstall/coordination/pool_view.h>
 
 #include <memory>
 #include <string_view>
@@ -25,8 +26,8 @@
 
 struct guarded_item {
     state::attempt_id id;
-    bool repeatable = false; // it may run more than once
-    bool insisted = false;   // all other workers are more doubtful
+    bool repeatable = false;   // it may run more than once
+    double acceptedRisk = 0.0; // it takes a chance this high that the worker is sick, 0..1
 };
 
 class failure_guard
@@ -49,4 +50,14 @@
 // What an estimate is worth after a while without outcomes.
 double driftRisk(double risk, state::duration age);
 
+// The risk that a request takes after this many refusals.
+double acceptedRisk(std::size_t refusals);
+
+// The risk of a worker as a node sees it: of its last report, aged. 0 when nothing was reported.
+double presentRisk(const worker_view &worker, state::time_point now);
+
+inline constexpr double AnyRisk = 1.0;     // taken when all workers asked are doubtful
+inline constexpr double TrialLimit = 0.85; // more doubt keeps out trials too
+inline constexpr double TrustedRisk = 0.3; // work that must not run twice goes to workers below it while there are any
+
 } // namespace dandelionstall::coordination
--- a/coordination/src/admission_slots.cpp
+++ b/coordination/src/admission_slots.cpp
@@ -107,6 +107,7 @@
     work.worth = item.worth;
     work.offeredAt = now;
     work.deadline = item.deadline;
+    work.targetAt = item.targetAt;
     return work;
 }
 
--- a/coordination/src/admission_slots.h
+++ b/coordination/src/admission_slots.h
@@ -21,6 +21,8 @@
     double density = 0.0;              // worth per second of expected run time
     state::time_point offeredAt;
     state::time_point deadline;
+    state::time_point targetAt; // worth less after it
+    bool isLate = false;        // it cannot end by then
 };
 
 struct running_work {
--- a/coordination/src/admission_worth_density.cpp
+++ b/coordination/src/admission_worth_density.cpp
@@ -3,13 +3,18 @@
 // Waiting items are ordered by density (worth / expected run time). After each event the queue is planned against the
 // expected ends of the running items: an item that the plan cannot finish by its deadline is refused now, not when the
 // deadline has passed. Long work leaves the slots free that the short work of the last moments needs.
+//
+// Work that the plan cannot end by its target is worth less from then on and goes behind work that still can: at a crest
+// the slots go to callers who get their answer in time, and not to all callers a little too late.
 #include "admission_demand.h"
+#include "admission_plan.h"
 #include "admission_slots.h"
 
 #include <algorithm>
 #include <cmath>
 #include <functional>
 #include <optional>
+#include <tuple>
 
 namespace dandelionstall::coordination::detail {
 
@@ -18,25 +23,35 @@
 using std::chrono::duration_cast;
 using std::chrono::microseconds;
 
-constexpr int LongFactor = 8;         // long work takes more than this many times the typical run time
-constexpr int OverdueShare = 4;       // an item past its expected end is taken to need a quarter of its cost more
-constexpr double WaitMargin = 1.25;   // planned waits are stretched by a quarter
-constexpr double MinFreeShare = 0.02; // of the slot time that denser work leaves; below it work that must wait has no chance
-constexpr int RefreshShare = 8;       // waiting items are reordered when their cost has changed by an eighth
-constexpr double MinPatience = 0.25;  // of the margin for short work that long work respects to the end
-constexpr double MaxPressure = 16.0;  // limits how far retries are spread
+constexpr int LongFactor = 8;          // long work takes more than this many times the typical run time
+constexpr int RefreshShare = 8;        // waiting items are reordered when their cost has changed by an eighth
+constexpr double MinPatience = 0.25;   // of the margin for short work that long work respects to the end
+constexpr double RanksPerOctave = 4.0; // of density, in the order of the queue
+constexpr double LateShare = 0.4;      // of its worth, that an answer has after its target
+constexpr double MinDensity = 1e-9;    // worth per second
+constexpr double MaxPressure = 16.0;   // limits how far retries are spread
 constexpr std::chrono::milliseconds RetryDelay{500};
 constexpr std::chrono::seconds TrialInterval{5}; // between runs that seem hopeless but refresh the estimate
 
-double densityOf(double worth, microseconds cost)
+double densityOf(const waiting_work &work)
+{
+    return work.worth * (work.isLate ? LateShare : 1.0) / seconds(std::max(work.cost, microseconds(1)));
+}
+
+// Work of about the same density counts as equal: expected run times move a little with each answer.
+int rankOf(const waiting_work &work)
 {
-    return worth / seconds(std::max(cost, microseconds(1)));
+    return static_cast<int>(std::floor(std::log2(std::max(work.density, MinDensity)) * RanksPerOctave));
 }
 
-// The order of the queue: densest first, then first come.
+// The order of the queue: densest first, then the earliest deadline, which belongs to the work that came first or that
+// another worker has refused before.
 bool comesBefore(const waiting_work &left, const waiting_work &right)
 {
-    return left.density != right.density ? left.density > right.density : left.arrival < right.arrival;
+    const auto orderOf = [](const waiting_work &work) {
+        return std::tuple(-rankOf(work), work.deadline, work.arrival);
+    };
+    return orderOf(left) < orderOf(right);
 }
 
 class worth_density final : public slot_queue
@@ -61,6 +76,8 @@
     bool isTrial(cost_key key, state::time_point now);
     void insert(const waiting_work &work);
     void refreshCosts(cost_key key);
+    void demoteLate(state::time_point now);
+    bool demoteFirstLate(state::time_point now);
     void refuseHopeless(state::time_point now, admission_actions &todo);
     void startReady(state::time_point now, admission_actions &todo);
     std::optional<std::size_t> findStartable(state::time_point now) const;
@@ -78,76 +95,6 @@
     std::uint64_t m_offered = 0; // arrival number of the item being offered
 };
 
-// Min-heap of the times at which slots are expected to come free.
-class slot_plan
-{
-public:
-    explicit slot_plan(std::vector<state::time_point> freeTimes)
-        : m_freeTimes(std::move(freeTimes))
-    {
-        std::make_heap(m_freeTimes.begin(), m_freeTimes.end(), std::greater<>());
-    }
-
-    state::time_point nextFree() const
-    {
-        return m_freeTimes.empty() ? state::time_point::max() : m_freeTimes.front();
-    }
-
-    void occupyUntil(state::time_point end)
-    {
-        std::pop_heap(m_freeTimes.begin(), m_freeTimes.end(), std::greater<>());
-        m_freeTimes.back() = end;
-        std::push_heap(m_freeTimes.begin(), m_freeTimes.end(), std::greater<>());
-    }
-
-private:
-    std::vector<state::time_point> m_freeTimes;
-};
-
-// Run times vary, and denser work that is still to come goes first: a planned wait is stretched by both.
-class wait_forecast
-{
-public:
-    wait_forecast(const recent_demand &demand, std::uint32_t slots, state::time_point now)
-        : m_load(demand.loadAbove(now))
-        , m_slots(std::max(1U, slots))
-        , m_now(now)
-    { }
-
-    state::time_point startOf(const waiting_work &work, state::time_point planned) const
-    {
-        if (planned <= m_now || planned == state::time_point::max()) {
-            return planned;
-        }
-        const double freeShare = 1.0 - m_load(work.density) / m_slots;
-        if (freeShare <= MinFreeShare) {
-            return state::time_point::max();
-        }
-        return m_now + duration_cast<state::duration>((planned - m_now) * (WaitMargin / freeShare));
-    }
-
-private:
-    load_above m_load;
-    double m_slots;
-    state::time_point m_now;
-};
-
-bool fits(const waiting_work &work, state::time_point start)
-{
-    return start <= work.deadline - work.cost;
-}
-
-// An item past its expected end is a straggler of unknown length: the longer it has run over, the longer it is taken to go on.
-state::time_point remainingEnd(const running_work &work, state::time_point now)
-{
-    if (work.expectedEnd > now) {
-        return std::min(work.expectedEnd, std::max(work.deadline, now));
-    }
-    const state::duration cost = work.expectedEnd - work.startedAt;
-    const state::time_point guess = now + std::max(cost / OverdueShare, now - work.expectedEnd);
-    return std::min(guess, std::max(work.deadline, now));
-}
-
 admission_load worth_density::load(state::time_point now) const
 {
     admission_load load{m_limits.slots, static_cast<std::uint32_t>(m_running.size()), static_cast<std::uint32_t>(m_waiting.size()), {}, 0.0};
@@ -173,7 +120,8 @@
     waiting_work work = makeWaiting(item, now);
     work.key = costKey(item.route, item.statedBytes);
     work.cost = expectedCost(item, work.key, now);
-    work.density = densityOf(item.worth, work.cost);
+    work.isLate = now + work.cost > work.targetAt;
+    work.density = densityOf(work);
     m_demand.noteOffer({work.cost, work.worth, work.density, isLong(work)}, now);
     m_offered = work.arrival;
     if (work.cost > item.deadline - now && isTrial(work.key, now)) {
@@ -215,6 +163,7 @@
 void worth_density::settle(state::time_point now, admission_actions &todo)
 {
     refuseHopeless(now, todo);
+    demoteLate(now);
     startReady(now, todo);
     refuseOverflow(now, todo);
     refuseUnreachable(now, todo);
@@ -234,6 +183,32 @@
     }
 }
 
+// One that goes behind leaves its place to others, which may be in time then.
+void worth_density::demoteLate(state::time_point now)
+{
+    while (demoteFirstLate(now)) {
+        std::sort(m_waiting.begin(), m_waiting.end(), comesBefore);
+    }
+}
+
+bool worth_density::demoteFirstLate(state::time_point now)
+{
+    slot_plan plan(freeTimes(now));
+    for (waiting_work &work : m_waiting) {
+        const state::time_point start = plan.nextFree();
+        if (start == state::time_point::max()) {
+            return false;
+        }
+        if (!work.isLate && start + work.cost > work.targetAt) {
+            work.isLate = true;
+            work.density = densityOf(work);
+            return true;
+        }
+        plan.occupyUntil(start + work.cost);
+    }
+    return false;
+}
+
 void worth_density::startReady(state::time_point now, admission_actions &todo)
 {
     while (hasFreeSlot()) {
@@ -358,7 +333,7 @@
         const microseconds cost = m_costs.estimate(key, work.cost);
         if (std::chrono::abs(cost - work.cost) * RefreshShare > work.cost) {
             work.cost = cost;
-            work.density = densityOf(work.worth, cost);
+            work.density = densityOf(work);
             changed = true;
         }
     }
--- a/coordination/src/balancer_least_wait.cpp
+++ b/coordination/src/balancer_least_wait.cpp
@@ -23,7 +23,6 @@
 constexpr seconds RiskCost{1.0};           // what a surely failing worker costs work that must not run twice
 constexpr seconds RepeatableRiskCost{0.1}; // the same for work that is tried elsewhere
 constexpr seconds RemoteByteCost{4e-6};    // of a byte that crosses between data centres, in waiting that it is worth
-constexpr double TrustedRisk = 0.3;        // work that must not run twice goes to workers below it while there are any
 constexpr double LeastShare = 0.001;       // keeps draws possible
 
 // Workers that a draw may choose from, with the running sum of their shares.
@@ -65,11 +64,6 @@
     std::vector<double> m_sums;
 };
 
-double presentRisk(const worker_view &worker, state::time_point now)
-{
-    return worker.report.version == 0 ? 0.0 : std::max(0.0, driftRisk(worker.report.risk, now - worker.heardAt));
-}
-
 // Scores workers by the time that a new item would wait there.
 class wait_estimate
 {
@@ -129,9 +123,7 @@
         if (candidates.empty()) {
             return anyUsable ? NoWorker : pickEjected(view, request);
         }
-        if (!request.repeatable) {
-            keepTrusted(view, request, candidates);
-        }
+        keepTrusted(view, request, candidates);
         candidate_group all;
         candidate_group local;
         all.reserve(candidates.size());
@@ -154,8 +146,9 @@
     // Leaves out the doubtful workers unless all are.
     static void keepTrusted(const pool_view &view, const pick_request &request, std::vector<std::size_t> &candidates)
     {
+        const double limit = std::max(request.repeatable ? TrialLimit : TrustedRisk, request.acceptedRisk);
         const auto isDoubtful = [&](std::size_t i) {
-            return presentRisk(view.workers[i], request.now) > TrustedRisk;
+            return presentRisk(view.workers[i], request.now) > limit;
         };
         if (!std::all_of(candidates.begin(), candidates.end(), isDoubtful)) {
             std::erase_if(candidates, isDoubtful);
@@ -166,6 +159,12 @@
     {
         pcg32 random(request.random);
         std::size_t best = NoWorker;
+        if (request.isRepeat) {
+            for (const std::size_t index : all.indices()) {
+                best = best == NoWorker || waitOf(index) < waitOf(best) ? index : best;
+            }
+            return best;
+        }
         const auto consider = [&](const candidate_group &group, std::size_t draws) {
             for (std::size_t i = 0; i < draws; ++i) {
                 const std::size_t index = group.draw(random);
--- a/coordination/src/evidence.cpp
+++ b/coordination/src/evidence.cpp
@@ -65,6 +65,13 @@
         keep(sample, overtaken);
     }
 
+    bool isOverdue(const state::attempt_id &id, state::time_point now) const override
+    {
+        const auto running = m_running.find(id);
+        const bool known = running != m_running.end() && m_costs.expected(running->second.route).count() > 0;
+        return known && isOverdue(running->second, now);
+    }
+
     void noteProbe(bool ok, state::time_point) override
     {
         m_probeFailing = !ok;
@@ -162,18 +169,23 @@
         report.latency = std::chrono::duration_cast<microseconds>(typical * report.slowness);
     }
 
+    bool isOverdue(const running_item &item, state::time_point now) const
+    {
+        const microseconds expected = m_costs.expected(item.route);
+        return now - item.startedAt >= std::chrono::duration_cast<microseconds>(expected * OverdueFactor) + OverdueMarginMs;
+    }
+
     void fillProgress(worker_report &report, state::time_point now) const
     {
         report.overdue = 0;
         report.oldestRunning = microseconds{0};
         for (const auto &[id, item] : m_running) {
-            const microseconds expected = m_costs.expected(item.route);
-            const auto age = std::chrono::duration_cast<microseconds>(now - item.startedAt);
-            if (item.overtaken || age < std::chrono::duration_cast<microseconds>(expected * OverdueFactor) + OverdueMarginMs) {
+            if (item.overtaken || !isOverdue(item, now)) {
                 continue;
             }
+            const auto age = std::chrono::duration_cast<microseconds>(now - item.startedAt);
             ++report.overdue;
-            report.oldestRunning = std::max(report.oldestRunning, age - expected);
+            report.oldestRunning = std::max(report.oldestRunning, age - m_costs.expected(item.route));
         }
     }
 
--- a/coordination/src/failure_guard.cpp
+++ b/coordination/src/failure_guard.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <map>
 #include <set>
@@ -19,18 +20,20 @@
 constexpr seconds DriftTime{2.5};            // for about two thirds of the way back to it
 constexpr double HealthyFailureShare = 0.02; // of the work of a healthy worker
 constexpr double SickFailureShare = 0.75;    // of the work of a sick one
-constexpr double UnrepeatableLimit = 0.12;   // more doubt keeps work out that must not run twice
-constexpr double TrialLimit = 0.7;           // more doubt keeps out trials too
+constexpr double UnrepeatableLimit = 0.25;   // more doubt keeps work out that must not run twice
 constexpr double EvenRisk = 0.5;             // up to it two trials run at a time
 constexpr double LeastRisk = 0.002;          // no number of successes proves more
 
+// Risk taken after no refusal, one, and any more.
+constexpr std::array AcceptedRisks{0.0, 0.35, 0.55};
+
 class belief_guard final : public failure_guard
 {
 public:
     bool admits(const guarded_item &item, state::time_point now) const override
     {
         const double present = risk(now);
-        if (item.insisted || present <= UnrepeatableLimit) {
+        if (present <= std::max(UnrepeatableLimit, item.acceptedRisk)) {
             return true;
         }
         const std::size_t trials = present <= EvenRisk ? 2 : 1;
@@ -117,6 +120,16 @@
     return LongRunRisk + (risk - LongRunRisk) * kept;
 }
 
+double presentRisk(const worker_view &worker, state::time_point now)
+{
+    return worker.report.version == 0 ? 0.0 : std::max(0.0, driftRisk(worker.report.risk, now - worker.heardAt));
+}
+
+double acceptedRisk(std::size_t refusals)
+{
+    return AcceptedRisks.at(std::min(refusals, AcceptedRisks.size() - 1));
+}
+
 absl::StatusOr<std::unique_ptr<failure_guard>> makeFailureGuard(std::string_view name)
 {
     if (name == "belief") {
--- a/coordination/src/retry.cpp
+++ b/coordination/src/retry.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr std::uint32_t MaxAttempts = 3;
-constexpr std::uint32_t MaxSharedAttempts = 8;  // where arrivals at workers are limited of their own
+constexpr std::uint32_t MaxArrivals = 3;        // at workers, of one request
+constexpr std::uint32_t MaxPlacements = 12;     // of one request, refused ones included
 constexpr double AllowanceShare = 0.85;         // of a stated allowance, for all repeats
 constexpr double RerunShare = 0.5;              // of it, for repeats of work that ran: these repeat their own calls to other pools too
 constexpr double RefusalTokensPerRequest = 0.1; // refusals mean load: retries must stay few
@@ -60,8 +60,8 @@
 
 bool hasAttemptsLeft(const failed_attempt &failure)
 {
-    const std::uint32_t most = isShared(failure) ? MaxSharedAttempts : std::min(MaxAttempts, failure.maxArrivals);
-    return failure.attempts < most && failure.arrivals < failure.maxArrivals;
+    const std::uint32_t mostArrivals = isShared(failure) ? failure.maxArrivals : std::min(MaxArrivals, failure.maxArrivals);
+    return failure.attempts < MaxPlacements && failure.arrivals < mostArrivals;
 }
 
 // What to tell the caller when the refuser gave no reason.
@@ -124,9 +124,9 @@
     { }
 
 protected:
-    retry_verdict decideSafe(const failed_attempt &, state::time_point) override
+    retry_verdict decideSafe(const failed_attempt &failure, state::time_point now) override
     {
-        return tryAgain();
+        return failure.attempts < MaxArrivals ? tryAgain() : giveUp(failure, reasonOf(failure), now);
     }
 };
 
@@ -246,6 +246,9 @@
         if (now + failure.expectedCost >= failure.deadline) {
             return giveUp(failure, refusal_reason::deadline_unreachable, now);
         }
+        if (failure.refusal == refusal_reason::worker_at_risk) {
+            return tryAgain(); // a guard's refusal is no sign of load, and nothing was run
+        }
         if (isShared(failure)) {
             return decideShared(failure, now);
         }
--- a/coordination/tests/test_admission_overload.cpp
+++ b/coordination/tests/test_admission_overload.cpp
@@ -91,8 +91,57 @@
     return started;
 }
 
+struct crest_counts {
+    int inTarget = 0;
+    int late = 0;
+    int refused = 0;
+};
+
+// A worker of 3 slots gets a quarter more work of 350 ms than it can run, for a minute: target 600 ms, deadline 1300 ms.
+crest_counts replayOverload(std::string_view name)
+{
+    constexpr auto Cost = 350ms;
+    const auto policy = *makeAdmissionPolicy(name, {3, 64}, Seed);
+    std::multimap<state::time_point, std::uint64_t> ends;
+    std::map<std::uint64_t, state::time_point> offeredAt;
+    crest_counts counts;
+    std::uint64_t sequence = 0;
+    const auto take = [&](const admission_actions &todo, state::time_point now) {
+        for (const state::attempt_id &id : todo.start) {
+            ends.emplace(now + Cost, id.sequence);
+        }
+        counts.refused += static_cast<int>(todo.refuse.size());
+    };
+    for (state::time_point now = Start; now < Start + 60s; now += 1ms) {
+        while (!ends.empty() && ends.begin()->first <= now) {
+            const std::uint64_t ended = ends.begin()->second;
+            ends.erase(ends.begin());
+            (now - offeredAt[ended] <= 600ms ? counts.inTarget : counts.late) += 1;
+            take(policy->finish({1, ended}, work_result::answered, now), now);
+        }
+        if (policy->nextDeadline() <= now) {
+            take(policy->advance(now), now);
+        }
+        if ((now - Start) % 93ms == 0ms) {
+            offeredAt[++sequence] = now;
+            take(policy->offer({.id = {1, sequence}, .route = "book", .deadline = now + 1300ms, .targetAt = now + 600ms, .costHint = Cost}, now), now);
+        }
+    }
+    return counts;
+}
+
 } // namespace
 
+Test(admission_overload, serves_within_the_target_what_it_can)
+{
+    const crest_counts chosen = replayOverload("worth_density");
+    const crest_counts baseline = replayOverload("fifo");
+    const int served = chosen.inTarget + chosen.late;
+    cr_assert(served >= (baseline.inTarget + baseline.late) * 95 / 100, "%d served, %d by the baseline", served, baseline.inTarget + baseline.late);
+    cr_assert(chosen.inTarget >= served * 90 / 100, "%d of %d in target", chosen.inTarget, served);
+    cr_assert(baseline.inTarget < (baseline.inTarget + baseline.late) / 2, "%d in target", baseline.inTarget);
+}
+
 Test(admission_overload, earns_the_achievable_worth_at_a_crest)
 {
     constexpr double Achievable = CrestSeconds * (1s / RunTime) * 10.0; // the slot filled with the work of highest worth
--- a/coordination/tests/test_balancer.cpp
+++ b/coordination/tests/test_balancer.cpp
@@ -75,6 +75,53 @@
     cr_assert(lt(int, localPicks(), 120), "half of the draws see a distant worker");
 }
 
+Test(balancer, sends_repeatable_work_no_longer_to_a_worker_that_surely_refuses_it)
+{
+    const auto policy = makeBalancer("least_wait");
+    pool_view view = makeView(3);
+    const state::time_point now = state::time_point{} + std::chrono::hours(1);
+    for (worker_view &worker : view.workers) {
+        worker.heardAt = now;
+        worker.report.version = 1;
+        worker.report.risk = 0.02;
+        worker.report.expectedWait = std::chrono::milliseconds(400); // the sick one fails at once and looks idle
+    }
+    view.workers[0].report.risk = 0.98;
+    view.workers[0].report.expectedWait = std::chrono::microseconds(0);
+    pick_request request;
+    request.now = now;
+    request.repeatable = true;
+    for (request.random = 0; request.random < 200; ++request.random) {
+        cr_assert(ne(sz, (*policy)->pick(view, request), 0));
+    }
+    request.now = now + std::chrono::seconds(5); // its risk has drifted: a trial tells whether it has recovered
+    bool tried = false;
+    for (request.random = 0; request.random < 200; ++request.random) {
+        tried = tried || (*policy)->pick(view, request) == 0;
+    }
+    cr_assert(tried);
+}
+
+Test(balancer, repeats_at_the_best_worker_of_all)
+{
+    const auto policy = makeBalancer("least_wait");
+    pool_view view = makeView(12);
+    const state::time_point now = state::time_point{} + std::chrono::hours(1);
+    for (worker_view &worker : view.workers) {
+        worker.heardAt = now;
+        worker.report.version = 1;
+        worker.report.risk = 0.6;
+    }
+    view.workers[7].report.risk = 0.02;
+    pick_request request;
+    request.now = now;
+    request.repeatable = true;
+    request.isRepeat = true;
+    for (request.random = 0; request.random < 100; ++request.random) {
+        cr_assert(eq(sz, (*policy)->pick(view, request), 7));
+    }
+}
+
 Test(balancer, gives_probation_about_its_share_and_follows_the_preferred_sibling)
 {
     const auto policy = makeBalancer("least_wait");
--- a/programs/dandelionstall/request_attempt.cpp
+++ b/programs/dandelionstall/request_attempt.cpp
@@ -75,6 +75,9 @@
     head.route = m_route->name;
     head.home = link.incarnation;
     head.deadline = link.clock.toPeer(m_deadline, state::clock::now());
+    if (m_route->target.count() > 0) {
+        head.targetAt = link.clock.toPeer(m_request.arrivedAt + m_route->target, state::clock::now());
+    }
     head.worth = m_route->worth;
     head.idempotent = m_route->idempotent;
     head.costHint = m_route->costHint;
@@ -85,7 +88,7 @@
     head.organisation = std::string(protocol::findHeader(m_request.headers, protocol::OrganisationHeader));
     head.organisationRate = m_route->organisationRate;
     head.bodyBytes = m_request.body.size();
-    head.insisted = m_insists;
+    head.acceptedRisk = riskTaken();
     return head;
 }
 
@@ -105,6 +108,11 @@
     }
     const protocol::attempt_head head = makeHead(worker, **link);
     sent_attempt sent;
+    sent.placedAt = state::clock::now();
+    sent.tracked = !head.idempotent || !m_ticket.empty();
+    if (!sent.tracked && m_tried.size() + 1 < m_owner.viewOf(*m_pool)->workers.size()) {
+        sent.lateAt = m_owner.answerTimes().lateAt({m_route->name, sent.placedAt, m_deadline, worker.report.expectedWait, worker.report.latency});
+    }
     sent.id = head.id;
     m_lastAttempt = state::formatAttemptId(head.id);
     logPlaced(worker, head.id);
@@ -112,7 +120,6 @@
     sent.via = worker.node;
     sent.link = *link;
     sent.home = head.home;
-    sent.tracked = !head.idempotent || !m_ticket.empty();
     m_reader = std::make_shared<stream_reader>(m_owner.io().get_executor());
     sent.stream = sent.link->session->open("/attempt", m_reader);
     if (sent.stream < 0) {
@@ -135,12 +142,18 @@
 asio::awaitable<attempt_outcome> request_run::readAnswer(sent_attempt &sent)
 {
     while (true) {
-        const read_event event = co_await m_reader->next(m_deadline + AnswerGrace);
+        const read_event event = co_await m_reader->next(std::min(m_deadline + AnswerGrace, sent.lateAt));
         if (event.kind == read_kind::cancelled) {
             sent.link->session->reset(sent.stream);
             m_owner.counters().countNamed("attempts_cancelled");
             co_return attempt_outcome{attempt_end::caller_gone, {}, {}, -1.0, false};
         }
+        if (event.kind == read_kind::timed_out && sent.lateAt < m_deadline) {
+            if (auto outcome = giveUpLate(sent)) {
+                co_return *std::move(outcome);
+            }
+            continue;
+        }
         if (event.kind == read_kind::timed_out) {
             sent.link->session->reset(sent.stream);
             co_return sent.answer.streaming ? cutAnswer(sent) : failedBy(retry_reason::path_silent, refusal_reason::unknown_outcome, run_state::unknown);
@@ -186,6 +199,21 @@
     }
 }
 
+// Another worker is asked instead when the retry policy grants it; otherwise this answer is waited for to the end.
+std::optional<attempt_outcome> request_run::giveUpLate(sent_attempt &sent)
+{
+    sent.lateAt = state::time_point::max();
+    attempt_outcome late = failedBy(retry_reason::late_answer, refusal_reason::unknown_outcome, run_state::unknown);
+    ++late.failure.arrivals; // the present one
+    const auto view = m_owner.viewOf(*m_pool);
+    if (!m_owner.retryOf(*view).decide(late.failure, state::clock::now()).again) {
+        return std::nullopt;
+    }
+    late.retryDecided = true;
+    sent.link->session->reset(sent.stream);
+    return late;
+}
+
 asio::awaitable<std::optional<attempt_outcome>> request_run::takeHead(sent_attempt &sent, const protocol::frame &frame)
 {
     auto head = protocol::decodeAnswerHead(frame.payload);
@@ -195,6 +223,7 @@
         co_return cutAnswer(sent);
     }
     sent.headArrived = true;
+    sent.lateAt = state::time_point::max();
     m_owner.notePath(sent.via, true);
     if (!head->reports.empty()) {
         m_owner.events().reports(head->reports);
@@ -214,6 +243,9 @@
             co_return failure;
         }
     }
+    if (!isServerError(head->status)) {
+        m_owner.answerTimes().noteAnswer(m_route->name, state::clock::now() - sent.placedAt);
+    }
     sent.answer.head = *std::move(head);
     co_return std::nullopt;
 }
@@ -284,7 +316,9 @@
     m_owner.noteAnswerBytes(m_route->name, answer.bodyBytes);
     m_owner.counters().countRequest(m_route->name, status);
     const auto total = std::chrono::duration_cast<std::chrono::microseconds>(state::clock::now() - m_request.arrivedAt);
-    m_owner.counters().observeAddedTime(std::max(total - end.runTime, std::chrono::microseconds(0)));
+    const auto workClass = m_route->idempotent ? transport::work_class::idempotent : transport::work_class::non_idempotent;
+    m_owner.counters().observe(transport::measured_time::request, workClass, total);
+    m_owner.counters().observe(transport::measured_time::added, workClass, std::max(total - end.runTime, std::chrono::microseconds(0)));
     co_return attempt_outcome{sentAll ? attempt_end::delivered : attempt_end::caller_gone, {}, {}, -1.0, false};
 }
 
--- a/programs/dandelionstall/request_log.cpp
+++ b/programs/dandelionstall/request_log.cpp
@@ -44,7 +44,7 @@
               {"risk", fmt::format("{:.2f}", worker.report.risk)},
               {"wait_us", fmt::to_string(worker.report.expectedWait.count())},
               {"report_age_ms", ageOf(worker)},
-              {"insisted", m_insists ? "yes" : "no"},
+              {"accepted_risk", fmt::format("{:.2f}", riskTaken())},
               {"attempts", fmt::to_string(m_attempts)},
               {"left_ms", fmt::to_string(-millisSince(m_deadline))}});
 }
--- a/programs/dandelionstall/request_run.cpp
+++ b/programs/dandelionstall/request_run.cpp
@@ -2,6 +2,7 @@
 #include "request_run.h"
 #include "wall_clock.h"
 
+#include <dandelionstall/coordination/failure_guard.h>
 #include <dandelionstall/coordination/pool_choice.h>
 #include <dandelionstall/protocol/caller_http.h>
 
@@ -24,7 +25,7 @@
 
 namespace {
 
-constexpr std::size_t MaxDoubtful = 4;                                 // guards asked before a request insists
+constexpr std::size_t MaxDoubtful = 3;                                 // guards asked before a request insists
 constexpr auto NotReadyRetryAfter = std::chrono::milliseconds(1000);   // before the first configuration
 constexpr auto NoCapacityRetryAfter = std::chrono::milliseconds(1000); // no worker is in use
 constexpr auto OutcomeRetryAfter = std::chrono::milliseconds(1000);    // a ticket can be asked about again
@@ -192,6 +193,8 @@
     pick.inFlight = inFlight;
     pick.random = m_owner.random();
     pick.answerBytes = m_owner.expectedAnswerBytes(m_route->name);
+    pick.isRepeat = m_arrivals > 0;
+    pick.acceptedRisk = riskTaken();
     pick.repeatable = m_route->idempotent && m_ticket.empty();
     pick.now = state::clock::now();
     const std::size_t reachable = m_owner.balancerOf(view).pick(view, pick);
@@ -202,6 +205,11 @@
     return m_owner.balancerOf(view).pick(view, pick);
 }
 
+double request_run::riskTaken() const
+{
+    return m_insists ? coordination::AnyRisk : coordination::acceptedRisk(m_refusals);
+}
+
 std::size_t request_run::chooseDoubtful(const coordination::pool_view &view)
 {
     std::size_t best = coordination::NoWorker;
@@ -249,6 +257,7 @@
         m_arrivals += mayHaveArrived(outcome.failure) ? 1 : 0;
         outcome.failure.arrivals = m_arrivals;
         last = outcome.failure;
+        m_refusals += last.refusal == refusal_reason::worker_at_risk ? 1 : 0;
         if (last.refusal == refusal_reason::worker_unreachable) {
             m_owner.noteUnreachable(worker.id);
         }
--- a/programs/dandelionstall/request_run.h
+++ b/programs/dandelionstall/request_run.h
@@ -60,6 +60,7 @@
 
     absl::Status findRoute(std::string_view path, std::string_view method); // sets m_route and m_pool
     coordination::refusal_reason readTicket();
+    double riskTaken() const;                                        // by the next attempt
     std::size_t chooseDoubtful(const coordination::pool_view &view); // the least doubtful worker that refused; insists on it
     std::size_t chooseWorker(const coordination::pool_view &view, const std::string &preferred);
     protocol::http_headers forwardedHeaders() const;
@@ -69,6 +70,7 @@
     boost::asio::awaitable<attempt_outcome> readAnswer(sent_attempt &sent);
     boost::asio::awaitable<attempt_outcome> recover(sent_attempt &sent); // asks for the outcome over another connection
     std::optional<state::node_address> chooseRelay(const sent_attempt &sent);
+    std::optional<attempt_outcome> giveUpLate(sent_attempt &sent); // nothing: wait on
     boost::asio::awaitable<std::optional<attempt_outcome>> takeHead(sent_attempt &sent, const protocol::frame &frame);
     boost::asio::awaitable<bool> takeBody(sent_attempt &sent, std::string_view bytes);
     boost::asio::awaitable<attempt_outcome> takeEnd(sent_attempt &sent, const protocol::answer_end &end);
@@ -92,6 +94,7 @@
     std::string m_lastAttempt;                                        // id of the latest attempt, for logs
     std::uint32_t m_status = 0;                                       // of the answer given
     std::uint32_t m_attempts = 0;                                     // attempts made
+    std::uint32_t m_refusals = 0;                                     // of them, those that a sidecar refused
     std::uint32_t m_arrivals = 0;                                     // those that may have reached a worker
     coordination::run_state m_run = coordination::run_state::not_run; // of the request, over all its attempts
     std::shared_ptr<stream_reader> m_reader;                          // of the running attempt
--- a/programs/dandelionstall/sidecar_attempts.cpp
+++ b/programs/dandelionstall/sidecar_attempts.cpp
@@ -17,6 +17,8 @@
 using coordination::run_state;
 using coordination::work_outcome;
 using coordination::work_result;
+using transport::measured_time;
+using transport::work_class;
 using transport::worker_end;
 
 namespace {
@@ -35,6 +37,16 @@
     }
 }
 
+work_class workClassOf(const protocol::attempt_head &head)
+{
+    return head.idempotent ? work_class::idempotent : work_class::non_idempotent;
+}
+
+coordination::guarded_item guardedItemOf(const protocol::attempt_head &head)
+{
+    return {head.id, head.idempotent && head.ticket.empty(), head.acceptedRisk};
+}
+
 work_result workResultOf(const transport::worker_result &result)
 {
     if (result.end == worker_end::answered) {
@@ -127,6 +139,7 @@
     item.route = head.route;
     item.worth = head.worth;
     item.deadline = head.deadline;
+    item.targetAt = head.targetAt;
     item.costHint = head.costHint;
     item.statedBytes = head.bodyBytes;
     served_worker &worker = *findWorker(head.worker);
@@ -242,7 +255,7 @@
 
 bool sidecar::guardAdmits(const served_worker &worker, const protocol::attempt_head &head, state::time_point now) const
 {
-    return worker.guard->admits({head.id, head.idempotent && head.ticket.empty(), head.insisted}, now);
+    return worker.guard->admits(guardedItemOf(head), now);
 }
 
 void sidecar::bounceWaiting(served_worker &worker)
@@ -301,9 +314,9 @@
         return;
     }
     attempt.started = true;
-    worker.guard->noteStart({id, head.idempotent && head.ticket.empty(), head.insisted}, now);
+    worker.guard->noteStart(guardedItemOf(head), now);
     attempt.call = std::make_shared<transport::worker_call>();
-    m_counters.observeQueueTime(std::chrono::duration_cast<std::chrono::microseconds>(now - attempt.arrivedAt));
+    m_counters.observe(measured_time::queue, workClassOf(head), std::chrono::duration_cast<std::chrono::microseconds>(now - attempt.arrivedAt));
     asio::co_spawn(m_io, runAttempt(worker, id), asio::detached);
 }
 
@@ -334,23 +347,29 @@
     finishAttempt(worker, id, result, sink, startedAt);
 }
 
+// Work that was cancelled says nothing about its worker unless it had run far too long.
+work_outcome sidecar::judge(const served_worker &worker, const state::attempt_id &id, const transport::worker_result &result, state::time_point now)
+{
+    if (result.end != worker_end::cancelled) {
+        return outcomeOf(result);
+    }
+    return worker.evidence->isOverdue(id, now) ? work_outcome::timed_out : work_outcome::refused;
+}
+
 void sidecar::finishAttempt(
     served_worker &worker, const state::attempt_id &id, const transport::worker_result &result, answer_sink &sink, state::time_point startedAt)
 {
     const state::time_point now = state::clock::now();
     local_attempt &attempt = m_attempts.at(id);
     const protocol::attempt_head &head = attempt.stream->head();
-    if (result.end != worker_end::cancelled) {
-        worker.evidence->noteEnd(id, {head.route, outcomeOf(result), startedAt, now, head.costHint});
-    } else {
-        worker.evidence->noteEnd(id, {head.route, work_outcome::refused, startedAt, now, head.costHint});
-    }
-    const work_outcome outcome = outcomeOf(result);
-    if (result.end == worker_end::cancelled || outcome == work_outcome::refused) {
+    const work_outcome outcome = judge(worker, id, result, now);
+    worker.evidence->noteEnd(id, {head.route, outcome, startedAt, now, head.costHint});
+    if (outcome == work_outcome::refused) {
         worker.guard->noteDropped(id);
     } else {
         worker.guard->noteEnd(id, outcome != work_outcome::answered, now);
     }
+    m_counters.observe(measured_time::worker, workClassOf(head), std::chrono::duration_cast<std::chrono::microseconds>(now - startedAt));
     logEnd(head, result, startedAt);
     noteDoubt(worker, now);
     const coordination::admission_actions actions = worker.admission->finish(id, workResultOf(result), now);
--- a/programs/dandelionstall/sidecar_outcomes.cpp
+++ b/programs/dandelionstall/sidecar_outcomes.cpp
@@ -1,6 +1,7 @@
 // Outcomes at the sidecar: refusals, queries, acknowledgements, lost streams, and the heads of answers.
 #include "sidecar.h"
 
+#include <dandelionstall/coordination/failure_guard.h>
 #include <dandelionstall/protocol/caller_http.h>
 #include <dandelionstall/transport/events.h>
 
@@ -26,7 +27,7 @@
 
 // Adds reports of siblings: ejected ones, so that nodes outside the pool learn of them without trying them, and those
 // with the shortest wait, the first of which is named to whoever was refused.
-void appendSiblings(const coordination::pool_view &view, std::string_view worker, protocol::answer_head &head)
+void appendSiblings(const coordination::pool_view &view, std::string_view worker, state::time_point now, protocol::answer_head &head)
 {
     std::vector<const coordination::worker_view *> siblings;
     std::size_t ejected = 0;
@@ -42,8 +43,11 @@
         }
     }
     const std::size_t count = std::min(siblings.size(), MaxSiblings);
-    std::partial_sort(siblings.begin(), siblings.begin() + static_cast<std::ptrdiff_t>(count), siblings.end(), [](const auto *a, const auto *b) {
-        return a->report.expectedWait < b->report.expectedWait;
+    const auto rankOf = [now](const coordination::worker_view *row) { // a sick worker fails fast and looks idle
+        return std::pair(coordination::presentRisk(*row, now) > coordination::TrustedRisk, row->report.expectedWait);
+    };
+    std::partial_sort(siblings.begin(), siblings.begin() + static_cast<std::ptrdiff_t>(count), siblings.end(), [&](const auto *a, const auto *b) {
+        return rankOf(a) < rankOf(b);
     });
     for (std::size_t i = 0; i < count; ++i) {
         head.reports.push_back(siblings[i]->report);
@@ -274,7 +278,7 @@
     if (view == m_snapshot->views.end()) {
         return head;
     }
-    appendSiblings(*view->second, worker, head);
+    appendSiblings(*view->second, worker, state::clock::now(), head);
     return head;
 }
 
--- a/protocol/include/dandelionstall/protocol/messages.h
+++ b/protocol/include/dandelionstall/protocol/messages.h
@@ -37,23 +37,24 @@
 
 // One attempt to run a request at one worker.
 struct attempt_head {
-    state::attempt_id id;                  // unique
-    std::string worker;                    // which worker
-    std::string pool;                      // pool of the worker
-    std::string route;                     // route name, for learned costs
-    state::incarnation home = 0;           // life of the sidecar that it is meant for
-    state::time_point deadline;            // on the sidecar's clock
-    double worth = 1.0;                    // of the answer
-    bool idempotent = false;               // may run again
-    std::chrono::microseconds costHint{0}; // expected run time
-    std::string method;                    // HTTP method
-    std::string target;                    // HTTP request target
-    http_headers headers;                  // end-to-end headers
-    std::string ticket;                    // at-most-once ticket; empty when none
-    std::string organisation;              // of the caller; empty when not stated
-    bool insisted = false;                 // run it although the worker is doubtful: all others are more so
-    double organisationRate = 0.0;         // requests a second allowed to it over the fleet; 0 is unlimited
-    std::uint64_t bodyBytes = 0;           // length of the body that follows
+    state::attempt_id id;                                  // unique
+    std::string worker;                                    // which worker
+    std::string pool;                                      // pool of the worker
+    std::string route;                                     // route name, for learned costs
+    state::incarnation home = 0;                           // life of the sidecar that it is meant for
+    state::time_point deadline;                            // on the sidecar's clock
+    state::time_point targetAt = state::time_point::max(); // the same, for its full worth; max() when there is no target
+    double worth = 1.0;                                    // of the answer
+    bool idempotent = false;                               // may run again
+    std::chrono::microseconds costHint{0};                 // expected run time
+    std::string method;                                    // HTTP method
+    std::string target;                                    // HTTP request target
+    http_headers headers;                                  // end-to-end headers
+    std::string ticket;                                    // at-most-once ticket; empty when none
+    std::string organisation;                              // of the caller; empty when not stated
+    double acceptedRisk = 0.0;                             // see coordination::guarded_item
+    double organisationRate = 0.0;                         // requests a second allowed to it over the fleet; 0 is unlimited
+    std::uint64_t bodyBytes = 0;                           // length of the body that follows
 };
 
 // What became of an attempt. The worker's answer follows when status is not zero.
--- a/protocol/src/messages.cpp
+++ b/protocol/src/messages.cpp
@@ -91,7 +91,10 @@
     out.set_body_bytes(message.bodyBytes);
     out.set_organisation(message.organisation);
     out.set_organisation_rate(message.organisationRate);
-    out.set_insisted(message.insisted);
+    out.set_accepted_risk(message.acceptedRisk);
+    if (message.targetAt != state::time_point::max()) {
+        out.set_target_at_us(toMicros(message.targetAt));
+    }
     return out.SerializeAsString();
 }
 
@@ -185,7 +188,8 @@
     message.bodyBytes = in->body_bytes();
     message.organisation = in->organisation();
     message.organisationRate = in->organisation_rate();
-    message.insisted = in->insisted();
+    message.acceptedRisk = in->accepted_risk();
+    message.targetAt = in->has_target_at_us() ? fromMicros(in->target_at_us()) : state::time_point::max();
     return message;
 }
 
--- a/state/include/dandelionstall/state/tables.h
+++ b/state/include/dandelionstall/state/tables.h
@@ -111,7 +111,7 @@
     std::string ejector = "peer_outlier";       // see coordination/ejector.h
     std::string admission = "worth_density";    // see coordination/admission.h
     std::string retry = "budgeted";             // see coordination/retry.h
-    std::string guard = "off";                  // see coordination/failure_guard.h
+    std::string guard = "belief";               // see coordination/failure_guard.h
     std::chrono::milliseconds drainTime{30000}; // time that a leaving worker gets for running work
     retry_allowance retries;                    // repeats that the whole fleet may make in this pool
     std::vector<pool_worker> workers;           // in table order
--- a/transport/include/dandelionstall/transport/metrics.h
+++ b/transport/include/dandelionstall/transport/metrics.h
@@ -11,6 +11,18 @@
 
 namespace dandelionstall::transport {
 
+enum class measured_time {
+    request, // from a request's arrival to its answer, whole
+    added,   // of it, what was not spent at the worker
+    queue,   // of an attempt in the queue of a worker
+    worker,  // of an attempt at the worker
+};
+
+enum class work_class {
+    idempotent,
+    non_idempotent,
+};
+
 class metrics
 {
 public:
@@ -23,10 +35,9 @@
     void countRefusal(coordination::refusal_reason reason);          // a refusal given to a caller or an ingress
     void countRetry(coordination::retry_reason reason);              // another attempt
     void countNamed(std::string_view name);                          // any other counter, e.g. "late_answers_dropped"
-    void observeAddedTime(std::chrono::microseconds time);           // time of a request outside the worker
-    void observeQueueTime(std::chrono::microseconds time);           // time in the queue of a worker
-    void setGauge(std::string_view name, double value);              // a present value, e.g. "kept_answer_bytes"
-    std::string expose() const;                                      // Prometheus text format
+    void observe(measured_time what, work_class of, std::chrono::microseconds time);
+    void setGauge(std::string_view name, double value); // a present value, e.g. "kept_answer_bytes"
+    std::string expose() const;                         // Prometheus text format
 
 private:
     struct detail;
--- a/transport/src/metrics.cpp
+++ b/transport/src/metrics.cpp
@@ -7,6 +7,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <array>
 #include <vector>
 
@@ -39,6 +40,7 @@
     }
 }
 
+constexpr std::array WorkClasses{"idempotent", "non_idempotent"}; // as work_class counts them
 constexpr std::array TimeBuckets{0.0001, 0.00025, 0.0005, 0.001, 0.0022, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0}; // seconds
 
 double toSeconds(std::chrono::microseconds time)
@@ -51,10 +53,15 @@
     return prometheus::BuildCounter().Name("dandelionstall_" + name).Help(help).Register(registry);
 }
 
-prometheus::Histogram &addTimes(prometheus::Registry &registry, const std::string &name, const std::string &help)
+using time_histograms = std::array<prometheus::Histogram *, WorkClasses.size()>; // by work_class
+
+time_histograms addTimes(prometheus::Registry &registry, const std::string &name, const std::string &help)
 {
     const prometheus::Histogram::BucketBoundaries buckets(TimeBuckets.begin(), TimeBuckets.end());
-    return prometheus::BuildHistogram().Name("dandelionstall_" + name).Help(help).Register(registry).Add({}, buckets);
+    auto &family = prometheus::BuildHistogram().Name("dandelionstall_" + name).Help(help).Register(registry);
+    time_histograms result{};
+    std::transform(WorkClasses.begin(), WorkClasses.end(), result.begin(), [&](const char *of) { return &family.Add({{"class", of}}, buckets); });
+    return result;
 }
 
 } // namespace
@@ -64,8 +71,11 @@
     prometheus::Family<prometheus::Counter> &requests = addCounters(registry, "requests_total", "Answers given to callers, by route and status class.");
     prometheus::Family<prometheus::Counter> &refusals = addCounters(registry, "refusals_total", "Refusals given to callers and ingresses, by reason.");
     prometheus::Family<prometheus::Counter> &retries = addCounters(registry, "retries_total", "Further attempts, by reason.");
-    prometheus::Histogram &addedTime = addTimes(registry, "added_seconds", "Time of a request outside the worker.");
-    prometheus::Histogram &queueTime = addTimes(registry, "queue_seconds", "Time of an attempt in the queue of a worker.");
+    std::array<time_histograms, 4> times{// by measured_time
+                                         addTimes(registry, "request_seconds", "Time of a request from its arrival to its whole answer."),
+                                         addTimes(registry, "added_seconds", "Time of a request outside the worker."),
+                                         addTimes(registry, "queue_seconds", "Time of an attempt in the queue of a worker."),
+                                         addTimes(registry, "worker_seconds", "Time of an attempt at the worker.")};
     std::vector<prometheus::Counter *> refusalCounters = addReasons<refusal_reason>(refusals);
     std::vector<prometheus::Counter *> retryCounters = addReasons<retry_reason>(retries);
 };
@@ -96,14 +106,9 @@
     addCounters(m_detail->registry, fmt::format("{}_total", name), "See docs/METRICS.md.").Add({}).Increment();
 }
 
-void metrics::observeAddedTime(std::chrono::microseconds time)
-{
-    m_detail->addedTime.Observe(toSeconds(time));
-}
-
-void metrics::observeQueueTime(std::chrono::microseconds time)
+void metrics::observe(measured_time what, work_class of, std::chrono::microseconds time)
 {
-    m_detail->queueTime.Observe(toSeconds(time));
+    m_detail->times.at(static_cast<std::size_t>(what)).at(static_cast<std::size_t>(of))->Observe(toSeconds(time));
 }
 
 void metrics::setGauge(std::string_view name, double value)
