A request is sent to its worker once

Ruled out: repeats of the ingress, which are all paid; late answers, too. The client no longer repeats; the ingress does, at another worker and from the budget. So that forgotten connections stay rare, none is reused after two seconds of idleness, whatever the work (before: only for work that must not run twice). Test: worker_client::sends_a_request_once_when_an_idle_connection_breaks.

--- a/programs/dandelionstall/sidecar_attempts.cpp
+++ b/programs/dandelionstall/sidecar_attempts.cpp
@@ -335,7 +335,6 @@
     request.headers = stream->head().headers;
     request.body = stream->takeBody();
     request.deadline = stream->head().deadline;
-    request.unrepeatable = attempt.tracked;
     request.expectedWorker = worker.settings.id;
 
     answer_sink sink;
--- a/transport/include/dandelionstall/transport/worker_client.h
+++ b/transport/include/dandelionstall/transport/worker_client.h
@@ -31,7 +31,6 @@
     std::string body;               // whole body
     state::time_point deadline;     // the call ends then
     std::string expectedWorker;     // id of the worker that may run it; empty when any may
-    bool unrepeatable = false;      // it must not run twice: only a connection used a moment ago is reused
 };
 
 enum class worker_end {
@@ -87,13 +86,12 @@
     struct idle_connection {
         std::shared_ptr<boost::beast::tcp_stream> stream;
         state::time_point usableUntil; // closed afterwards
-        state::time_point freshUntil;  // good for unrepeatable work until then
     };
 
     using stream_ptr = std::shared_ptr<boost::beast::tcp_stream>;
     struct exchange;
 
-    stream_ptr takeIdle(bool unrepeatable);
+    stream_ptr takeIdle();
     boost::asio::awaitable<stream_ptr> connect(const worker_request &request, worker_call &call); // null when there is no connection
     boost::asio::awaitable<worker_result> runOn(stream_ptr stream, const worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call);
     boost::asio::awaitable<boost::system::error_code> readHead(exchange &at, const worker_request &request) const;
--- a/transport/src/worker_client.cpp
+++ b/transport/src/worker_client.cpp
@@ -18,9 +18,9 @@
 namespace {
 
 constexpr auto ConnectTimeout = std::chrono::milliseconds(500);
-constexpr auto DefaultIdleLife = std::chrono::seconds(5);      // of a connection whose worker states none
-constexpr auto IdleMargin = std::chrono::milliseconds(1000);   // closed this long before the worker would
-constexpr auto UnrepeatableIdleLife = std::chrono::seconds(2); // a worker that forgets idle connections has not yet done so
+constexpr auto DefaultIdleLife = std::chrono::seconds(5);    // of a connection whose worker states none
+constexpr auto IdleMargin = std::chrono::milliseconds(1000); // closed this long before the worker would
+constexpr auto MaxIdleLife = std::chrono::seconds(2);        // a worker that forgets idle connections has not yet done so
 constexpr std::size_t MaxIdleConnections = 16;
 constexpr std::size_t BodyChunkBytes = 32'768;
 constexpr std::uint32_t HeaderLimitBytes = 65'536;
@@ -168,14 +168,11 @@
     , m_names(std::move(names))
 { }
 
-worker_client::stream_ptr worker_client::takeIdle(bool unrepeatable)
+worker_client::stream_ptr worker_client::takeIdle()
 {
     const state::time_point now = state::clock::now();
     std::erase_if(m_idle, [now](const idle_connection &entry) { return entry.usableUntil <= now; });
     while (!m_idle.empty()) {
-        if (unrepeatable && m_idle.back().freshUntil <= now) {
-            return nullptr; // the others have been idle for longer
-        }
         const idle_connection candidate = std::move(m_idle.back());
         m_idle.pop_back();
         if (!isStale(*candidate.stream)) {
@@ -203,7 +200,7 @@
 asio::awaitable<worker_result> worker_client::run(const worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call)
 {
     worker_result result;
-    stream_ptr stream = takeIdle(request.unrepeatable);
+    stream_ptr stream = takeIdle();
     const bool reused = stream != nullptr;
     if (!reused) {
         stream = co_await connect(request, *call);
@@ -213,14 +210,8 @@
         co_return result;
     }
     result = co_await runOn(stream, request, sink, call);
-    const bool forgotten = reused && !request.unrepeatable && result.end == worker_end::cut && result.status == 0;
-    if (!forgotten || call->isCancelled()) {
-        co_return result;
-    }
-    m_idle.clear(); // a worker that has forgotten one idle connection may have forgotten them all
-    stream = co_await connect(request, *call);
-    if (stream && !call->isCancelled()) {
-        result = co_await runOn(stream, request, sink, call);
+    if (reused && result.end == worker_end::cut && result.status == 0) {
+        m_idle.clear(); // a worker that has forgotten one idle connection may have forgotten them all
     }
     co_return result;
 }
@@ -344,7 +335,7 @@
     }
     at.stream->expires_never();
     const state::time_point now = state::clock::now();
-    m_idle.push_back({at.stream, now + idleLife, now + std::min<state::duration>(idleLife, UnrepeatableIdleLife)});
+    m_idle.push_back({at.stream, now + std::min<state::duration>(idleLife, MaxIdleLife)});
 }
 
 } // namespace dandelionstall::transport
--- /dev/null
+++ b/transport/tests/test_worker_client.cpp
@@ -0,0 +1,101 @@
+// Tests of transport/worker_client.h against a small worker in the same process.
+#include <dandelionstall/transport/worker_client.h>
+
+#include <boost/asio.hpp>
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+#include <string>
+
+using namespace dandelionstall;
+using namespace dandelionstall::transport;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+class counting_sink : public worker_answer_sink
+{
+public:
+    void onHead(std::uint32_t, protocol::http_headers) override
+    { }
+    asio::awaitable<void> onBody(std::string_view) override
+    {
+        co_return;
+    }
+};
+
+// Answers the first request of each connection, and resets the connection at the next one.
+class forgetful_worker
+{
+public:
+    explicit forgetful_worker(asio::io_context &io)
+        : m_acceptor(io, {asio::ip::make_address("127.0.0.1"), 0})
+    {
+        asio::co_spawn(io, serve(), asio::detached);
+    }
+
+    state::node_address address() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+
+    int requests = 0;    // arrived
+    int connections = 0; // accepted
+
+private:
+    asio::awaitable<void> serve()
+    {
+        while (true) {
+            tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+            ++connections;
+            std::string text;
+            co_await asio::async_read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n", asio::use_awaitable);
+            ++requests;
+            const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+            co_await asio::async_write(socket, asio::buffer(answer), asio::use_awaitable);
+            text.clear();
+            co_await asio::async_read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n", asio::use_awaitable);
+            ++requests;
+            socket.set_option(asio::socket_base::linger(true, 0));
+        }
+    }
+
+    tcp::acceptor m_acceptor;
+};
+
+worker_request makeLookup()
+{
+    worker_request request;
+    request.method = "GET";
+    request.target = "/lookup";
+    request.headers = {{"Host", "service.example"}};
+    request.deadline = state::clock::now() + std::chrono::seconds(5);
+    return request;
+}
+
+asio::awaitable<void> runThree(worker_client &client, std::vector<worker_end> &ends)
+{
+    for (int i = 0; i < 3; ++i) {
+        counting_sink sink;
+        const worker_result result = co_await client.run(makeLookup(), sink, std::make_shared<worker_call>());
+        ends.push_back(result.end);
+    }
+}
+
+} // namespace
+
+// Repeats are paid from a budget that all nodes share: the client must not send one of its own.
+Test(worker_client, sends_a_request_once_when_an_idle_connection_breaks)
+{
+    asio::io_context io(1);
+    forgetful_worker worker(io);
+    worker_client client(worker.address(), {});
+    std::vector<worker_end> ends;
+    asio::co_spawn(io, runThree(client, ends), asio::detached);
+    io.run_for(std::chrono::seconds(1)); // the worker goes on accepting
+    const std::vector<worker_end> expected{worker_end::answered, worker_end::cut, worker_end::answered};
+    cr_assert(ends == expected);
+    cr_assert_eq(worker.requests, 3);
+    cr_assert_eq(worker.connections, 2, "the one that broke is not used again");
+}
