--- a/coordination/src/config_spread.cpp
+++ b/coordination/src/config_spread.cpp
@@ -245,7 +245,12 @@
         m_heardFromPeer = m_heardFromPeer || theirs.revision != 0;
         const bool conflict = theirs.revision == own.revision && own.revision != 0 && theirs.digest != hintOf(own).digest;
         if (conflict) {
-            m_results.push_back({kind, {offer_verdict::conflict, own, absl::OkStatus()}, state::formatNodeAddress(message.sender.address)});
+            offered_table offered;
+            offered.kind = kind;
+            offered.result.verdict = offer_verdict::conflict;
+            offered.result.version = own;
+            offered.source = state::formatNodeAddress(message.sender.address);
+            m_results.push_back(std::move(offered));
         }
         const bool waits = m_store.inForce(kind).revision == 0 && own.revision != 0 && m_nextHeldFetch[indexOf(kind)] <= now;
         if ((theirs.revision > own.revision || waits) && !transferOf(kind)) {
