Requests may be sent to four workers by default

Four is the default of max_attempts and of the policy now; the budget of failures still bounds repeats over all requests. Deployments that state the number of workers keep theirs. The baseline policy stays at three.

--- a/coordination/src/retry.cpp
+++ b/coordination/src/retry.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-constexpr std::uint32_t MaxArrivals = 3;        // at workers, of one request
+constexpr std::uint32_t MaxArrivals = 4; // at workers, of one request: half of them may be sick
+constexpr std::uint32_t BaselineAttempts = 3;
 constexpr std::uint32_t MaxPlacements = 12;     // of one request, refused ones included
 constexpr double AllowanceShare = 0.85;         // of a stated allowance, for all repeats
 constexpr double RerunShare = 0.5;              // of it, for repeats of work that ran: these repeat their own calls to other pools too
@@ -126,7 +127,7 @@
 protected:
     retry_verdict decideSafe(const failed_attempt &failure, state::time_point now) override
     {
-        return failure.attempts < MaxArrivals ? tryAgain() : giveUp(failure, reasonOf(failure), now);
+        return failure.attempts < BaselineAttempts ? tryAgain() : giveUp(failure, reasonOf(failure), now);
     }
 };
 
--- a/state/include/dandelionstall/state/tables.h
+++ b/state/include/dandelionstall/state/tables.h
@@ -49,7 +49,7 @@
     bool idempotent = false;                 // true: may run more than once
     double worth = 1.0;                      // value of one answer before its deadline, > 0
     std::uint32_t priority = 0;              // rank when work competes for slots; 0 goes first
-    std::uint32_t maxAttempts = 3;           // workers that one request may be sent to
+    std::uint32_t maxAttempts = 4;           // workers that one request may be sent to
     std::chrono::milliseconds timeout{2000}; // the deadline is arrival time plus this
     std::chrono::milliseconds target{0};     // an answer within this earns its full worth; zero when there is no such aim
     std::chrono::milliseconds costHint{0};   // expected run time; zero when unknown
