--- a/programs/dandelionctl/log_lines.cpp
+++ b/programs/dandelionctl/log_lines.cpp
@@ -119,9 +119,9 @@
 
 const std::string &fieldOf(const log_line &line, std::string_view name)
 {
-    static const std::string Missing;
+    static const std::string missing;
     const auto found = line.fields.find(name);
-    return found == line.fields.end() ? Missing : found->second;
+    return found == line.fields.end() ? missing : found->second;
 }
 
 } // namespace dandelionctl
--- a/programs/dandelionctl/trace.cpp
+++ b/programs/dandelionctl/trace.cpp
@@ -90,6 +90,7 @@
 void keep(std::vector<log_line> &lines, log_line line, trace_result &result)
 {
     if (lines.size() < MaxLines) {
+        line.number = lines.size();
         lines.push_back(std::move(line));
     } else {
         result.cut = true;
@@ -137,7 +138,7 @@
 
 void sortByTime(std::vector<log_line> &lines)
 {
-    std::stable_sort(lines.begin(), lines.end(), [](const log_line &a, const log_line &b) { return a.at < b.at; });
+    std::sort(lines.begin(), lines.end(), [](const log_line &a, const log_line &b) { return std::pair(a.at, a.number) < std::pair(b.at, b.number); });
 }
 
 void printLines(const std::vector<log_line> &lines, log_time start)
--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <random>
 #include <sstream>
+#include <tuple>
 
 namespace dandelionstall::soak {
 
@@ -133,7 +134,10 @@
             step.at += step.lasts + milliseconds(MinLengthMs);
         }
     }
-    std::stable_sort(plan.steps.begin(), plan.steps.end(), [](const fault_step &a, const fault_step &b) { return a.at < b.at; });
+    const auto orderOf = [](const fault_step &step) {
+        return std::tuple(step.at, step.kind, step.target, step.peer, step.lasts);
+    };
+    std::sort(plan.steps.begin(), plan.steps.end(), [&](const fault_step &a, const fault_step &b) { return orderOf(a) < orderOf(b); });
     return plan;
 }
 
