--- a/soak/injector.cpp
+++ b/soak/injector.cpp
@@ -37,6 +37,14 @@
     return kind >= fault_kind::store_closed && kind <= fault_kind::store_stale;
 }
 
+// True when it was the last one; a process that was killed meanwhile has none left.
+bool endPause(int &pauses)
+{
+    const bool last = pauses == 1;
+    pauses = std::max(0, pauses - 1);
+    return last;
+}
+
 std::string workerLines(const fault_step &step)
 {
     switch (step.kind) {
@@ -143,8 +151,10 @@
 
 void injector::end(const fault_step &step)
 {
-    if (step.kind == fault_kind::node_pause && m_pausedNodes[step.target] > 0 && --m_pausedNodes[step.target] == 0) {
-        m_fleet.node(step.target).process.signal(SIGCONT);
+    if (step.kind == fault_kind::node_pause) {
+        if (endPause(m_pausedNodes[step.target])) {
+            m_fleet.node(step.target).process.signal(SIGCONT);
+        }
     } else if (step.kind == fault_kind::node_kill && m_downNodes.erase(step.target) > 0) {
         m_fleet.startNode(step.target);
         ++m_lives[step.target];
@@ -270,7 +280,7 @@
 {
     testing::fleet_worker &worker = m_fleet.node(step.target).workers.front();
     if (step.kind == fault_kind::worker_pause) {
-        if (m_pausedWorkers[step.target] > 0 && --m_pausedWorkers[step.target] == 0) {
+        if (endPause(m_pausedWorkers[step.target])) {
             worker.process.signal(SIGCONT);
         }
     } else if (m_downWorkers.erase(step.target) > 0) {
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -73,7 +73,7 @@
         if (head.find('=') == std::string::npos) {
             continue;
         }
-        const absl::StatusOr<soak::fault_plan> plan = soak::parsePlan("plan " + head);
+        const absl::StatusOr<soak::fault_plan> plan = soak::parsePlan(fmt::format("plan {}", head));
         if (!plan.ok()) {
             throw std::invalid_argument(path + ": " + line);
         }
@@ -92,6 +92,7 @@
     }
     const auto length = std::chrono::milliseconds(static_cast<std::int64_t>(command.seconds * 1000));
     std::vector<soak::fault_plan> plans;
+    plans.reserve(command.count);
     for (std::size_t i = 0; i < command.count; ++i) {
         plans.push_back(soak::drawPlan({command.seed + i, command.nodes, length}));
     }
