--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -32,7 +32,7 @@
 {
     absl::StatusOr<soak::fault_plan> plan = soak::parsePlan(standins::readFile(path));
     if (!plan.ok()) {
-        throw std::invalid_argument(path + ": " + std::string(plan.status().message()));
+        throw std::invalid_argument(fmt::format("{}: {}", path, std::string(plan.status().message())));
     }
     return *std::move(plan);
 }
@@ -75,7 +75,7 @@
         }
         const absl::StatusOr<soak::fault_plan> plan = soak::parsePlan(fmt::format("plan {}", head));
         if (!plan.ok()) {
-            throw std::invalid_argument(path + ": " + line);
+            throw std::invalid_argument(fmt::format("{}: {}", path, line));
         }
         plans.push_back(soak::drawPlan({plan->seed, plan->nodes, plan->length}));
     }
