What is given up as late teaches how long answers take

Ruled out: the graceful stop, which cut nothing. What is given up counts with the time it was waited for, an estimate that is far off follows in a few answers, and the worker's own typical time is a lower bound. Test: answer_times::learns_from_what_is_given_up.

--- a/coordination/include/dandelionstall/coordination/answer_times.h
+++ b/coordination/include/dandelionstall/coordination/answer_times.h
@@ -24,7 +24,8 @@
 class answer_times
 {
 public:
-    void noteAnswer(std::string_view route, state::duration time);  // from placing an attempt to the head of its answer
+    void noteAnswer(std::string_view route, state::duration time);  // from placing an attempt to the head of its answer, or to
+                                                                    // giving it up: what is given up would have taken longer
     state::time_point lateAt(const running_attempt &attempt) const; // time_point::max(): wait for it to the end
     state::duration usual(std::string_view route) const;            // most answers take less; zero when little is known
 
--- a/coordination/src/answer_times.cpp
+++ b/coordination/src/answer_times.cpp
@@ -28,7 +28,11 @@
         known = m_routes.emplace(route, route_times{0, sample * StartFactor}).first;
     }
     route_times &times = known->second;
-    times.high *= sample > times.high ? 1.0 + Step * Quantile : 1.0 - Step * (1.0 - Quantile);
+    if (sample > times.high) {
+        times.high += Step * Quantile * std::max(times.high, sample - times.high); // far off, it follows in a few answers
+    } else {
+        times.high *= 1.0 - Step * (1.0 - Quantile);
+    }
     times.high = std::max(times.high, LeastTime.count());
     ++times.answers;
 }
@@ -43,7 +47,8 @@
 state::time_point answer_times::lateAt(const running_attempt &attempt) const
 {
     const state::duration learned = usual(attempt.route);
-    const state::duration time = learned > state::duration::zero() ? learned : state::duration(attempt.runTime) * ReportFactor;
+    const state::duration reported = attempt.runTime; // of all routes: a route that has become longer shows there first
+    const state::duration time = learned > state::duration::zero() ? std::max(learned, reported) : reported * ReportFactor;
     if (time == state::duration::zero()) {
         return state::time_point::max();
     }
--- a/coordination/tests/test_answer_times.cpp
+++ b/coordination/tests/test_answer_times.cpp
@@ -65,6 +65,23 @@
     cr_assert(late > Start + 300ms && late < Start + 1s);
 }
 
+// A route whose first answers were far quicker: what is given up would have taken longer, and must be learned from.
+Test(answer_times, learns_from_what_is_given_up)
+{
+    answer_times times;
+    for (int i = 0; i < 30; ++i) {
+        times.noteAnswer("lookup", 1ms);
+    }
+    int givenUp = 0;
+    for (int i = 0; i < 500; ++i) {
+        const auto patience = times.lateAt({"lookup", Start, Start + 2s, 0us, 0us}) - Start;
+        givenUp += patience < 60ms ? 1 : 0;
+        times.noteAnswer("lookup", std::min<state::duration>(patience, 60ms));
+    }
+    cr_assert(givenUp < 25, "%d", givenUp);
+    cr_assert(makeTimes(10ms).lateAt({"lookup", Start, Start + 2s, 0us, 200ms}) > Start + 400ms, "the worker reports long work");
+}
+
 Test(answer_times, what_is_late_leaves_time_for_another_attempt)
 {
     cr_assert(rc::check("late", [] {
--- a/programs/dandelionstall/request_attempt.cpp
+++ b/programs/dandelionstall/request_attempt.cpp
@@ -209,6 +209,7 @@
     if (!m_owner.retryOf(*view).decide(late.failure, state::clock::now()).again) {
         return std::nullopt;
     }
+    m_owner.answerTimes().noteAnswer(m_route->name, state::clock::now() - sent.placedAt);
     late.retryDecided = true;
     sent.link->session->reset(sent.stream);
     return late;
