Late attempts are no longer given up

Giving work up for its lateness is the fault itself, not the stop: a worker's silence says nothing against its answer. The whole mechanism goes: learned answer times, the retry reason, the evidence of overdue cancelled work. The count of refusals kept beside the set of doubtful workers goes too: the set's size says the same.

--- a/coordination/include/dandelionstall/coordination/reasons.h
+++ b/coordination/include/dandelionstall/coordination/reasons.h
@@ -46,7 +46,6 @@
     worker_failed,  // the worker broke off or answered with an error; idempotent work only
     cut_answer,     // the answer ended early; idempotent work only
     path_silent,    // the connection went silent
-    late_answer,    // far beyond the usual time without an answer; idempotent work only
 };
 
 // What is known about the execution of a request.
--- a/coordination/src/evidence.cpp
+++ b/coordination/src/evidence.cpp
@@ -65,13 +65,6 @@
         keep(sample, overtaken);
     }
 
-    bool isOverdue(const state::attempt_id &id, state::time_point now) const override
-    {
-        const auto running = m_running.find(id);
-        const bool known = running != m_running.end() && m_costs.expected(running->second.route).count() > 0;
-        return known && isOverdue(running->second, now);
-    }
-
     void noteProbe(bool ok, state::time_point) override
     {
         m_probeFailing = !ok;
--- a/coordination/src/reasons.cpp
+++ b/coordination/src/reasons.cpp
@@ -42,7 +42,6 @@
     std::pair{retry_reason::worker_failed, "worker_failed"},
     std::pair{retry_reason::cut_answer, "cut_answer"},
     std::pair{retry_reason::path_silent, "path_silent"},
-    std::pair{retry_reason::late_answer, "late_answer"},
 };
 
 template<typename table, typename reason>
--- a/coordination/tests/test_evidence.cpp
+++ b/coordination/tests/test_evidence.cpp
@@ -65,18 +65,6 @@
     cr_assert(eq(dbl, worker.report().successShare, 1.0));
 }
 
-Test(evidence, knows_work_that_runs_far_too_long)
-{
-    worker_fixture worker;
-    const state::attempt_id unknown = worker.start("export");
-    worker.now += 5s;
-    cr_assert_not(worker.evidence->isOverdue(unknown, worker.now), "nothing is known of its route");
-    worker.run(work_outcome::answered);
-    const state::attempt_id running = worker.start();
-    cr_assert_not(worker.evidence->isOverdue(running, worker.now + 100ms));
-    cr_assert(worker.evidence->isOverdue(running, worker.now + 300ms));
-}
-
 Test(evidence, takes_long_work_for_long_and_not_for_slow)
 {
     worker_fixture worker;
--- a/coordination/tests/test_retry.cpp
+++ b/coordination/tests/test_retry.cpp
@@ -35,7 +35,7 @@
 failed_attempt anyFailure()
 {
     failed_attempt failure;
-    failure.kind = static_cast<retry_reason>(*rc::gen::inRange(0, 9));
+    failure.kind = static_cast<retry_reason>(*rc::gen::inRange(0, 8));
     failure.refusal = static_cast<refusal_reason>(*rc::gen::inRange(0, 22));
     failure.run = *rc::gen::element(run_state::not_run, run_state::ran, run_state::unknown);
     failure.idempotent = *rc::gen::arbitrary<bool>();
--- a/programs/dandelionstall/ingress.cpp
+++ b/programs/dandelionstall/ingress.cpp
@@ -317,11 +317,6 @@
     known->second += (static_cast<double>(bytes) - known->second) * AnswerBytesShare;
 }
 
-coordination::answer_times &ingress::answerTimes()
-{
-    return m_answerTimes;
-}
-
 std::uint32_t &ingress::inFlight(const std::string &worker)
 {
     return m_inFlight[worker];
--- a/programs/dandelionstall/ingress.h
+++ b/programs/dandelionstall/ingress.h
@@ -9,7 +9,6 @@
 #include "caller_connection.h"
 #include "peer_directory.h"
 
-#include <dandelionstall/coordination/answer_times.h>
 #include <dandelionstall/coordination/balancer.h>
 #include <dandelionstall/coordination/fleet_snapshot.h>
 #include <dandelionstall/coordination/path_memory.h>
@@ -67,7 +66,6 @@
     state::attempt_id nextAttempt();
     std::size_t expectedAnswerBytes(const std::string &route) const; // 0 when nothing is known
     void noteAnswerBytes(const std::string &route, std::size_t bytes);
-    coordination::answer_times &answerTimes();
     std::uint32_t &inFlight(const std::string &worker); // own running attempts at a worker
     boost::asio::io_context &io();
 
@@ -100,7 +98,6 @@
     coordination::path_memory m_paths;
     std::unordered_map<std::string, std::uint32_t> m_inFlight;
     std::unordered_map<std::string, double> m_answerBytes; // moving average by route
-    coordination::answer_times m_answerTimes;
     std::set<std::shared_ptr<caller_connection>> m_connections;
     bool m_stopping = false;
 };
--- a/programs/dandelionstall/request_attempt.cpp
+++ b/programs/dandelionstall/request_attempt.cpp
@@ -108,11 +108,7 @@
     }
     const protocol::attempt_head head = makeHead(worker, **link);
     sent_attempt sent;
-    sent.placedAt = state::clock::now();
     sent.tracked = !head.idempotent || !m_ticket.empty();
-    if (!sent.tracked && m_tried.size() + 1 < m_owner.viewOf(*m_pool)->workers.size()) {
-        sent.lateAt = m_owner.answerTimes().lateAt({m_route->name, sent.placedAt, m_deadline, worker.report.expectedWait, worker.report.latency});
-    }
     sent.id = head.id;
     m_lastAttempt = state::formatAttemptId(head.id);
     logPlaced(worker, head.id);
@@ -142,18 +138,12 @@
 asio::awaitable<attempt_outcome> request_run::readAnswer(sent_attempt &sent)
 {
     while (true) {
-        const read_event event = co_await m_reader->next(std::min(m_deadline + AnswerGrace, sent.lateAt));
+        const read_event event = co_await m_reader->next(m_deadline + AnswerGrace);
         if (event.kind == read_kind::cancelled) {
             sent.link->session->reset(sent.stream);
             m_owner.counters().countNamed("attempts_cancelled");
             co_return attempt_outcome{attempt_end::caller_gone, {}, {}, -1.0, false};
         }
-        if (event.kind == read_kind::timed_out && sent.lateAt < m_deadline) {
-            if (auto outcome = giveUpLate(sent)) {
-                co_return *std::move(outcome);
-            }
-            continue;
-        }
         if (event.kind == read_kind::timed_out) {
             sent.link->session->reset(sent.stream);
             co_return sent.answer.streaming ? cutAnswer(sent) : failedBy(retry_reason::path_silent, refusal_reason::unknown_outcome, run_state::unknown);
@@ -199,22 +189,6 @@
     }
 }
 
-// Another worker is asked instead when the retry policy grants it; otherwise this answer is waited for to the end.
-std::optional<attempt_outcome> request_run::giveUpLate(sent_attempt &sent)
-{
-    sent.lateAt = state::time_point::max();
-    attempt_outcome late = failedBy(retry_reason::late_answer, refusal_reason::unknown_outcome, run_state::unknown);
-    ++late.failure.arrivals; // the present one
-    const auto view = m_owner.viewOf(*m_pool);
-    if (!m_owner.retryOf(*view).decide(late.failure, state::clock::now()).again) {
-        return std::nullopt;
-    }
-    m_owner.answerTimes().noteAnswer(m_route->name, state::clock::now() - sent.placedAt);
-    late.retryDecided = true;
-    sent.link->session->reset(sent.stream);
-    return late;
-}
-
 asio::awaitable<std::optional<attempt_outcome>> request_run::takeHead(sent_attempt &sent, const protocol::frame &frame)
 {
     auto head = protocol::decodeAnswerHead(frame.payload);
@@ -224,7 +198,6 @@
         co_return cutAnswer(sent);
     }
     sent.headArrived = true;
-    sent.lateAt = state::time_point::max();
     m_owner.notePath(sent.via, true);
     if (!head->reports.empty()) {
         m_owner.events().reports(head->reports);
@@ -244,9 +217,6 @@
             co_return failure;
         }
     }
-    if (!isServerError(head->status)) {
-        m_owner.answerTimes().noteAnswer(m_route->name, state::clock::now() - sent.placedAt);
-    }
     sent.answer.head = *std::move(head);
     co_return std::nullopt;
 }
--- a/programs/dandelionstall/request_attempt.h
+++ b/programs/dandelionstall/request_attempt.h
@@ -53,8 +53,6 @@
     std::shared_ptr<peer_link> link;                     // on which connection
     transport::stream_id stream = -1;                    // on which stream
     state::incarnation home = 0;                         // which life of the sidecar
-    state::time_point placedAt;                          // when it was sent
-    state::time_point lateAt = state::time_point::max(); // another worker is asked from then on
     bool tracked = false;                                // the sidecar keeps its outcome
     bool headArrived = false;                            // an answer head has come
     bool recovering = false;                             // its outcome is being asked for
--- a/programs/dandelionstall/request_run.cpp
+++ b/programs/dandelionstall/request_run.cpp
@@ -207,7 +207,7 @@
 
 double request_run::riskTaken() const
 {
-    return m_insists ? coordination::AnyRisk : coordination::acceptedRisk(m_refusals);
+    return m_insists ? coordination::AnyRisk : coordination::acceptedRisk(m_doubtful.size());
 }
 
 std::size_t request_run::chooseDoubtful(const coordination::pool_view &view)
@@ -257,7 +257,6 @@
         m_arrivals += mayHaveArrived(outcome.failure) ? 1 : 0;
         outcome.failure.arrivals = m_arrivals;
         last = outcome.failure;
-        m_refusals += last.refusal == refusal_reason::worker_at_risk ? 1 : 0;
         if (last.refusal == refusal_reason::worker_unreachable) {
             m_owner.noteUnreachable(worker.id);
         }
--- a/programs/dandelionstall/request_run.h
+++ b/programs/dandelionstall/request_run.h
@@ -70,7 +70,6 @@
     boost::asio::awaitable<attempt_outcome> readAnswer(sent_attempt &sent);
     boost::asio::awaitable<attempt_outcome> recover(sent_attempt &sent); // asks for the outcome over another connection
     std::optional<state::node_address> chooseRelay(const sent_attempt &sent);
-    std::optional<attempt_outcome> giveUpLate(sent_attempt &sent); // nothing: wait on
     boost::asio::awaitable<std::optional<attempt_outcome>> takeHead(sent_attempt &sent, const protocol::frame &frame);
     boost::asio::awaitable<bool> takeBody(sent_attempt &sent, std::string_view bytes);
     boost::asio::awaitable<attempt_outcome> takeEnd(sent_attempt &sent, const protocol::answer_end &end);
@@ -94,7 +93,6 @@
     std::string m_lastAttempt;                                        // id of the latest attempt, for logs
     std::uint32_t m_status = 0;                                       // of the answer given
     std::uint32_t m_attempts = 0;                                     // attempts made
-    std::uint32_t m_refusals = 0;                                     // of them, those that a sidecar refused
     std::uint32_t m_arrivals = 0;                                     // those that may have reached a worker
     coordination::run_state m_run = coordination::run_state::not_run; // of the request, over all its attempts
     std::shared_ptr<stream_reader> m_reader;                          // of the running attempt
--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar.h
@@ -111,7 +111,6 @@
     void bounceWaiting(served_worker &worker); // waiting work that the guard no longer admits
     void startAttempt(served_worker &worker, const state::attempt_id &id);
     boost::asio::awaitable<void> runAttempt(served_worker &worker, state::attempt_id id);
-    coordination::work_outcome judge(const served_worker &worker, const state::attempt_id &id, const transport::worker_result &result, state::time_point now);
     void
     finishAttempt(served_worker &worker, const state::attempt_id &id, const transport::worker_result &result, answer_sink &sink, state::time_point startedAt);
     void refuseAttempt(const state::attempt_id &id, coordination::refusal_reason reason, coordination::run_state run, state::time_point retryAt);
--- a/programs/dandelionstall/sidecar_attempts.cpp
+++ b/programs/dandelionstall/sidecar_attempts.cpp
@@ -346,22 +346,13 @@
     finishAttempt(worker, id, result, sink, startedAt);
 }
 
-// Work that was cancelled says nothing about its worker unless it had run far too long.
-work_outcome sidecar::judge(const served_worker &worker, const state::attempt_id &id, const transport::worker_result &result, state::time_point now)
-{
-    if (result.end != worker_end::cancelled) {
-        return outcomeOf(result);
-    }
-    return worker.evidence->isOverdue(id, now) ? work_outcome::timed_out : work_outcome::refused;
-}
-
 void sidecar::finishAttempt(
     served_worker &worker, const state::attempt_id &id, const transport::worker_result &result, answer_sink &sink, state::time_point startedAt)
 {
     const state::time_point now = state::clock::now();
     local_attempt &attempt = m_attempts.at(id);
     const protocol::attempt_head &head = attempt.stream->head();
-    const work_outcome outcome = judge(worker, id, result, now);
+    const work_outcome outcome = result.end == worker_end::cancelled ? work_outcome::refused : outcomeOf(result); // tells nothing
     worker.evidence->noteEnd(id, {head.route, outcome, startedAt, now, head.costHint});
     if (outcome == work_outcome::refused) {
         worker.guard->noteDropped(id);
