Slow workers stay while guards keep work from too many others

Ruled out: retries and their budgets; the failed lookups had met three sick workers in a row because no other one was a candidate. A worker that is only slow is not ejected while no more than the floor's number of workers are trusted. It can only lessen ejections, so the floor holds as before.

--- a/coordination/src/ejector_peer_outlier.cpp
+++ b/coordination/src/ejector_peer_outlier.cpp
@@ -1,6 +1,8 @@
 #include "ejector_findings.h"
 #include "ejector_policies.h"
 
+#include <dandelionstall/coordination/failure_guard.h>
+
 #include <algorithm>
 #include <cmath>
 #include <xxhash.h>
@@ -28,6 +30,7 @@
     worker_finding finding;
     ejection_record record; // becomes the new record
     bool marked = false;    // leaving or unreachable: no matter of ejection
+    bool doubtful = false;  // its guard keeps work away, although it is not ejected
     bool wasEjected = false;
     bool wanted = false; // should be ejected if the floor allows it
 };
@@ -157,6 +160,7 @@
             allSlots += entry.worker->slots;
             if (!entry.marked) {
                 ++m_workers;
+                m_trusted += entry.doubtful ? 0 : 1;
                 m_slots += entry.worker->slots;
                 m_grownSlots += grownSlots(entry);
             }
@@ -167,6 +171,10 @@
     bool allows(const case_file &entry) const
     {
         const bool withinFloor = m_workers > m_leastWorkers && m_slots - entry.worker->slots >= m_leastSlots;
+        // A slow worker does its work: it must not go while too few are left that do.
+        if (entry.finding.fault == ejection_reason::slow && !entry.doubtful && m_trusted <= m_leastWorkers) {
+            return false;
+        }
         // A new ejection must not rely on workers that have only begun to take work.
         return withinFloor && (entry.wasEjected || m_grownSlots - grownSlots(entry) >= m_leastSlots);
     }
@@ -174,6 +182,7 @@
     void spend(const case_file &entry)
     {
         --m_workers;
+        m_trusted -= entry.doubtful ? 0 : 1;
         m_slots -= entry.worker->slots;
         m_grownSlots -= grownSlots(entry);
     }
@@ -186,6 +195,7 @@
 
     std::size_t m_leastWorkers;
     std::size_t m_workers = 0;
+    std::size_t m_trusted = 0; // of them, those that their guards do not keep work from
     double m_leastSlots = 0.0;
     double m_slots = 0.0;
     double m_grownSlots = 0.0;
@@ -223,6 +233,7 @@
             case_file entry;
             entry.worker = &worker;
             entry.marked = isMark(worker.state);
+            entry.doubtful = presentRisk(worker, input.now) > TrustedRisk;
             if (const auto known = before.find(worker.id); known != before.end()) {
                 entry.record = known->second;
             }
--- a/coordination/tests/test_ejector.cpp
+++ b/coordination/tests/test_ejector.cpp
@@ -129,6 +129,28 @@
     cr_assert(pool.memory["w2"].reason == ejection_reason::floor);
 }
 
+// Four of six workers fail their work and are left to their guards; the two that answer are slow on a busy machine.
+Test(ejector, keeps_slow_workers_while_guards_keep_work_from_the_others)
+{
+    pool_fixture pool(6);
+    pool.view.floor = 0.5;
+    for (std::size_t i = 0; i < 6; ++i) {
+        const bool failing = i < 4;
+        pool.report(i).risk = failing ? 0.95 : 0.01;
+        pool.report(i).successShare = failing ? 0.2 : 1.0;
+        pool.report(i).slowness = failing ? 1.0 : 6.0;
+    }
+    pool.judge();
+    cr_assert(isUsable(pool.view.workers[4]));
+    cr_assert(isUsable(pool.view.workers[5]));
+    for (std::size_t i = 0; i < 4; ++i) {
+        pool.report(i).risk = 0.01; // all do their work: now the slow ones may go
+        pool.report(i).successShare = 1.0;
+    }
+    pool.judge();
+    cr_assert(pool.stateOf(4) == worker_state::ejected);
+}
+
 Test(ejector, ejects_nobody_when_all_look_sick_or_the_view_is_doubtful)
 {
     pool_fixture sick(8);
