--- a/coordination/include/dandelionstall/coordination/failure_guard.h
+++ b/coordination/include/dandelionstall/coordination/failure_guard.h
@@ -6,9 +6,9 @@
 // run twice is let in only while that estimate is low; work that may be repeated is let in one at a time as a trial, so
 // that a worker which has recovered is soon known to have.
 //
-// A refusal by the guard is free: nothing was run, and the next worker is asked at once. Each refusal, by a guard or by a
-// full queue, shows that trusted workers are scarce, so that the next one may be more doubtful; when all are, the ingress
-// asks the least doubtful one again and takes any risk.
+// A refusal by the guard is free: nothing was run, and the next worker is asked at once. Each one shows that trusted
+// workers are scarce, so that the next may be more doubtful; when all are, the ingress asks the least doubtful one again
+// and takes any risk.
 //
 // Index:
 //   [SECTION] Guard
@@ -50,7 +50,7 @@
 // What an estimate is worth after a while without outcomes.
 double driftRisk(double risk, state::duration age);
 
-// The risk that a request takes after this many refusals.
+// The risk that a request takes after guards have refused it this many times.
 double acceptedRisk(std::size_t refusals);
 
 // The risk of a worker as a node sees it: of its last report, aged. 0 when nothing was reported.
--- a/programs/dandelionctl/tests/test_dandelionctl.cpp
+++ b/programs/dandelionctl/tests/test_dandelionctl.cpp
@@ -6,14 +6,13 @@
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 
-#include <sys/wait.h>
-
-#include <cstdio>
-#include <cstdlib>
 #include <fstream>
 #include <thread>
 
+#include "tool_run.h" // after Boost, whose names Criterion's macros would change
+
 using namespace dandelionstall;
+using namespace dandelionctl::testing;
 namespace asio = boost::asio;
 namespace json = boost::json;
 
@@ -21,56 +20,6 @@
 
 const std::string Examples = EXAMPLES_DIR;
 
-struct outcome {
-    int exitCode = -1;
-    std::string text; // standard output and error
-};
-
-outcome runTool(const std::string &arguments)
-{
-    outcome result;
-    FILE *pipe = popen((std::string(DANDELIONCTL) + " " + arguments + " 2>&1").c_str(), "r");
-    cr_assert(pipe != nullptr);
-    std::array<char, 4096> chunk{};
-    for (std::size_t count = 0; (count = fread(chunk.data(), 1, chunk.size(), pipe)) > 0;) {
-        result.text.append(chunk.data(), count);
-    }
-    const int status = pclose(pipe);
-    result.exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-    return result;
-}
-
-bool contains(const outcome &result, std::string_view text)
-{
-    return result.text.find(text) != std::string::npos;
-}
-
-// A file that is removed at the end of the test.
-class scratch_file
-{
-public:
-    explicit scratch_file(std::string_view text)
-    {
-        const int file = mkstemp(m_path.data());
-        cr_assert(file >= 0);
-        close(file);
-        std::ofstream(m_path) << text;
-    }
-
-    ~scratch_file()
-    {
-        std::remove(m_path.c_str());
-    }
-
-    const std::string &path() const
-    {
-        return m_path;
-    }
-
-private:
-    std::string m_path = "/tmp/dandelionctl-XXXXXX";
-};
-
 std::string readFile(const std::string &path)
 {
     std::ifstream file(path);
--- a/programs/dandelionctl/tests/test_trace.cpp
+++ b/programs/dandelionctl/tests/test_trace.cpp
@@ -3,61 +3,19 @@
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 
-#include <sys/wait.h>
-#include <unistd.h>
-
-#include <array>
-#include <cstdio>
-#include <cstdlib>
-#include <fstream>
 #include <string>
 
-namespace {
+#include "tool_run.h" // after Boost, whose names Criterion's macros would change
 
-struct outcome {
-    int exitCode = -1;
-    std::string text; // standard output and error
-};
+using namespace dandelionctl::testing;
+
+namespace {
 
 outcome runTrace(const std::string &arguments)
 {
-    outcome result;
-    FILE *pipe = popen((std::string(DANDELIONCTL) + " trace " + arguments + " 2>&1").c_str(), "r");
-    cr_assert(pipe != nullptr);
-    std::array<char, 4096> chunk{};
-    for (std::size_t count = 0; (count = fread(chunk.data(), 1, chunk.size(), pipe)) > 0;) {
-        result.text.append(chunk.data(), count);
-    }
-    const int status = pclose(pipe);
-    result.exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-    return result;
+    return runTool("trace " + arguments);
 }
 
-class log_file
-{
-public:
-    explicit log_file(const std::string &text)
-    {
-        const int file = mkstemp(m_path.data());
-        cr_assert(file >= 0);
-        close(file);
-        std::ofstream(m_path) << text;
-    }
-
-    ~log_file()
-    {
-        std::remove(m_path.c_str());
-    }
-
-    const std::string &path() const
-    {
-        return m_path;
-    }
-
-private:
-    std::string m_path = "/tmp/trace-XXXXXX";
-};
-
 std::string line(const std::string &seconds, const std::string &node, const std::string &rest)
 {
     return "2026-12-03T10:00:" + seconds + "Z INFO node=" + node + " " + rest + "\n";
@@ -85,8 +43,8 @@
 
 Test(trace, puts_the_lines_of_several_nodes_in_order_with_the_beliefs_behind_them)
 {
-    const log_file ingress(IngressLog);
-    const log_file sidecar(SidecarLog);
+    const scratch_file ingress(IngressLog);
+    const scratch_file sidecar(SidecarLog);
     const outcome result = runTrace("r7 " + ingress.path() + " " + sidecar.path());
     cr_assert_eq(result.exitCode, 0);
     cr_assert(placeOf(result, "3 lines of 2 nodes") < placeOf(result, "+0.000 thika-1"));
@@ -101,7 +59,7 @@
 
 Test(trace, reads_standard_input_and_prints_json)
 {
-    const log_file ingress(IngressLog);
+    const scratch_file ingress(IngressLog);
     const outcome result = runTrace("r7 --json < " + ingress.path());
     cr_assert_eq(result.exitCode, 0);
     const boost::json::value body = boost::json::parse(result.text);
@@ -113,7 +71,7 @@
 
 Test(trace, says_what_is_wrong)
 {
-    const log_file ingress(IngressLog);
+    const scratch_file ingress(IngressLog);
     const outcome unknown = runTrace("r6 " + ingress.path());
     cr_assert_eq(unknown.exitCode, 1);
     placeOf(unknown, "no line names request r6");
@@ -129,7 +87,7 @@
     for (int i = 0; i < 5000; ++i) {
         text += line("05.100", "thika-1", "event=2010 name=attempt_placed request=r7 attempt=a-" + std::to_string(i));
     }
-    const log_file many(text);
+    const scratch_file many(text);
     const outcome result = runTrace("r7 " + many.path());
     cr_assert_eq(result.exitCode, 0);
     placeOf(result, "request r7: 2000 lines");
