--- a/programs/dandelionstall/request_attempt.h
+++ b/programs/dandelionstall/request_attempt.h
@@ -45,18 +45,18 @@
 };
 
 struct request_run::sent_attempt {
-    state::attempt_id id;                                // of the attempt
-    state::node_address node;                            // where it went
-    state::node_address via;                             // who is asked at present: that node, or a third one for its outcome
-    std::uint32_t queries = 0;                           // times its outcome was asked for
-    std::vector<state::node_address> relays;             // third nodes asked for it
-    std::shared_ptr<peer_link> link;                     // on which connection
-    transport::stream_id stream = -1;                    // on which stream
-    state::incarnation home = 0;                         // which life of the sidecar
-    bool tracked = false;                                // the sidecar keeps its outcome
-    bool headArrived = false;                            // an answer head has come
-    bool recovering = false;                             // its outcome is being asked for
-    answer_state answer;                                 // what has arrived
+    state::attempt_id id;                    // of the attempt
+    state::node_address node;                // where it went
+    state::node_address via;                 // who is asked at present: that node, or a third one for its outcome
+    std::uint32_t queries = 0;               // times its outcome was asked for
+    std::vector<state::node_address> relays; // third nodes asked for it
+    std::shared_ptr<peer_link> link;         // on which connection
+    transport::stream_id stream = -1;        // on which stream
+    state::incarnation home = 0;             // which life of the sidecar
+    bool tracked = false;                    // the sidecar keeps its outcome
+    bool headArrived = false;                // an answer head has come
+    bool recovering = false;                 // its outcome is being asked for
+    answer_state answer;                     // what has arrived
 };
 
 } // namespace dandelionstall
