Log and count each repeat that a retry allowance grants or denies

Cause: the lines of today do not tell the hypotheses of the incident apart: a granted or denied repeat leaves no line with the counts behind it, and nothing says that a call belongs to a repeated run. Change: events repeat_counted (3014) and repeat_denied (3015) with request, pool, kind, counted requests and repeats, sharers and what is allowed; counters by kind. Attempts carry their repeat_kind to the sidecar, and local_runs attributes the calls of local workers to their runs. No decision changes. Unit tests of local_runs, messages, retry and events and the integration tests caller_input, at_most_once and whole_answers pass.

--- a/coordination/include/dandelionstall/coordination/retry.h
+++ b/coordination/include/dandelionstall/coordination/retry.h
@@ -4,9 +4,11 @@
 #pragma once
 
 #include <dandelionstall/coordination/reasons.h>
+#include <dandelionstall/coordination/repeats.h>
 #include <dandelionstall/state/tables.h>
 
 #include <memory>
+#include <optional>
 
 namespace dandelionstall::coordination {
 
@@ -31,6 +33,7 @@
     bool retry = false;                            // true: make another attempt immediately, at another worker
     refusal_reason refusal = refusal_reason::none; // reason sent to the caller when retry is false
     state::time_point retryAt;                     // time from which the caller may retry when retry is false
+    std::optional<repeat_counts> counts = {};      // figures of the shared allowance, when it decided
 };
 
 class retry_policy
--- a/coordination/src/retry.cpp
+++ b/coordination/src/retry.cpp
@@ -190,7 +190,8 @@
     }
 
     // A node may use the allowed share of the requests that it has received, plus its part of the fleet's extra retries.
-    bool tryConsume(const state::retry_allowance &allowance, std::uint32_t nodes, bool rerun, state::time_point now)
+    // counts: set to the figures behind the decision.
+    bool tryConsume(const state::retry_allowance &allowance, std::uint32_t nodes, bool rerun, state::time_point now, repeat_counts &counts)
     {
         for (std::deque<state::time_point> *times : {&m_requests, &m_retries, &m_reruns}) {
             expireBefore(*times, now - allowance.window);
@@ -198,6 +199,7 @@
         const bool startedInWindow = now < m_startedAt + allowance.window; // an earlier incarnation may have used the part in this window
         const double part = startedInWindow ? 0.0 : std::max(allowance.extraPerWindow / std::max(1U, nodes), 1.0 / AllowanceShare);
         const double allowed = allowance.share * static_cast<double>(m_requests.size()) + part;
+        counts = {m_requests.size(), m_retries.size(), m_reruns.size(), nodes, AllowanceShare * allowed};
         if (static_cast<double>(m_retries.size()) + 1.0 > AllowanceShare * allowed) {
             return false;
         }
@@ -277,8 +279,11 @@
             return grantRetry();
         }
         const bool rerun = failure.run != run_state::not_run;
-        return m_sharedBudget.tryConsume(failure.allowance, failure.nodes, rerun, now) ? grantRetry()
-                                                                                       : giveUp(failure, refusal_reason::retry_budget_empty, now);
+        repeat_counts counts;
+        const bool granted = m_sharedBudget.tryConsume(failure.allowance, failure.nodes, rerun, now, counts);
+        retry_verdict verdict = granted ? grantRetry() : giveUp(failure, refusal_reason::retry_budget_empty, now);
+        verdict.counts = counts;
+        return verdict;
     }
 
     window_budget m_sharedBudget;
--- a/programs/dandelionstall/ingress.cpp
+++ b/programs/dandelionstall/ingress.cpp
@@ -26,10 +26,16 @@
 
 } // namespace
 
-ingress::ingress(asio::io_context &io, const state::settings &settings, std::uint64_t seed, transport::metrics &counters, ingress_events events)
+ingress::ingress(asio::io_context &io,
+                 const state::settings &settings,
+                 std::uint64_t seed,
+                 transport::metrics &counters,
+                 shared_local_runs &localRuns,
+                 ingress_events events)
     : m_io(io)
     , m_settings(settings)
     , m_metrics(counters)
+    , m_localRuns(localRuns)
     , m_events(std::move(events))
     , m_acceptor(io)
     , m_sweepTimer(io)
@@ -322,6 +328,11 @@
     return m_inFlight[worker];
 }
 
+bool ingress::isCallOfRepeat(std::string_view request, state::time_point deadline)
+{
+    return m_localRuns.access([&](coordination::local_runs &runs) { return runs.isCallOfRepeat(request, deadline, state::clock::now()); });
+}
+
 asio::io_context &ingress::io()
 {
     return m_io;
--- a/programs/dandelionstall/ingress.h
+++ b/programs/dandelionstall/ingress.h
@@ -8,6 +8,7 @@
 
 #include "caller_connection.h"
 #include "peer_directory.h"
+#include "shared_local_runs.h"
 
 #include <dandelionstall/coordination/balancer.h>
 #include <dandelionstall/coordination/fleet_snapshot.h>
@@ -39,7 +40,12 @@
 class ingress
 {
 public:
-    ingress(boost::asio::io_context &io, const state::settings &settings, std::uint64_t seed, transport::metrics &counters, ingress_events events);
+    ingress(boost::asio::io_context &io,
+            const state::settings &settings,
+            std::uint64_t seed,
+            transport::metrics &counters,
+            shared_local_runs &localRuns,
+            ingress_events events);
 
     absl::Status listen();                                         // binds the callers' address and starts to accept connections
     void applySnapshot(coordination::fleet_snapshot_ptr snapshot); // replaces the configuration and the pool views
@@ -66,7 +72,8 @@
     state::attempt_id nextAttempt();
     std::size_t expectedAnswerBytes(const std::string &route) const; // moving average of the route; 0 without a recorded answer
     void recordAnswerBytes(const std::string &route, std::size_t bytes);
-    std::uint32_t &inFlight(const std::string &worker); // number of this ingress' in-flight attempts at the worker
+    std::uint32_t &inFlight(const std::string &worker);                        // number of this ingress' in-flight attempts at the worker
+    bool isCallOfRepeat(std::string_view request, state::time_point deadline); // see coordination/local_runs.h
     boost::asio::io_context &io();
 
 private:
@@ -80,6 +87,7 @@
     boost::asio::io_context &m_io;
     const state::settings &m_settings;
     transport::metrics &m_metrics;
+    shared_local_runs &m_localRuns;
     ingress_events m_events;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_sweepTimer;
--- a/programs/dandelionstall/node.cpp
+++ b/programs/dandelionstall/node.cpp
@@ -48,9 +48,10 @@
 absl::Status node::start()
 {
     m_control = std::make_unique<control>(m_controlIo, m_settings, m_incarnation, m_metrics);
-    m_sidecar = std::make_unique<sidecar>(m_sidecarIo, m_settings, m_incarnation, m_metrics, [this](std::vector<coordination::worker_report> reports) {
-        m_control->recordReports(std::move(reports));
-    });
+    m_sidecar
+        = std::make_unique<sidecar>(m_sidecarIo, m_settings, m_incarnation, m_metrics, m_localRuns, [this](std::vector<coordination::worker_report> reports) {
+              m_control->recordReports(std::move(reports));
+          });
     if (absl::Status status = m_sidecar->listen(); !status.ok()) {
         return status;
     }
@@ -66,7 +67,7 @@
             m_control->recordPoolUse(std::move(pool));
         };
         auto entry = std::make_unique<ingress_thread>();
-        entry->server = std::make_unique<ingress>(entry->io, m_settings, drawSeed(), m_metrics, std::move(events));
+        entry->server = std::make_unique<ingress>(entry->io, m_settings, drawSeed(), m_metrics, m_localRuns, std::move(events));
         if (absl::Status status = entry->server->listen(); !status.ok()) {
             return status;
         }
--- a/programs/dandelionstall/node.h
+++ b/programs/dandelionstall/node.h
@@ -62,6 +62,7 @@
     state::incarnation m_incarnation;
     state::time_point m_startedAt; // start time of the process, reported by the admin API
     transport::metrics m_metrics;
+    shared_local_runs m_localRuns;
     boost::asio::io_context m_controlIo{1};
     boost::asio::io_context m_sidecarIo{1};
     boost::asio::signal_set m_signals;
--- a/programs/dandelionstall/request_attempt.cpp
+++ b/programs/dandelionstall/request_attempt.cpp
@@ -90,6 +90,7 @@
     head.organisationRate = m_route->organisationRate;
     head.bodyBytes = m_request.body.size();
     head.acceptedRisk = acceptedRisk();
+    head.repeat = coordination::repeatKindOf(m_arrivals, m_runState, m_isCallOfRepeat);
     return head;
 }
 
@@ -113,6 +114,9 @@
     sent.id = head.id;
     m_lastAttemptId = state::formatAttemptId(head.id);
     logPlaced(worker, head.id);
+    if (head.repeat == coordination::repeat_kind::call) {
+        logRepeat(head.repeat, true, {});
+    }
     sent.node = worker.node;
     sent.contactedNode = worker.node;
     sent.link = *link;
@@ -214,7 +218,7 @@
         ++outcome.failure.arrivals; // includes the current attempt
         const auto view = m_ingress.viewOf(*m_pool);
         const bool hasAlternatives = m_triedWorkers.size() + 1 < view->workers.size();
-        if (hasAlternatives && m_ingress.retryOf(*view).decide(outcome.failure, state::clock::now()).retry) {
+        if (hasAlternatives && decideRetry(m_ingress.retryOf(*view), outcome.failure).retry) {
             outcome.retryGranted = true;
             sent.link->session->reset(sent.stream);
             co_return outcome;
--- a/programs/dandelionstall/request_handler.cpp
+++ b/programs/dandelionstall/request_handler.cpp
@@ -100,6 +100,7 @@
         co_return co_await refuse(refusal_reason::bad_request, run_state::not_run, now);
     }
     m_deadline = m_request.arrivedAt + *timeLeft;
+    m_isCallOfRepeat = m_ingress.isCallOfRepeat(protocol::findHeader(m_request.headers, m_ingress.settings().headers.requestId), m_deadline);
     if (const refusal_reason reason = readTicket(); reason != refusal_reason::none) {
         co_return co_await refuse(reason, reason == refusal_reason::bad_request ? run_state::not_run : run_state::unknown, now);
     }
@@ -226,6 +227,16 @@
     return best;
 }
 
+coordination::retry_verdict request_handler::decideRetry(coordination::retry_policy &policy, const coordination::failed_attempt &failure)
+{
+    const coordination::retry_verdict verdict = policy.decide(failure, state::clock::now());
+    if (verdict.counts) {
+        const run_state run = coordination::combineRunStates(m_runState, failure.run);
+        logRepeat(coordination::repeatKindOf(failure.arrivals, run, m_isCallOfRepeat), verdict.retry, *verdict.counts);
+    }
+    return verdict;
+}
+
 asio::awaitable<bool> request_handler::runAttempts()
 {
     auto view = m_ingress.viewOf(*m_pool);
@@ -273,7 +284,7 @@
             co_return co_await refuse(lastFailure.refusal, m_runState, std::max(lastFailure.retryAt, state::clock::now() + OutcomeRetryAfter));
         }
         if (!outcome.retryGranted) {
-            const coordination::retry_verdict verdict = retry.decide(lastFailure, state::clock::now());
+            const coordination::retry_verdict verdict = decideRetry(retry, lastFailure);
             if (!verdict.retry) {
                 logAttemptFailed(worker, lastFailure);
                 co_return co_await refuse(verdict.refusal, m_runState, verdict.retryAt);
--- a/programs/dandelionstall/request_handler.h
+++ b/programs/dandelionstall/request_handler.h
@@ -58,12 +58,14 @@
     void logAttemptFailed(const coordination::worker_view &worker, const coordination::failed_attempt &failure) const;
     void logEnded(attempt_end end, const coordination::worker_view &worker) const;
     void logRefused(const protocol::caller_refusal &refusal) const;
+    void logRepeat(coordination::repeat_kind kind, bool granted, const coordination::repeat_counts &counts) const; // also counts it
 
     absl::Status findRoute(std::string_view path, std::string_view method); // sets m_route and m_pool
     coordination::refusal_reason readTicket();
     double acceptedRisk() const;                                       // risk of a worker that the next attempt accepts
     std::size_t chooseLeastRisky(const coordination::pool_view &view); // among workers whose guard refused the request; sets m_overridesGuard
     std::size_t chooseWorker(const coordination::pool_view &view, const std::string &preferred);
+    coordination::retry_verdict decideRetry(coordination::retry_policy &policy, const coordination::failed_attempt &failure); // asks the policy and logs
     protocol::http_headers forwardedHeaders() const;
     protocol::attempt_head makeAttemptHead(const coordination::worker_view &worker, const peer_link &link);
 
@@ -95,6 +97,7 @@
     std::uint32_t m_answerStatus = 0;                                      // HTTP status of the answer; 0 before it is sent
     std::uint32_t m_attempts = 0;                                          // number of attempts made
     std::uint32_t m_arrivals = 0;                                          // number of attempts that may have reached a worker
+    bool m_isCallOfRepeat = false;                                         // may be a call that a local worker makes during a repeated run
     coordination::run_state m_runState = coordination::run_state::not_run; // run state of the request, combined over all its attempts
     std::shared_ptr<stream_reader> m_reader;                               // stream of the current attempt; null before the first one
     bool m_callerDisconnected = false;                                     // the caller closed its connection
--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -47,11 +47,17 @@
 
 // [SECTION] Listening
 
-sidecar::sidecar(asio::io_context &io, const state::settings &settings, state::incarnation selfIncarnation, transport::metrics &metrics, report_sink reports)
+sidecar::sidecar(asio::io_context &io,
+                 const state::settings &settings,
+                 state::incarnation selfIncarnation,
+                 transport::metrics &metrics,
+                 shared_local_runs &localRuns,
+                 report_sink reports)
     : m_io(io)
     , m_settings(settings)
     , m_incarnation(selfIncarnation)
     , m_metrics(metrics)
+    , m_localRuns(localRuns)
     , m_reportSink(std::move(reports))
     , m_acceptor(io)
     , m_tickTimer(io)
@@ -208,7 +214,11 @@
         const served_worker &worker = entry.second;
         const bool used
             = std::any_of(m_attempts.begin(), m_attempts.end(), [&](const auto &attempt) { return attempt.second.stream->head().worker == entry.first; });
-        return worker.unlisted && !used && worker.runningProbes == 0;
+        const bool removable = worker.unlisted && !used && worker.runningProbes == 0;
+        if (removable) {
+            m_localRuns.access([&](coordination::local_runs &runs) { runs.forgetWorker(entry.first); });
+        }
+        return removable;
     });
 }
 
--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar.h
@@ -8,6 +8,7 @@
 
 #include "attempt_stream.h"
 #include "peer_directory.h"
+#include "shared_local_runs.h"
 
 #include <dandelionstall/coordination/admission.h>
 #include <dandelionstall/coordination/failure_guard.h>
@@ -70,7 +71,12 @@
 class sidecar
 {
 public:
-    sidecar(boost::asio::io_context &io, const state::settings &settings, state::incarnation selfIncarnation, transport::metrics &metrics, report_sink reports);
+    sidecar(boost::asio::io_context &io,
+            const state::settings &settings,
+            state::incarnation selfIncarnation,
+            transport::metrics &metrics,
+            shared_local_runs &localRuns,
+            report_sink reports);
 
     absl::Status listen();                                         // binds the node address
     void applySnapshot(coordination::fleet_snapshot_ptr snapshot); // applies the configuration and pool views in force
@@ -134,6 +140,7 @@
     const state::settings &m_settings;
     state::incarnation m_incarnation;
     transport::metrics &m_metrics;
+    shared_local_runs &m_localRuns;
     report_sink m_reportSink;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_tickTimer;
--- a/programs/dandelionstall/sidecar_attempts.cpp
+++ b/programs/dandelionstall/sidecar_attempts.cpp
@@ -47,6 +47,13 @@
     return {head.id, head.idempotent && head.ticket.empty(), head.acceptedRisk};
 }
 
+// True when the worker has ended the run, so that it makes no more calls for it.
+bool hasEnded(const transport::worker_result &result)
+{
+    return result.outcome == worker_call_outcome::answered || result.outcome == worker_call_outcome::refused
+           || result.outcome == worker_call_outcome::unreachable;
+}
+
 work_result workResultOf(const transport::worker_result &result)
 {
     if (result.outcome == worker_call_outcome::answered) {
@@ -315,6 +322,7 @@
     }
     attempt.started = true;
     worker.guard->recordStart(guardedItemOf(head), now);
+    m_localRuns.access([&](coordination::local_runs &runs) { runs.recordStart({id, head.worker, requestId(head), head.repeat, head.deadline}); });
     attempt.call = std::make_shared<transport::worker_call>();
     m_metrics.observe(measured_time::queue, workClassOf(head), std::chrono::duration_cast<std::chrono::microseconds>(now - attempt.arrivedAt));
     asio::co_spawn(m_io, runAttempt(worker, id), asio::detached);
@@ -360,6 +368,7 @@
     } else {
         worker.guard->recordOutcome(id, outcome != work_outcome::answered, now);
     }
+    m_localRuns.access([&](coordination::local_runs &runs) { hasEnded(result) ? runs.recordEnd(id) : runs.recordAbandoned(id); });
     m_metrics.observe(measured_time::worker, workClassOf(head), std::chrono::duration_cast<std::chrono::microseconds>(now - startedAt));
     logAttemptEnd(head, result, startedAt);
     logSuspicionChange(worker, now);
--- a/protocol/include/dandelionstall/protocol/messages.h
+++ b/protocol/include/dandelionstall/protocol/messages.h
@@ -15,6 +15,7 @@
 
 #include <dandelionstall/coordination/pool_view.h>
 #include <dandelionstall/coordination/reasons.h>
+#include <dandelionstall/coordination/repeats.h>
 #include <dandelionstall/protocol/errors.h>
 
 #include <string>
@@ -55,6 +56,7 @@
     double acceptedRisk = 0.0;                             // highest accepted probability that the worker is unhealthy, 0..1
     double organisationRate = 0.0;                         // requests per second that the organisation may send to the whole fleet; 0 is unlimited
     std::uint64_t bodyBytes = 0;                           // length of the following body, in bytes
+    coordination::repeat_kind repeat = coordination::repeat_kind::none; // whether the attempt is a repeat if it reaches the worker
 };
 
 // Outcome of an attempt. The body of the worker's answer follows when the status is not zero.
--- a/protocol/src/messages.cpp
+++ b/protocol/src/messages.cpp
@@ -95,6 +95,7 @@
     if (message.targetAt != state::time_point::max()) {
         out.set_target_at_us(toMicros(message.targetAt));
     }
+    out.set_repeat(std::string(coordination::repeatName(message.repeat)));
     return out.SerializeAsString();
 }
 
@@ -190,6 +191,7 @@
     message.organisationRate = in->organisation_rate();
     message.acceptedRisk = in->accepted_risk();
     message.targetAt = in->has_target_at_us() ? fromMicros(in->target_at_us()) : state::time_point::max();
+    message.repeat = coordination::parseRepeatKind(in->repeat());
     return message;
 }
 
--- a/protocol/tests/test_messages.cpp
+++ b/protocol/tests/test_messages.cpp
@@ -39,6 +39,7 @@
         head.headers = {{anyText(), anyText()}, {anyText(), anyText()}};
         head.ticket = anyText();
         head.bodyBytes = *rc::gen::inRange<std::uint64_t>(0, 1'000'000);
+        head.repeat = *rc::gen::element(coordination::repeat_kind::none, coordination::repeat_kind::rerun, coordination::repeat_kind::call);
         const auto parsed = decodeAttemptHead(encode(head));
         RC_ASSERT(parsed.ok());
         RC_ASSERT(parsed->id == head.id);
@@ -48,6 +49,7 @@
         RC_ASSERT(parsed->headers == head.headers);
         RC_ASSERT(parsed->ticket == head.ticket);
         RC_ASSERT(parsed->bodyBytes == head.bodyBytes);
+        RC_ASSERT(parsed->repeat == head.repeat);
     }));
 }
 
--- a/transport/include/dandelionstall/transport/events.h
+++ b/transport/include/dandelionstall/transport/events.h
@@ -42,6 +42,8 @@
     attempt_ended = 3011,        // info: a worker has answered an attempt
     attempt_broken = 3012,       // warn: an attempt at a worker ended without a whole answer
     worker_doubtful = 3013,      // info: the guard has started or stopped keeping non-idempotent work from a worker
+    repeat_counted = 3014,       // info: a repeat was counted against the retry allowance of its pool
+    repeat_denied = 3015,        // warn: a repeat was denied, since the retry allowance of its pool is used up
     config_accepted = 4001,      // info: a newer table has been accepted and is in force
     config_held = 4002,          // warn: a newer table is pending until the other table that it needs arrives
     config_refused = 4003,       // error: a table cannot be parsed and is not used
--- a/transport/src/events.cpp
+++ b/transport/src/events.cpp
@@ -38,6 +38,8 @@
     event_info{event::attempt_ended, log_level::info, "attempt_ended", "a worker has answered an attempt"},
     event_info{event::attempt_broken, log_level::warn, "attempt_broken", "an attempt at a worker ended without a whole answer"},
     event_info{event::worker_doubtful, log_level::info, "worker_doubtful", "the guard has started or stopped keeping non-idempotent work from a worker"},
+    event_info{event::repeat_counted, log_level::info, "repeat_counted", "a repeat was counted against the retry allowance of its pool"},
+    event_info{event::repeat_denied, log_level::warn, "repeat_denied", "a repeat was denied, since the retry allowance of its pool is used up"},
     event_info{event::config_accepted, log_level::info, "config_accepted", "a newer table has been accepted and is in force"},
     event_info{event::config_held, log_level::warn, "config_held", "a newer table is pending until the other table that it needs arrives"},
     event_info{event::config_refused, log_level::error, "config_refused", "a table cannot be parsed and is not used"},
