Failing test: calls of repeated runs exceed the allowance of the pool that is called

Cause: no budget counts the calls that a worker makes during a repeated run, as the lines repeat_counted show. Change: stand-in workers can make calls through their node and log them; repeat_count finds the worst window from the logs of the workers; test_promise_retry_allowance runs four nodes with workers that call another pool.

--- a/tests/integration/support/fleet.cpp
+++ b/tests/integration/support/fleet.cpp
@@ -185,13 +185,17 @@
 void fleet::startWorker(fleet_worker &worker)
 {
     const std::string &id = worker.plan.id;
-    std::uint32_t slots = 1;
+    std::vector<std::string> arguments{"--listen", worker.address, "--name", id, "--seed", std::to_string(m_plan.seed)};
     for (const pool_plan &pool : m_plan.pools) {
-        slots = pool.name == worker.plan.pool ? pool.slots : slots;
+        if (pool.name != worker.plan.pool) {
+            continue;
+        }
+        const std::string node = fmt::format("{}:{}", worker.address.substr(0, worker.address.find(':')), CallerPort);
+        arguments.insert(arguments.end(), {"--slots", std::to_string(pool.slots), "--calls", std::to_string(pool.calls.count)});
+        arguments.insert(arguments.end(), {"--calls-through", node, "--call-path", pool.calls.path});
+        arguments.insert(arguments.end(), {"--calls-name-parents", pool.calls.namesParents ? "1" : "0"});
     }
-    worker.process = child_process(programPath("standin_worker"),
-                                   {"--listen", worker.address, "--name", id, "--slots", std::to_string(slots), "--seed", std::to_string(m_plan.seed)},
-                                   m_directory.path("worker-" + id + ".log"));
+    worker.process = child_process(programPath("standin_worker"), arguments, m_directory.path("worker-" + id + ".log"));
     awaitPort(worker.process);
     waitUntil([&] { return getHttp(worker.address, "/healthz").status != 0; }); // the log may contain the port line of an earlier process
 }
--- a/tests/integration/support/fleet.h
+++ b/tests/integration/support/fleet.h
@@ -20,6 +20,7 @@
 #include "check.h"
 #include "http_call.h"
 #include "process.h"
+#include "worker_calls.h"
 
 #include <map>
 #include <memory>
@@ -35,6 +36,7 @@
     std::uint32_t slots = 3;
     double floor = 0.5;
     std::map<std::string, std::string> settings; // additional keys of the pool's section, e.g. ejector
+    standins::worker_call_plan calls = {};       // calls made by each run of a worker of this pool; its node is that of the worker
 };
 
 struct route_plan {
--- /dev/null
+++ b/tests/integration/test_promise_retry_allowance.cpp
@@ -0,0 +1,82 @@
+// Promise: in every window, the repeats at a pool stay within its retry allowance, summed over all nodes.
+//
+// Mechanism: the sidecar beside the worker counts the repeats that arrive at the worker, and each worker has its part of the
+// allowance. Calls that a repeated run makes are repeats at the pool that is called.
+#include "expect.h"
+#include "repeat_count.h"
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include <thread>
+
+using namespace dandelionstall::testing;
+using namespace dandelionstall::standins;
+
+namespace {
+
+constexpr repeat_limit Allowance{0.2, 24.0, std::chrono::seconds(2)};
+constexpr std::size_t LeastCalls = 20;           // calls of repeated runs without which the test would prove nothing
+constexpr std::chrono::seconds AllowanceRamp{6}; // time after a start in which nodes do not use their whole part of the allowance
+const std::set<std::string> StockWorkers{"stock-0", "stock-1"};
+
+// Four nodes with a worker of "orders", which makes three calls to "stock" in each run, and two nodes with a worker of "stock".
+fleet_plan ordersThatCallStock(bool callsNameParents)
+{
+    const std::map<std::string, std::string> settings{
+        {"retry_share", "0.2"}, {"retry_extra", "24"}, {"retry_window", "2s"}, {"guard", "off"}, {"balancer", "least_wait"}};
+    fleet_plan plan;
+    plan.pools = {{"orders", 6, 1.0, settings, {"", "/stock", 3, callsNameParents}}, {"stock", 12, 1.0, settings}};
+    plan.routes = {{"lookup", "/lookup", "orders", true, 1.0, {}}, {"stock", "/stock", "stock", true, 1.0, {}}};
+    for (unsigned i = 0; i < 4; ++i) {
+        plan.nodes.push_back({i % 2 == 0 ? "kiambu" : "thika", {{fmt::format("orders-{}", i), "orders"}}});
+    }
+    for (unsigned i = 0; i < 2; ++i) {
+        plan.nodes.push_back({i % 2 == 0 ? "kiambu" : "thika", {{fmt::format("stock-{}", i), "stock"}}});
+    }
+    plan.nodeSettings = "[headers]\nrequest_id = X-Request-Id\n";
+    plan.proxyCallers = false;
+    return plan;
+}
+
+void expectCallsWithinAllowance(bool callsNameParents)
+{
+    fleet fleet(ordersThatCallStock(callsNameParents));
+    fleet.start();
+    std::this_thread::sleep_for(AllowanceRamp);
+    for (const char *worker : {"orders-0", "orders-1", "orders-2", "orders-3"}) {
+        fleet.setFault(worker, "fail=0.4");
+    }
+    for (const std::string &worker : StockWorkers) {
+        fleet.setFault(worker, "fail=0.3");
+    }
+    load_job load = fleet.startLoad(phase(10, 60) + lookups({{"share", "1"}}));
+    const check_input evidence = fleet.evidence(load.finish());
+    const repeat_usage worst = findWorstWindow(evidence.workers, StockWorkers, Allowance);
+    cr_log_warn("worst window of stock: %zu repeats, %zu of them calls of repeated runs, %.1f allowed for %zu requests; %zu such calls in all",
+                worst.repeats,
+                worst.calls,
+                worst.allowed,
+                worst.requests,
+                worst.allCalls);
+    cr_assert_geq(worst.allCalls, LeastCalls, "only %zu calls of repeated runs", worst.allCalls);
+    cr_assert_leq(static_cast<double>(worst.repeats),
+                  worst.allowed,
+                  "%zu repeats, of which %zu calls of repeated runs; %.1f allowed for %zu requests",
+                  worst.repeats,
+                  worst.calls,
+                  worst.allowed,
+                  worst.requests);
+}
+
+} // namespace
+
+Test(retry_allowance, calls_of_repeated_runs_do_not_exceed_the_allowance_of_the_called_pool)
+{
+    expectCallsWithinAllowance(true);
+}
+
+Test(retry_allowance, calls_without_the_id_of_their_parent_do_not_exceed_the_allowance)
+{
+    expectCallsWithinAllowance(false);
+}
--- a/tests/standins/run_log.h
+++ b/tests/standins/run_log.h
@@ -1,4 +1,4 @@
-// Log of a stand-in worker: start and end of each run, and the time at which it began to drain.
+// Log of a stand-in worker: start and end of each run, the calls made by runs, and the time at which it began to drain.
 #pragma once
 
 #include <dandelionstall/state/types.h>
@@ -14,6 +14,14 @@
     std::chrono::microseconds started{0}; // start time on the steady clock
 };
 
+// A call that a worker made while it ran a request.
+struct call_of_run {
+    std::string id;                    // X-Request-Id of the call
+    std::string parent;                // X-Request-Id of the request that was run
+    std::string worker;                // worker that made the call
+    std::chrono::microseconds sent{0}; // on the steady clock
+};
+
 // Start of draining. The worker must start no run more than LeavingLimit after this time.
 struct leaving_mark {
     std::string worker;
@@ -22,6 +30,7 @@
 
 struct run_log {
     std::vector<run_record> runs;
+    std::vector<call_of_run> calls;
     std::vector<leaving_mark> leaving;
 };
 
--- a/tests/standins/standin_worker_main.cpp
+++ b/tests/standins/standin_worker_main.cpp
@@ -18,6 +18,10 @@
     add("seal", options::value(&worker.sealHeader), "header set on each answer");
     add("identity", options::value(&worker.identityHeader), "request header with the name of the intended worker");
     add("not-run", options::value(&worker.notRunHeader), "header set on refusals");
+    add("calls", options::value(&worker.calls.count)->default_value(0), "number of calls that each run makes");
+    add("calls-through", options::value(&worker.calls.node), "ip:port of the node that the calls go through");
+    add("call-path", options::value(&worker.calls.path)->default_value("/"), "path of the calls");
+    add("calls-name-parents", options::value(&worker.calls.namesParents)->default_value(true), "the id of a call continues the id of its request");
     add("seed", options::value(&worker.seed)->default_value(1), "seed of the random draws of faults");
     return standins::runProgram(argc, argv, description, [&](const options::variables_map &) {
         boost::asio::io_context io(1);
--- a/tests/standins/worker_service.cpp
+++ b/tests/standins/worker_service.cpp
@@ -35,6 +35,7 @@
 worker_service::worker_service(asio::io_context &io, const worker_options &options)
     : m_options(options)
     , m_slots(io, options.slots)
+    , m_calls(io, options.calls, options.name)
     , m_random(options.seed)
 { }
 
@@ -88,6 +89,9 @@
     if (outcome == "deadline") {
         co_return makeReply(http::status::gateway_timeout, "deadline passed\n");
     }
+    if (outcome == "call_failed") {
+        co_return makeReply(http::status::internal_server_error, "a call failed\n");
+    }
     const std::string id = requestIdOf(request);
     const std::size_t bytes = headerNumber(request, "X-Test-Bytes", m_options.defaultBytes);
     co_return co_await applyAnswerFaults(id, makeReply(http::status::ok, makeAnswerBody(id, bytes)));
@@ -112,6 +116,9 @@
             outcome = "cancelled";
         }
     }
+    if (outcome == "answered" && !co_await m_calls.makeCalls(id, allowed - cost)) {
+        outcome = "call_failed";
+    }
     logLine("end", id, outcome);
     co_return outcome;
 }
--- a/tests/standins/worker_service.h
+++ b/tests/standins/worker_service.h
@@ -8,12 +8,14 @@
 //   X-Deadline-Ms      milliseconds left; a run that would take longer is aborted at that time with status 504
 // Each run is logged to standard output as "start <request id> <idempotent> <steady us>" and "end <request id> <outcome>
 // <steady us>"; "draining <name> yes <steady us>" marks the start of draining. When the caller closes the connection, the
-// run is aborted and its slot released. The body of PUT /_fault sets the faults of worker_faults.h; an empty body clears
+// run is aborted and its slot released. A worker with a call plan makes its calls at the end of each run, in the slot of the run;
+// a run whose call fails ends with status 500. The body of PUT /_fault sets the faults of worker_faults.h; an empty body clears
 // them.
 #pragma once
 
 #include "http_server.h"
 #include "slot_gate.h"
+#include "worker_calls.h"
 #include "worker_faults.h"
 
 #include <cstdint>
@@ -31,6 +33,7 @@
     std::string sealHeader;                        // name of the header set on each answer; empty sets none
     std::string identityHeader;                    // name of the request header with the intended worker; requests for another worker get status 421
     std::string notRunHeader = "X-Worker-Refused"; // name of the header set on refusals
+    worker_call_plan calls;                        // calls of each run
 };
 
 class worker_service : public http_service
@@ -52,6 +55,7 @@
 
     worker_options m_options;
     slot_gate m_slots;
+    worker_calls m_calls;
     worker_faults m_faults; // as set by the last command, before flap_ms is applied
     std::mt19937_64 m_random;
 };
