Keep the retry allowance beside the workers, not at the ingresses

What callers saw: nothing; pools could get more repeats than retry_share and retry_extra allow. Cause: each ingress kept the share of its own requests and the extra repeats divided by the live members as it saw them. Such parts do not add up to the allowance: the count falls when nodes die, leave or are cut off, while those nodes have used their parts in the same window; a part below one repeat was rounded up; each ingress thread had a part of its own; and windows of nodes whose load moves do not add up to one window of the fleet. Change: the sidecar beside a worker counts the repeats that arrive there and refuses what is beyond the worker's part (repeat_budget); the parts are divided among the workers of the pool. The ingress asks up to three sidecars, and keeps the worker's failed answer for the caller until then.

--- a/coordination/include/dandelionstall/coordination/fleet_snapshot.h
+++ b/coordination/include/dandelionstall/coordination/fleet_snapshot.h
@@ -16,7 +16,6 @@
     std::shared_ptr<const state::pool_table> pools;                                 // pool table in force; null before the first configuration
     std::map<std::string, std::shared_ptr<const pool_view>, std::less<>> poolViews; // views of the tracked pools; for all others use makePoolView()
     state::incarnation selfIncarnation = 0; // incarnation of this node; higher than any earlier one that the fleet knows
-    std::uint32_t liveNodeCount = 1;        // nodes that accept callers according to membership, including this one
     bool workersDiscovered = false;         // the discovered workers have been read from the store or received from a peer
     bool leaving = false;                   // this node is shutting down and accepts no new work
 };
--- /dev/null
+++ b/coordination/include/dandelionstall/coordination/repeat_budget.h
@@ -0,0 +1,65 @@
+// Limits the repeats that reach one worker, so that the repeats at all workers of its pool stay within the pool's retry allowance
+// (state::retry_allowance). Does no I/O and reads no clock; used from one thread.
+//
+// Every attempt reaches a worker through the sidecar beside it, whatever caused it, so the sidecar is where repeats are counted.
+// Each worker has its own part of the allowance; nodes share no counters.
+//
+// Bound. The allowance of a window is a share of the requests of this window, of the window before it, or of the one that begins
+// half a window earlier, whichever has most, plus extra repeats. The parts of the workers add up to less than that:
+//   - Requests. A request is counted by the one sidecar to which its first attempt is sent. A part uses the mean of the three
+//     windows: means add up over workers, maxima do not, and the mean is never above the maximum.
+//   - Extra repeats. A part is the extra divided by the largest number of workers that the pool had in the last window. A worker
+//     uses its part only after it has been known for a window. So all workers that use their parts within one window were in the
+//     pool together at its beginning, and each of them divides by at least their number.
+//   - A sidecar that starts again knows nothing of earlier repeats, and gets no part of the extra for one window either.
+// The pool can get more repeats than its allowance in two cases only. Workers that the others no longer know, because they are cut
+// off from them for longer than a window, still use their parts: at most once the extra more, in all. And the calls of repeated
+// runs that began before a sidecar was started are not recognised: at most the slots of its workers times the calls of a run.
+#pragma once
+
+#include <dandelionstall/coordination/recent_maximum.h>
+#include <dandelionstall/coordination/repeats.h>
+#include <dandelionstall/state/tables.h>
+
+#include <array>
+
+namespace dandelionstall::coordination {
+
+struct repeat_verdict {
+    bool admitted = true; // the repeat may reach the worker
+    repeat_counts counts; // figures behind the decision
+};
+
+class repeat_budget
+{
+public:
+    explicit repeat_budget(state::time_point startedAt); // startedAt: time since which this sidecar has served the worker
+
+    void recordWorkers(std::uint32_t poolWorkers, state::time_point now);                                   // number of workers in the pool, on each change
+    void recordRequest(const state::retry_allowance &allowance, state::time_point now);                     // a request was first sent to this worker
+    repeat_verdict check(repeat_kind kind, const state::retry_allowance &allowance, state::time_point now); // decides without counting
+    repeat_verdict count(repeat_kind kind, const state::retry_allowance &allowance, state::time_point now); // counts the repeat if it is admitted
+
+private:
+    static constexpr std::size_t BucketsPerWindow = 40;
+    static constexpr std::size_t Buckets = 2 * BucketsPerWindow + 1; // the current one, and those of two windows before it
+
+    struct bucket {
+        std::uint32_t requests = 0;
+        std::uint32_t repeats = 0;
+        std::uint32_t reruns = 0; // of the repeats, those whose work may have run before
+    };
+
+    void advance(std::chrono::milliseconds window, state::time_point now); // makes the last bucket the one of now
+    double extraPart(const state::retry_allowance &allowance, state::time_point now);
+    std::size_t requestsBetween(std::size_t first, std::size_t end) const; // first and end: indices of buckets
+    bool isWithin(const state::retry_allowance &allowance, double extra) const;
+
+    state::time_point m_startedAt;
+    std::chrono::milliseconds m_window{0};   // window that the buckets divide; 0 before the first use
+    std::int64_t m_lastBucket = 0;           // number of the last bucket since the epoch of the clock
+    std::array<bucket, Buckets> m_buckets{}; // in order of time
+    recent_maximum m_poolWorkers;
+};
+
+} // namespace dandelionstall::coordination
--- a/coordination/include/dandelionstall/coordination/retry.h
+++ b/coordination/include/dandelionstall/coordination/retry.h
@@ -1,14 +1,13 @@
 // Decides whether a failed request is retried. Does no I/O and reads no clock; used from one thread.
 //
 // Every policy keeps this rule: non-idempotent work is retried only when the failed attempt is proven not to have run.
+// The retry allowance of a pool is not kept here but beside its workers, see repeat_budget.h.
 #pragma once
 
 #include <dandelionstall/coordination/reasons.h>
-#include <dandelionstall/coordination/repeats.h>
 #include <dandelionstall/state/tables.h>
 
 #include <memory>
-#include <optional>
 
 namespace dandelionstall::coordination {
 
@@ -22,8 +21,8 @@
     std::uint32_t attempts = 1;                    // attempts of the request so far, including this one
     std::uint32_t arrivals = 0;                    // attempts of the request that may have reached a worker
     std::uint32_t maxArrivals = 3;                 // limit of the route for arrivals
-    state::retry_allowance allowance;              // retries of the pool allowed on all nodes together; ignored when extraPerWindow is 0
-    std::uint32_t nodes = 1;                       // number of nodes that share the allowance
+    bool hasAllowance = false;                     // the pool has a retry allowance: its sidecars refuse repeats beyond it
+    std::uint32_t budgetRefusals = 0;              // attempts that sidecars refused because of the allowance, including this one
     state::time_point deadline;                    // deadline of the request
     state::time_point retryAt;                     // time stated in the refusal for a retry by the caller; epoch when it stated none
     std::chrono::microseconds expectedCost{0};     // expected run time of another attempt
@@ -33,7 +32,6 @@
     bool retry = false;                            // true: make another attempt immediately, at another worker
     refusal_reason refusal = refusal_reason::none; // reason sent to the caller when retry is false
     state::time_point retryAt;                     // time from which the caller may retry when retry is false
-    std::optional<repeat_counts> counts = {};      // figures of the shared allowance, when it decided
 };
 
 class retry_policy
@@ -46,8 +44,6 @@
 };
 
 // Policy names: "budgeted" (default), "fixed_count" (baseline for comparison, three attempts).
-// startedAt is the start time of this node: an earlier incarnation of the node may have used its part of an allowance
-// shortly before, so that this part is withheld during the first window.
-absl::StatusOr<std::unique_ptr<retry_policy>> makeRetryPolicy(std::string_view name, std::uint64_t seed, state::time_point startedAt = {});
+absl::StatusOr<std::unique_ptr<retry_policy>> makeRetryPolicy(std::string_view name, std::uint64_t seed);
 
 } // namespace dandelionstall::coordination
--- /dev/null
+++ b/coordination/src/repeat_budget.cpp
@@ -0,0 +1,123 @@
+#include <dandelionstall/coordination/repeat_budget.h>
+
+#include <algorithm>
+
+namespace dandelionstall::coordination {
+
+namespace {
+
+constexpr double AllowanceShare = 0.9; // part of an allowance that is used; the rest covers the time from the sending of a request to its arrival
+constexpr double RerunShare = 0.5;     // share for repeats of work that may have run: each of them also repeats the calls of the work to other pools
+constexpr std::chrono::milliseconds SettlingTime{1000}; // time for a change of a pool's workers to reach all nodes
+
+bool mayHaveRun(repeat_kind kind)
+{
+    return kind == repeat_kind::rerun;
+}
+
+} // namespace
+
+repeat_budget::repeat_budget(state::time_point startedAt)
+    : m_startedAt(startedAt)
+{ }
+
+void repeat_budget::recordWorkers(std::uint32_t poolWorkers, state::time_point now)
+{
+    m_poolWorkers.record(poolWorkers, now);
+}
+
+void repeat_budget::recordRequest(const state::retry_allowance &allowance, state::time_point now)
+{
+    if (allowance.extraPerWindow <= 0.0) {
+        return;
+    }
+    advance(allowance.window, now);
+    ++m_buckets.back().requests;
+}
+
+repeat_verdict repeat_budget::check(repeat_kind kind, const state::retry_allowance &allowance, state::time_point now)
+{
+    if (kind == repeat_kind::none || kind == repeat_kind::call || allowance.extraPerWindow <= 0.0) {
+        return {};
+    }
+    advance(allowance.window, now);
+    const double extra = extraPart(allowance, now);
+    repeat_verdict verdict;
+    const auto lastWindow = m_buckets.end() - BucketsPerWindow;
+    for (auto entry = lastWindow; entry != m_buckets.end(); ++entry) {
+        verdict.counts.requests += entry->requests;
+        verdict.counts.repeats += entry->repeats;
+        verdict.counts.reruns += entry->reruns;
+    }
+    verdict.counts.sharers = m_poolWorkers.since(now - allowance.window - SettlingTime);
+    verdict.counts.allowed = AllowanceShare * (allowance.share * static_cast<double>(verdict.counts.requests) + extra);
+    const bool rerunsLeft = static_cast<double>(verdict.counts.reruns) + 1.0 <= std::max(1.0, RerunShare * verdict.counts.allowed);
+    verdict.admitted = isWithin(allowance, extra) && (!mayHaveRun(kind) || rerunsLeft);
+    return verdict;
+}
+
+repeat_verdict repeat_budget::count(repeat_kind kind, const state::retry_allowance &allowance, state::time_point now)
+{
+    const repeat_verdict verdict = check(kind, allowance, now);
+    if (verdict.admitted && kind != repeat_kind::none && kind != repeat_kind::call && allowance.extraPerWindow > 0.0) {
+        ++m_buckets.back().repeats;
+        m_buckets.back().reruns += mayHaveRun(kind) ? 1 : 0;
+    }
+    return verdict;
+}
+
+void repeat_budget::advance(std::chrono::milliseconds window, state::time_point now)
+{
+    const state::duration length = std::chrono::duration_cast<state::duration>(window) / BucketsPerWindow;
+    const std::int64_t current = now.time_since_epoch() / length;
+    if (window != m_window) {
+        // The counts of other windows do not fit these buckets, so this worker counts as one that is served anew.
+        m_startedAt = m_window.count() == 0 ? m_startedAt : now;
+        m_window = window;
+        m_lastBucket = current;
+        m_buckets.fill({});
+    }
+    const std::int64_t steps = std::clamp<std::int64_t>(current - m_lastBucket, 0, Buckets);
+    std::rotate(m_buckets.begin(), m_buckets.begin() + steps, m_buckets.end());
+    std::fill(m_buckets.end() - steps, m_buckets.end(), bucket{});
+    m_lastBucket = std::max(m_lastBucket, current);
+    m_poolWorkers.forgetBefore(now - window - SettlingTime);
+}
+
+double repeat_budget::extraPart(const state::retry_allowance &allowance, state::time_point now)
+{
+    if (now < m_startedAt + allowance.window + SettlingTime) {
+        return 0.0;
+    }
+    const std::uint32_t workers = m_poolWorkers.since(now - allowance.window - SettlingTime);
+    return workers == 0 ? 0.0 : allowance.extraPerWindow / workers;
+}
+
+std::size_t repeat_budget::requestsBetween(std::size_t first, std::size_t end) const
+{
+    std::size_t sum = 0;
+    for (std::size_t i = first; i < std::min(end, Buckets); ++i) {
+        sum += m_buckets[i].requests;
+    }
+    return sum;
+}
+
+// Checks each window that contains the present and begins in one of the last buckets. A window covers its first bucket in part, so
+// all repeats of that bucket count, and only the requests of buckets that lie wholly within the three windows.
+bool repeat_budget::isWithin(const state::retry_allowance &allowance, double extra) const
+{
+    std::size_t repeats = 1; // the one to be admitted
+    for (std::size_t first = Buckets; first-- > BucketsPerWindow;) {
+        repeats += m_buckets[first].repeats;
+        const std::size_t inWindow = requestsBetween(first + 1, first + BucketsPerWindow);
+        const std::size_t inWindowBefore = requestsBetween(first - BucketsPerWindow + 1, first);
+        const std::size_t halfEarlier = requestsBetween(first - BucketsPerWindow / 2 + 1, first + BucketsPerWindow / 2);
+        const double requests = static_cast<double>(inWindow + inWindowBefore + halfEarlier) / 3.0;
+        if (static_cast<double>(repeats) > AllowanceShare * (allowance.share * requests + extra)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace dandelionstall::coordination
--- a/coordination/src/retry.cpp
+++ b/coordination/src/retry.cpp
@@ -6,17 +6,15 @@
 #include <pcg_random.hpp>
 
 #include <algorithm>
-#include <deque>
 
 namespace dandelionstall::coordination {
 
 namespace {
 
-constexpr std::uint32_t MaxArrivals = 4;      // attempts of one request that may reach a worker: enough when half of the workers are unhealthy
-constexpr std::uint32_t BaselineAttempts = 3; // attempts of one request under fixed_count
-constexpr std::uint32_t MaxPlacements = 12;   // attempts of one request, including refused ones
-constexpr double AllowanceShare = 0.85;       // share of a stated allowance that retries may use
-constexpr double RerunShare = 0.5; // share of a stated allowance for retries of work that may have run: they also repeat the calls of the work to other pools
+constexpr std::uint32_t MaxArrivals = 4;        // attempts of one request that may reach a worker: enough when half of the workers are unhealthy
+constexpr std::uint32_t BaselineAttempts = 3;   // attempts of one request under fixed_count
+constexpr std::uint32_t MaxPlacements = 12;     // attempts of one request, including refused ones
+constexpr std::uint32_t MaxBudgetRefusals = 3;  // sidecars that are asked for a repeat within their part of a retry allowance
 constexpr double RefusalTokensPerRequest = 0.1; // retries after refusals: refusals are a sign of load, so that retries must be few
 constexpr double FailureTokensPerRequest = 0.5; // retries after failures of one worker or path: another worker can do the work
 constexpr double TokensPerSecond = 0.5;         // refill rate that lets a node with few requests retry as well
@@ -54,14 +52,15 @@
     return !failure.answerStarted && (failure.idempotent || isProvenNotRun(failure));
 }
 
-bool hasSharedAllowance(const failed_attempt &failure)
+// A sidecar refuses a repeat when its own part of the allowance is used up; another one may have some left.
+bool mayAskForBudgetAgain(const failed_attempt &failure)
 {
-    return failure.allowance.extraPerWindow > 0.0;
+    return failure.hasAllowance && failure.refusal == refusal_reason::retry_budget_empty && failure.budgetRefusals < MaxBudgetRefusals;
 }
 
 bool hasAttemptsLeft(const failed_attempt &failure)
 {
-    const std::uint32_t arrivalLimit = hasSharedAllowance(failure) ? failure.maxArrivals : std::min(MaxArrivals, failure.maxArrivals);
+    const std::uint32_t arrivalLimit = failure.hasAllowance ? failure.maxArrivals : std::min(MaxArrivals, failure.maxArrivals);
     return failure.attempts < MaxPlacements && failure.arrivals < arrivalLimit;
 }
 
@@ -90,7 +89,8 @@
 
     retry_verdict decide(const failed_attempt &failure, state::time_point now) override
     {
-        if (!isSafe(failure) || isFinal(failure.refusal) || !hasAttemptsLeft(failure) || now >= failure.deadline) {
+        const bool refusedFinally = isFinal(failure.refusal) && !mayAskForBudgetAgain(failure);
+        if (!isSafe(failure) || refusedFinally || !hasAttemptsLeft(failure) || now >= failure.deadline) {
             return giveUp(failure, reasonOf(failure), now);
         }
         return decideSafe(failure, now);
@@ -172,63 +172,6 @@
     state::time_point m_refilledAt; // epoch before the first refill
 };
 
-// Counts the requests and retries of the last window. A retry is granted while the retries stay within the allowance,
-// which is a share of the requests plus a fixed number of extra retries.
-class window_budget
-{
-public:
-    explicit window_budget(state::time_point startedAt)
-        : m_startedAt(startedAt)
-    { }
-
-    void recordRequest(state::time_point now)
-    {
-        m_requests.push_back(now);
-        if (m_requests.size() > MaxStoredRequests) {
-            m_requests.pop_front();
-        }
-    }
-
-    // A node may use the allowed share of the requests that it has received, plus its part of the fleet's extra retries.
-    // counts: set to the figures behind the decision.
-    bool tryConsume(const state::retry_allowance &allowance, std::uint32_t nodes, bool rerun, state::time_point now, repeat_counts &counts)
-    {
-        for (std::deque<state::time_point> *times : {&m_requests, &m_retries, &m_reruns}) {
-            expireBefore(*times, now - allowance.window);
-        }
-        const bool startedInWindow = now < m_startedAt + allowance.window; // an earlier incarnation may have used the part in this window
-        const double part = startedInWindow ? 0.0 : std::max(allowance.extraPerWindow / std::max(1U, nodes), 1.0 / AllowanceShare);
-        const double allowed = allowance.share * static_cast<double>(m_requests.size()) + part;
-        counts = {m_requests.size(), m_retries.size(), m_reruns.size(), nodes, AllowanceShare * allowed};
-        if (static_cast<double>(m_retries.size()) + 1.0 > AllowanceShare * allowed) {
-            return false;
-        }
-        if (rerun && static_cast<double>(m_reruns.size()) + 1.0 > std::max(1.0, RerunShare * allowed)) {
-            return false;
-        }
-        m_retries.push_back(now);
-        if (rerun) {
-            m_reruns.push_back(now);
-        }
-        return true;
-    }
-
-private:
-    static constexpr std::size_t MaxStoredRequests = 4096;
-
-    static void expireBefore(std::deque<state::time_point> &times, state::time_point before)
-    {
-        while (!times.empty() && times.front() < before) {
-            times.pop_front();
-        }
-    }
-
-    state::time_point m_startedAt; // start of this incarnation of the node
-    std::deque<state::time_point> m_requests;
-    std::deque<state::time_point> m_retries;
-    std::deque<state::time_point> m_reruns; // those of m_retries whose work may have run
-};
-
 // A refusal by a sidecar is a sign of load. The other kinds are faults of one worker or path. That includes a refusal by
 // the worker itself, since its sidecar sends it no more work than it has slots.
 bool isRefusal(retry_reason reason)
@@ -241,14 +184,10 @@
 class budgeted final : public retry_base
 {
 public:
-    budgeted(std::uint64_t seed, state::time_point startedAt)
-        : retry_base(seed)
-        , m_sharedBudget(startedAt)
-    { }
+    using retry_base::retry_base;
 
     void recordRequest(state::time_point now) override
     {
-        m_sharedBudget.recordRequest(now);
         m_refusalTokens.recordRequest(now);
         m_failureTokens.recordRequest(now);
     }
@@ -262,41 +201,24 @@
         if (failure.refusal == refusal_reason::worker_at_risk) {
             return grantRetry(); // a refusal by a failure guard is no sign of load, and nothing was run
         }
-        if (hasSharedAllowance(failure)) {
-            return decideShared(failure, now);
+        if (failure.hasAllowance) {
+            return grantRetry();
         }
         token_bucket &bucket = isRefusal(failure.retryReason) ? m_refusalTokens : m_failureTokens;
         return bucket.tryConsume(now) ? grantRetry() : giveUp(failure, refusal_reason::retry_budget_empty, now);
     }
 
 private:
-    // Consumes the allowance only for attempts that may have reached a worker; other retries are free.
-    retry_verdict decideShared(const failed_attempt &failure, state::time_point now)
-    {
-        const bool arrived
-            = !isRefusal(failure.retryReason) && failure.retryReason != retry_reason::connect_failed && failure.retryReason != retry_reason::stream_refused;
-        if (!arrived) {
-            return grantRetry();
-        }
-        const bool rerun = failure.run != run_state::not_run;
-        repeat_counts counts;
-        const bool granted = m_sharedBudget.tryConsume(failure.allowance, failure.nodes, rerun, now, counts);
-        retry_verdict verdict = granted ? grantRetry() : giveUp(failure, refusal_reason::retry_budget_empty, now);
-        verdict.counts = counts;
-        return verdict;
-    }
-
-    window_budget m_sharedBudget;
     token_bucket m_refusalTokens{RefusalTokensPerRequest, MaxRefusalTokens};
     token_bucket m_failureTokens{FailureTokensPerRequest, MaxFailureTokens};
 };
 
 } // namespace
 
-absl::StatusOr<std::unique_ptr<retry_policy>> makeRetryPolicy(std::string_view name, std::uint64_t seed, state::time_point startedAt)
+absl::StatusOr<std::unique_ptr<retry_policy>> makeRetryPolicy(std::string_view name, std::uint64_t seed)
 {
     if (name == "budgeted") {
-        return std::make_unique<budgeted>(seed, startedAt);
+        return std::make_unique<budgeted>(seed);
     }
     if (name == "fixed_count") {
         return std::make_unique<fixed_count>(seed);
--- a/coordination/tests/test_retry.cpp
+++ b/coordination/tests/test_retry.cpp
@@ -144,11 +144,11 @@
     cr_assert(policy->decide(makeRefused(), Start).retry);
 }
 
-// ---- Retry allowance shared by all nodes ----
+// ---- Pools with a retry allowance, which their sidecars keep ----
 
 namespace {
 
-failed_attempt makeShedAttempt(std::uint32_t nodes, state::time_point now)
+failed_attempt makeShedAttempt(state::time_point now)
 {
     failed_attempt failure;
     failure.retryReason = retry_reason::worker_refused;
@@ -156,78 +156,45 @@
     failure.run = run_state::not_run;
     failure.arrivals = 1;
     failure.maxArrivals = 4;
-    failure.allowance = {0.2, 56.0, std::chrono::seconds(10)};
-    failure.nodes = nodes;
+    failure.hasAllowance = true;
     failure.deadline = now + std::chrono::seconds(2);
     return failure;
 }
 
-} // namespace
-
-// Nodes receive different parts of the load and count the nodes of the fleet slightly differently. All nodes together stay
-// within the allowance, also while nodes restart continually, as in a rolling replacement of all nodes.
-Test(retry_allowance, holds_for_the_whole_fleet_in_every_window)
+failed_attempt makeBudgetRefusal(std::uint32_t refusals, state::time_point now)
 {
-    constexpr std::uint32_t RestartGap = 25; // requests between two restarts, on average
-    cr_assert(rc::check("retries in any window stay within share and extra", [] {
-        const auto nodes = *rc::gen::inRange<std::uint32_t>(3, 40);
-        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
-        pcg32 random(seed);
-        std::vector<std::unique_ptr<retry_policy>> policies;
-        std::vector<std::uint32_t> countedNodes;
-        for (std::uint32_t i = 0; i < nodes; ++i) {
-            policies.push_back(*makeRetryPolicy("budgeted", seed + i));
-            countedNodes.push_back(nodes - random(std::max(1U, nodes / 8)));
-        }
-        const state::time_point start = state::time_point{} + std::chrono::hours(1);
-        std::vector<state::time_point> requests;
-        std::vector<state::time_point> retries;
-        for (state::time_point now = start; now < start + std::chrono::seconds(30); now += std::chrono::milliseconds(12)) {
-            const std::uint32_t node = std::min(random(nodes), random(nodes)); // uneven distribution: nodes with low indices get more requests
-            if (random(RestartGap) == 0) {
-                const std::uint32_t restarted = random(nodes);
-                policies[restarted] = *makeRetryPolicy("budgeted", random(), now);
-            }
-            policies[node]->recordRequest(now);
-            requests.push_back(now);
-            if (random(2) == 0 && policies[node]->decide(makeShedAttempt(countedNodes[node], now), now).retry) {
-                retries.push_back(now);
-            }
-        }
-        const auto within = [](const std::vector<state::time_point> &times, state::time_point from) {
-            return static_cast<double>(
-                std::count_if(times.begin(), times.end(), [from](state::time_point at) { return at >= from && at < from + std::chrono::seconds(10); }));
-        };
-        for (state::time_point from = start; from < start + std::chrono::seconds(20); from += std::chrono::seconds(1)) {
-            RC_ASSERT(within(retries, from) <= 0.2 * within(requests, from) + 56.0);
-        }
-    }));
+    failed_attempt failure = makeShedAttempt(now);
+    failure.retryReason = retry_reason::refused;
+    failure.refusal = refusal_reason::retry_budget_empty;
+    failure.budgetRefusals = refusals;
+    return failure;
 }
 
-Test(retry_allowance, is_consumed_only_by_attempts_that_may_have_reached_a_worker)
-{
-    const state::time_point now = state::time_point{} + std::chrono::hours(1);
-    auto policy = *makeRetryPolicy("budgeted", 1);
-    failed_attempt guardRefused = makeShedAttempt(1000, now);
-    guardRefused.retryReason = retry_reason::refused;
-    guardRefused.refusal = refusal_reason::worker_at_risk;
-    guardRefused.arrivals = 0;
-    for (int i = 0; i < 200; ++i) {
-        cr_assert(policy->decide(guardRefused, now).retry);
-    }
-    int granted = 0;
-    for (int i = 0; i < 200; ++i) {
-        granted += policy->decide(makeShedAttempt(1000, now), now).retry ? 1 : 0;
-    }
-    cr_assert(granted <= 2);
-}
+} // namespace
 
 Test(retry_allowance, denies_retries_after_the_maximum_arrivals_of_the_route)
 {
     const state::time_point now = state::time_point{} + std::chrono::hours(1);
     auto policy = *makeRetryPolicy("budgeted", 1);
-    failed_attempt failure = makeShedAttempt(1, now);
+    failed_attempt failure = makeShedAttempt(now);
     failure.arrivals = 2;
     failure.maxArrivals = 2;
     cr_assert(not(policy->decide(failure, now).retry));
 }
+
+// One sidecar has used up its part of the allowance, others may have some left. Asking all of a large pool would load it at the
+// worst time.
+Test(retry_allowance, a_few_sidecars_are_asked_for_a_repeat)
+{
+    for (const std::string_view name : {"fixed_count", "budgeted"}) {
+        auto policy = makePolicy(name);
+        cr_assert(policy->decide(makeBudgetRefusal(1, Start), Start).retry);
+        cr_assert(policy->decide(makeBudgetRefusal(2, Start), Start).retry);
+        const retry_verdict verdict = policy->decide(makeBudgetRefusal(3, Start), Start);
+        cr_assert(not(verdict.retry));
+        cr_assert(verdict.refusal == refusal_reason::retry_budget_empty);
+    }
+    failed_attempt withoutAllowance = makeBudgetRefusal(1, Start);
+    withoutAllowance.hasAllowance = false;
+    cr_assert(not(makePolicy("budgeted")->decide(withoutAllowance, Start).retry));
+}
--- a/programs/dandelionstall/control.cpp
+++ b/programs/dandelionstall/control.cpp
@@ -125,7 +125,6 @@
     next->pools = m_gossipNode.pools();
     next->workersDiscovered = m_workersRead || !m_gossipNode.workers().isEmpty();
     next->poolViews = m_tracker.views();
-    next->liveNodeCount = static_cast<std::uint32_t>(m_gossipNode.members().countLive());
     next->selfIncarnation = m_gossipNode.members().self().incarnation;
     next->leaving = m_gossipNode.members().isLeaving();
     {
--- a/programs/dandelionstall/ingress.cpp
+++ b/programs/dandelionstall/ingress.cpp
@@ -218,8 +218,8 @@
 {
     std::unique_ptr<coordination::retry_policy> &entry = m_retryPolicies[view.name + "/" + view.retry];
     if (!entry) {
-        auto created = coordination::makeRetryPolicy(view.retry, m_random(), m_startedAt);
-        entry = created.ok() ? *std::move(created) : *coordination::makeRetryPolicy("budgeted", m_random(), m_startedAt);
+        auto created = coordination::makeRetryPolicy(view.retry, m_random());
+        entry = created.ok() ? *std::move(created) : *coordination::makeRetryPolicy("budgeted", m_random());
     }
     return *entry;
 }
--- a/programs/dandelionstall/ingress.h
+++ b/programs/dandelionstall/ingress.h
@@ -91,7 +91,6 @@
     ingress_events m_events;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_sweepTimer;
-    state::time_point m_startedAt = state::clock::now();
     pcg64 m_random;
     std::uint64_t m_attemptOrigin;
     std::uint64_t m_attemptSequence = 0;
--- a/programs/dandelionstall/request_attempt.cpp
+++ b/programs/dandelionstall/request_attempt.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <charconv>
 #include <optional>
+#include <utility>
 
 namespace dandelionstall {
 
@@ -22,8 +23,10 @@
 
 namespace {
 
-constexpr std::size_t MaxBufferedAnswerBytes = 1'048'576; // answers up to this size are verified before any byte is sent to the caller
-constexpr std::size_t BodyFrameBytes = 131'072;           // maximum payload of one body frame
+constexpr std::size_t MaxBufferedAnswerBytes = 1'048'576;        // answers up to this size are verified before any byte is sent to the caller
+constexpr std::size_t BodyFrameBytes = 131'072;                  // maximum payload of one body frame
+constexpr std::size_t MaxFailedAnswerBytes = 65'536;             // a longer answer with an error is not kept
+constexpr auto FailedAnswerTime = std::chrono::milliseconds(50); // time to receive the rest of an answer with an error before the next attempt
 
 bool isServerError(std::uint32_t status)
 {
@@ -90,6 +93,7 @@
     head.organisationRate = m_route->organisationRate;
     head.bodyBytes = m_request.body.size();
     head.acceptedRisk = acceptedRisk();
+    head.firstSent = !std::exchange(m_sent, true);
     head.repeat = coordination::repeatKindOf(m_arrivals, m_runState, m_isCallOfRepeat);
     return head;
 }
@@ -114,9 +118,7 @@
     sent.id = head.id;
     m_lastAttemptId = state::formatAttemptId(head.id);
     logPlaced(worker, head.id);
-    if (head.repeat == coordination::repeat_kind::call) {
-        logRepeat(head.repeat, true, {});
-    }
+    sent.worker = worker.id;
     sent.node = worker.node;
     sent.contactedNode = worker.node;
     sent.link = *link;
@@ -218,16 +220,42 @@
         ++outcome.failure.arrivals; // includes the current attempt
         const auto view = m_ingress.viewOf(*m_pool);
         const bool hasAlternatives = m_triedWorkers.size() + 1 < view->workers.size();
-        if (hasAlternatives && decideRetry(m_ingress.retryOf(*view), outcome.failure).retry) {
+        if (hasAlternatives && m_ingress.retryOf(*view).decide(outcome.failure, state::clock::now()).retry) {
             outcome.retryGranted = true;
-            sent.link->session->reset(sent.stream);
-            co_return outcome;
+            sent.answer.head = *std::move(head);
+            co_return co_await keepFailedAnswer(sent, std::move(outcome));
         }
     }
     sent.answer.head = *std::move(head);
     co_return std::nullopt;
 }
 
+// Receives the rest of an answer with an error, so that the caller gets it when no further attempt is answered.
+asio::awaitable<attempt_outcome> request_handler::keepFailedAnswer(sent_attempt &sent, attempt_outcome outcome)
+{
+    answer_state &answer = sent.answer;
+    const state::time_point until = state::clock::now() + FailedAnswerTime;
+    while (true) {
+        const read_event event = co_await m_reader->next(until);
+        const std::string_view payload = event.frame.payload;
+        if (event.kind == read_kind::frame && event.frame.type == frame_type::body && answer.buffered.size() + payload.size() <= MaxFailedAnswerBytes) {
+            XXH3_64bits_update(answer.digest, payload.data(), payload.size());
+            answer.bodyBytes += payload.size();
+            answer.buffered.append(payload);
+            continue;
+        }
+        if (event.kind == read_kind::frame && event.frame.type == frame_type::answer_end) {
+            const auto end = protocol::decodeAnswerEnd(event.frame.payload);
+            if (end.ok() && isWhole(sent, *end)) {
+                m_failedAnswer = failed_answer{answer.head.status, std::move(answer.head.headers), std::move(answer.buffered), sent.worker};
+            }
+            co_return outcome;
+        }
+        sent.link->session->reset(sent.stream);
+        co_return event.kind == read_kind::cancelled ? attempt_outcome{attempt_end::caller_disconnected, {}, {}, -1.0, false} : outcome;
+    }
+}
+
 asio::awaitable<bool> request_handler::handleAnswerBody(sent_attempt &sent, std::string_view bytes)
 {
     answer_state &answer = sent.answer;
@@ -262,9 +290,9 @@
     co_return true;
 }
 
-asio::awaitable<attempt_outcome> request_handler::handleAnswerEnd(sent_attempt &sent, const protocol::answer_end &end)
+bool request_handler::isWhole(const sent_attempt &sent, const protocol::answer_end &end) const
 {
-    answer_state &answer = sent.answer;
+    const answer_state &answer = sent.answer;
     const bool intact = end.id == sent.id && end.bodyBytes == answer.bodyBytes && end.digest == XXH3_64bits_digest(answer.digest);
     std::uint64_t expectedBytes = answer.bodyBytes;
     const std::string_view length = protocol::findHeader(answer.head.headers, "Content-Length");
@@ -272,7 +300,13 @@
     if (!length.empty() && !bodiless) {
         std::from_chars(length.begin(), length.end(), expectedBytes);
     }
-    if (!intact || expectedBytes != answer.bodyBytes) {
+    return intact && expectedBytes == answer.bodyBytes;
+}
+
+asio::awaitable<attempt_outcome> request_handler::handleAnswerEnd(sent_attempt &sent, const protocol::answer_end &end)
+{
+    answer_state &answer = sent.answer;
+    if (!isWhole(sent, end)) {
         m_ingress.metrics().incrementCounter("answers_not_whole");
         co_return abortAnswer(sent);
     }
--- a/programs/dandelionstall/request_handler.cpp
+++ b/programs/dandelionstall/request_handler.cpp
@@ -227,16 +227,6 @@
     return best;
 }
 
-coordination::retry_verdict request_handler::decideRetry(coordination::retry_policy &policy, const coordination::failed_attempt &failure)
-{
-    const coordination::retry_verdict verdict = policy.decide(failure, state::clock::now());
-    if (verdict.counts) {
-        const run_state run = coordination::combineRunStates(m_runState, failure.run);
-        logRepeat(coordination::repeatKindOf(failure.arrivals, run, m_isCallOfRepeat), verdict.retry, *verdict.counts);
-    }
-    return verdict;
-}
-
 asio::awaitable<bool> request_handler::runAttempts()
 {
     auto view = m_ingress.viewOf(*m_pool);
@@ -263,11 +253,12 @@
         attempt_outcome outcome = co_await sendAttempt(worker);
         --m_ingress.inFlight(worker.id);
         if (outcome.end != attempt_end::failed) {
-            logEnded(outcome.end, worker);
+            logEnded(outcome.end, worker.id);
             co_return outcome.end == attempt_end::delivered;
         }
         m_arrivals += mayHaveReachedWorker(outcome.failure) ? 1 : 0;
         outcome.failure.arrivals = m_arrivals;
+        m_budgetRefusals = outcome.failure.budgetRefusals;
         lastFailure = outcome.failure;
         if (lastFailure.refusal == refusal_reason::worker_unreachable) {
             m_ingress.recordUnreachable(worker.id);
@@ -284,7 +275,7 @@
             co_return co_await refuse(lastFailure.refusal, m_runState, std::max(lastFailure.retryAt, state::clock::now() + OutcomeRetryAfter));
         }
         if (!outcome.retryGranted) {
-            const coordination::retry_verdict verdict = decideRetry(retry, lastFailure);
+            const coordination::retry_verdict verdict = retry.decide(lastFailure, state::clock::now());
             if (!verdict.retry) {
                 logAttemptFailed(worker, lastFailure);
                 co_return co_await refuse(verdict.refusal, m_runState, verdict.retryAt);
@@ -299,12 +290,24 @@
 
 // [SECTION] Refusals
 
+asio::awaitable<bool> request_handler::sendFailedAnswer()
+{
+    m_answerStatus = m_failedAnswer->status;
+    const bool sent = co_await m_connection.sendAnswer(m_answerStatus, m_failedAnswer->headers, std::move(m_failedAnswer->body));
+    m_ingress.metrics().countRequest(m_route->name, m_answerStatus);
+    logEnded(sent ? attempt_end::delivered : attempt_end::caller_disconnected, m_failedAnswer->worker);
+    co_return sent;
+}
+
 asio::awaitable<bool> request_handler::refuse(refusal_reason reason, run_state run, state::time_point retryAt)
 {
     if (m_callerDisconnected) {
         logEvent(event::request_gone, {{"request", requestId()}, {"route", m_route != nullptr ? m_route->name : ""}, {"attempts", std::to_string(m_attempts)}});
         co_return false;
     }
+    if (m_failedAnswer) {
+        co_return co_await sendFailedAnswer();
+    }
     const state::time_point now = state::clock::now();
     protocol::caller_refusal refusal;
     refusal.reason = reason == refusal_reason::none ? refusal_reason::unknown_outcome : reason;
--- a/programs/dandelionstall/request_handler.h
+++ b/programs/dandelionstall/request_handler.h
@@ -36,6 +36,14 @@
     bool retryGranted = false;             // the retry policy has already granted a retry
 };
 
+// A worker's whole answer with an error, which another attempt was to replace.
+struct failed_answer {
+    std::uint32_t status = 0;
+    protocol::http_headers headers;
+    std::string body;
+    std::string worker; // id of the worker that gave it
+};
+
 class request_handler
 {
 public:
@@ -50,22 +58,21 @@
     boost::asio::awaitable<bool> routeRequest();
     boost::asio::awaitable<bool> runAttempts();
     boost::asio::awaitable<bool> issueTicket();
+    boost::asio::awaitable<bool> sendFailedAnswer(); // sends m_failedAnswer to the caller
     boost::asio::awaitable<bool> refuse(coordination::refusal_reason reason, coordination::run_state run, state::time_point retryAt);
 
     // request_log.cpp
     std::string requestId() const; // request id sent by the caller, else the id of the latest attempt
     void logPlaced(const coordination::worker_view &worker, const state::attempt_id &id) const;
     void logAttemptFailed(const coordination::worker_view &worker, const coordination::failed_attempt &failure) const;
-    void logEnded(attempt_end end, const coordination::worker_view &worker) const;
+    void logEnded(attempt_end end, const std::string &worker) const;
     void logRefused(const protocol::caller_refusal &refusal) const;
-    void logRepeat(coordination::repeat_kind kind, bool granted, const coordination::repeat_counts &counts) const; // also counts it
 
     absl::Status findRoute(std::string_view path, std::string_view method); // sets m_route and m_pool
     coordination::refusal_reason readTicket();
     double acceptedRisk() const;                                       // risk of a worker that the next attempt accepts
     std::size_t chooseLeastRisky(const coordination::pool_view &view); // among workers whose guard refused the request; sets m_overridesGuard
     std::size_t chooseWorker(const coordination::pool_view &view, const std::string &preferred);
-    coordination::retry_verdict decideRetry(coordination::retry_policy &policy, const coordination::failed_attempt &failure); // asks the policy and logs
     protocol::http_headers forwardedHeaders() const;
     protocol::attempt_head makeAttemptHead(const coordination::worker_view &worker, const peer_link &link);
 
@@ -74,6 +81,8 @@
     boost::asio::awaitable<attempt_outcome> recoverOutcome(sent_attempt &sent); // queries the outcome over another connection
     std::optional<state::node_address> chooseRelay(const sent_attempt &sent);
     boost::asio::awaitable<std::optional<attempt_outcome>> handleAnswerHead(sent_attempt &sent, const protocol::frame &frame);
+    boost::asio::awaitable<attempt_outcome> keepFailedAnswer(sent_attempt &sent, attempt_outcome outcome);
+    bool isWhole(const sent_attempt &sent, const protocol::answer_end &end) const; // the received answer has the stated length and digest
     boost::asio::awaitable<bool> handleAnswerBody(sent_attempt &sent, std::string_view bytes);
     boost::asio::awaitable<attempt_outcome> handleAnswerEnd(sent_attempt &sent, const protocol::answer_end &end);
     attempt_outcome makeRefusalOutcome(const sent_attempt &sent, const protocol::answer_head &head);
@@ -95,8 +104,11 @@
     bool m_overridesGuard = false;                                         // the next attempt accepts any risk, so that the worker's guard does not refuse it
     std::string m_lastAttemptId;                                           // id of the latest attempt, for logs
     std::uint32_t m_answerStatus = 0;                                      // HTTP status of the answer; 0 before it is sent
+    std::optional<failed_answer> m_failedAnswer;                           // sent to the caller when no further attempt is answered
     std::uint32_t m_attempts = 0;                                          // number of attempts made
     std::uint32_t m_arrivals = 0;                                          // number of attempts that may have reached a worker
+    std::uint32_t m_budgetRefusals = 0;                                    // number of attempts refused because of the retry allowance
+    bool m_sent = false;                                                   // an attempt was sent to a sidecar
     bool m_isCallOfRepeat = false;                                         // may be a call that a local worker makes during a repeated run
     coordination::run_state m_runState = coordination::run_state::not_run; // run state of the request, combined over all its attempts
     std::shared_ptr<stream_reader> m_reader;                               // stream of the current attempt; null before the first one
--- a/programs/dandelionstall/request_log.cpp
+++ b/programs/dandelionstall/request_log.cpp
@@ -62,22 +62,7 @@
               {"waited_ms", fmt::to_string(millisSince(m_request.arrivedAt))}});
 }
 
-void request_handler::logRepeat(coordination::repeat_kind kind, bool granted, const coordination::repeat_counts &counts) const
-{
-    const std::string name(coordination::repeatName(kind));
-    m_ingress.metrics().incrementCounter((granted ? "repeats_counted_" : "repeats_denied_") + name);
-    logEvent(granted ? event::repeat_counted : event::repeat_denied,
-             {{"request", requestId()},
-              {"pool", m_pool->name},
-              {"kind", name},
-              {"requests", fmt::to_string(counts.requests)},
-              {"repeats", fmt::to_string(counts.repeats)},
-              {"reruns", fmt::to_string(counts.reruns)},
-              {"sharers", fmt::to_string(counts.sharers)},
-              {"allowed", fmt::format("{:.2f}", counts.allowed)}});
-}
-
-void request_handler::logEnded(attempt_end end, const coordination::worker_view &worker) const
+void request_handler::logEnded(attempt_end end, const std::string &worker) const
 {
     event id = event::request_answered;
     if (end != attempt_end::delivered) {
@@ -87,7 +72,7 @@
              {{"request", requestId()},
               {"route", m_route->name},
               {"status", fmt::to_string(m_answerStatus)},
-              {"worker", worker.id},
+              {"worker", worker},
               {"attempts", fmt::to_string(m_attempts)},
               {"waited_ms", fmt::to_string(millisSince(m_request.arrivedAt))}});
 }
--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -75,6 +75,7 @@
     served_worker &entry = m_workers[worker.id];
     entry.settings = worker;
     entry.outcomeTracker = coordination::makeWorkerOutcomeTracker();
+    entry.repeatBudget = std::make_unique<coordination::repeat_budget>(state::clock::now());
     entry.client = std::make_unique<transport::worker_client>(worker.address, m_settings.headers);
     entry.guardName = "off";
     entry.guard = *coordination::makeFailureGuard(entry.guardName);
@@ -228,6 +229,8 @@
     if (pool == nullptr) {
         return;
     }
+    worker.retryAllowance = pool->retryAllowance;
+    worker.repeatBudget->recordWorkers(static_cast<std::uint32_t>(pool->workers.size()), state::clock::now());
     const auto row = std::find_if(pool->workers.begin(), pool->workers.end(), [&](const state::pool_worker &entry) { return entry.id == worker.settings.id; });
     const std::uint32_t slots = row != pool->workers.end() && row->slots != 0 ? row->slots : pool->slots;
     if (worker.guardName != pool->guard) {
--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar.h
@@ -14,6 +14,7 @@
 #include <dandelionstall/coordination/failure_guard.h>
 #include <dandelionstall/coordination/fleet_snapshot.h>
 #include <dandelionstall/coordination/limits.h>
+#include <dandelionstall/coordination/repeat_budget.h>
 #include <dandelionstall/coordination/worker_outcome_tracker.h>
 #include <dandelionstall/state/attempts.h>
 #include <dandelionstall/state/settings.h>
@@ -57,6 +58,8 @@
     std::unique_ptr<coordination::worker_outcome_tracker> outcomeTracker; // observes the outcomes of attempts and probes
     std::string guardName;                                                // failure guard in use
     std::unique_ptr<coordination::failure_guard> guard;                   // withholds work while the worker is failing
+    state::retry_allowance retryAllowance;                                // of the worker's pool
+    std::unique_ptr<coordination::repeat_budget> repeatBudget;            // the worker's part of the retry allowance
     std::unique_ptr<transport::worker_client> client;                     // connections to the worker
     std::shared_ptr<boost::asio::steady_timer> admissionTimer;            // expires at the time of the next call of admission->advance()
     bool draining = false;                                                // the worker accepts no new work
@@ -114,8 +117,11 @@
     void applyActions(served_worker &worker, const coordination::admission_actions &actions);
     void scheduleAdvance(served_worker &worker); // sets admissionTimer to the time of the next call of advance()
     bool guardAdmits(const served_worker &worker, const protocol::attempt_head &head, state::time_point now) const;
+    bool repeatHasRoom(served_worker &worker, const protocol::attempt_head &head, state::time_point now); // decides without counting the repeat
+    bool countRepeat(served_worker &worker, const protocol::attempt_head &head, state::time_point now);   // false when the repeat is denied
     void refuseRiskyQueuedAttempts(served_worker &worker); // refuses queued attempts that the guard no longer admits
     void startAttempt(served_worker &worker, const state::attempt_id &id);
+    coordination::refusal_reason beginRun(served_worker &worker, const local_attempt &attempt, state::time_point now);
     boost::asio::awaitable<void> runAttempt(served_worker &worker, state::attempt_id id);
     void
     finishAttempt(served_worker &worker, const state::attempt_id &id, const transport::worker_result &result, answer_sink &sink, state::time_point startedAt);
@@ -134,6 +140,7 @@
     protocol::answer_head makeAnswerHead(const state::attempt_id &id, std::string_view worker) const;
     coordination::worker_report makeReport(const served_worker &worker, state::time_point now) const;
     void publishReports();
+    void logRepeat(const protocol::attempt_head &head, const coordination::repeat_verdict &verdict);
     void logSuspicionChange(served_worker &worker, state::time_point now);
 
     boost::asio::io_context &m_io;
--- a/programs/dandelionstall/sidecar_attempts.cpp
+++ b/programs/dandelionstall/sidecar_attempts.cpp
@@ -114,6 +114,9 @@
 {
     const state::time_point now = state::clock::now();
     const protocol::attempt_head &head = stream->head();
+    if (served_worker *worker = findWorker(head.worker); worker != nullptr && head.firstSent && head.repeat == coordination::repeat_kind::none) {
+        worker->repeatBudget->recordRequest(worker->retryAllowance, now);
+    }
     const refusal_reason reason = checkAttempt(head, now);
     if (reason != refusal_reason::none) {
         const bool otherIncarnation = reason == refusal_reason::stale_incarnation && !head.ticket.empty();
@@ -127,6 +130,10 @@
         sendRefusal(stream->writer(), head, refusal_reason::worker_at_risk, run_state::not_run);
         return;
     }
+    if (!repeatHasRoom(*findWorker(head.worker), head, now)) {
+        sendRefusal(stream->writer(), head, refusal_reason::retry_budget_empty, run_state::not_run);
+        return;
+    }
     const bool tracked = !head.idempotent || !head.ticket.empty();
     if (tracked && !beginRecord(stream, now)) {
         return;
@@ -265,6 +272,24 @@
     return worker.guard->admits(guardedItemOf(head), now);
 }
 
+bool sidecar::repeatHasRoom(served_worker &worker, const protocol::attempt_head &head, state::time_point now)
+{
+    const coordination::repeat_verdict verdict = worker.repeatBudget->check(head.repeat, worker.retryAllowance, now);
+    if (!verdict.admitted) {
+        logRepeat(head, verdict);
+    }
+    return verdict.admitted;
+}
+
+bool sidecar::countRepeat(served_worker &worker, const protocol::attempt_head &head, state::time_point now)
+{
+    const coordination::repeat_verdict verdict = worker.repeatBudget->count(head.repeat, worker.retryAllowance, now);
+    if (head.repeat != coordination::repeat_kind::none) {
+        logRepeat(head, verdict);
+    }
+    return verdict.admitted;
+}
+
 void sidecar::refuseRiskyQueuedAttempts(served_worker &worker)
 {
     const state::time_point now = state::clock::now();
@@ -299,6 +324,23 @@
     });
 }
 
+// Checks again what may have changed while the attempt was queued. When there is no reason to refuse it, counts the repeat and
+// records the start.
+refusal_reason sidecar::beginRun(served_worker &worker, const local_attempt &attempt, state::time_point now)
+{
+    const protocol::attempt_head &head = attempt.stream->head();
+    if (!guardAdmits(worker, head, now)) {
+        return refusal_reason::worker_at_risk;
+    }
+    if (head.deadline <= now) { // a process pause may have followed the admission decision
+        return refusal_reason::expired_in_queue;
+    }
+    if (!countRepeat(worker, head, now)) {
+        return refusal_reason::retry_budget_empty;
+    }
+    return attempt.tracked && !m_registry.start(head.id) ? refusal_reason::expired_in_queue : refusal_reason::none;
+}
+
 void sidecar::startAttempt(served_worker &worker, const state::attempt_id &id)
 {
     const auto found = m_attempts.find(id);
@@ -309,14 +351,8 @@
     }
     local_attempt &attempt = found->second;
     const protocol::attempt_head &head = attempt.stream->head();
-    if (!guardAdmits(worker, head, now)) { // the worker became suspected while the attempt was queued
-        refuseAttempt(id, refusal_reason::worker_at_risk, run_state::not_run, now);
-        applyActions(worker, worker.admission->finish(id, work_result::abandoned, now));
-        return;
-    }
-    const bool pastDeadline = attempt.stream->head().deadline <= now; // a process pause may have followed the admission decision
-    if (pastDeadline || (attempt.tracked && !m_registry.start(id))) {
-        refuseAttempt(id, refusal_reason::expired_in_queue, run_state::not_run, now);
+    if (const refusal_reason reason = beginRun(worker, attempt, now); reason != refusal_reason::none) {
+        refuseAttempt(id, reason, run_state::not_run, now);
         applyActions(worker, worker.admission->finish(id, work_result::abandoned, now));
         return;
     }
--- a/programs/dandelionstall/sidecar_outcomes.cpp
+++ b/programs/dandelionstall/sidecar_outcomes.cpp
@@ -100,6 +100,24 @@
               {"risk", fmt::format("{:.2f}", risk)}});
 }
 
+void sidecar::logRepeat(const protocol::attempt_head &head, const coordination::repeat_verdict &verdict)
+{
+    const std::string kind(coordination::repeatName(head.repeat));
+    const coordination::repeat_counts &counts = verdict.counts;
+    m_metrics.incrementCounter((verdict.admitted ? "repeats_counted_" : "repeats_denied_") + kind);
+    logEvent(verdict.admitted ? event::repeat_counted : event::repeat_denied,
+             {{"request", requestId(head)},
+              {"attempt", state::formatAttemptId(head.id)},
+              {"pool", head.pool},
+              {"worker", head.worker},
+              {"kind", kind},
+              {"requests", fmt::to_string(counts.requests)},
+              {"repeats", fmt::to_string(counts.repeats)},
+              {"reruns", fmt::to_string(counts.reruns)},
+              {"workers", fmt::to_string(counts.sharers)},
+              {"allowed", fmt::format("{:.2f}", counts.allowed)}});
+}
+
 void sidecar::refuseAttempt(const state::attempt_id &id, refusal_reason reason, run_state run, state::time_point retryAt)
 {
     const auto found = m_attempts.find(id);
--- a/protocol/include/dandelionstall/protocol/messages.h
+++ b/protocol/include/dandelionstall/protocol/messages.h
@@ -57,6 +57,7 @@
     double organisationRate = 0.0;                         // requests per second that the organisation may send to the whole fleet; 0 is unlimited
     std::uint64_t bodyBytes = 0;                           // length of the following body, in bytes
     coordination::repeat_kind repeat = coordination::repeat_kind::none; // whether the attempt is a repeat if it reaches the worker
+    bool firstSent = false;                                             // no attempt of the request was sent before
 };
 
 // Outcome of an attempt. The body of the worker's answer follows when the status is not zero.
--- a/protocol/src/messages.cpp
+++ b/protocol/src/messages.cpp
@@ -96,6 +96,7 @@
         out.set_target_at_us(toMicros(message.targetAt));
     }
     out.set_repeat(std::string(coordination::repeatName(message.repeat)));
+    out.set_first_sent(message.firstSent);
     return out.SerializeAsString();
 }
 
@@ -192,6 +193,7 @@
     message.acceptedRisk = in->accepted_risk();
     message.targetAt = in->has_target_at_us() ? fromMicros(in->target_at_us()) : state::time_point::max();
     message.repeat = coordination::parseRepeatKind(in->repeat());
+    message.firstSent = in->first_sent();
     return message;
 }
 
--- a/protocol/tests/test_messages.cpp
+++ b/protocol/tests/test_messages.cpp
@@ -40,6 +40,7 @@
         head.ticket = anyText();
         head.bodyBytes = *rc::gen::inRange<std::uint64_t>(0, 1'000'000);
         head.repeat = *rc::gen::element(coordination::repeat_kind::none, coordination::repeat_kind::rerun, coordination::repeat_kind::call);
+        head.firstSent = *rc::gen::arbitrary<bool>();
         const auto parsed = decodeAttemptHead(encode(head));
         RC_ASSERT(parsed.ok());
         RC_ASSERT(parsed->id == head.id);
@@ -50,6 +51,7 @@
         RC_ASSERT(parsed->ticket == head.ticket);
         RC_ASSERT(parsed->bodyBytes == head.bodyBytes);
         RC_ASSERT(parsed->repeat == head.repeat);
+        RC_ASSERT(parsed->firstSent == head.firstSent);
     }));
 }
 
--- a/state/include/dandelionstall/state/tables.h
+++ b/state/include/dandelionstall/state/tables.h
@@ -92,11 +92,12 @@
     friend bool operator==(const pool_worker &, const pool_worker &) = default;
 };
 
-// Limit of the retries in one pool over all nodes. In any window, the number of retries is at most a share of the pool's
-// requests in this window plus a fixed number.
+// Limit of the repeats at the workers of one pool, see coordination/repeats.h and coordination/repeat_budget.h. In any window, their
+// number is at most a share of the pool's requests plus a fixed number. The requests are those of this window, of the one before
+// it or of the one that begins half a window earlier, whichever has most.
 struct retry_allowance {
-    double share = 0.5;                      // retries allowed per request, 0..1
-    double extraPerWindow = 0.0;             // additional retries in each window; 0 keeps the value of the retry policy
+    double share = 0.5;                      // repeats allowed per request, 0..1
+    double extraPerWindow = 0.0;             // additional repeats in each window; 0: there is no such limit
     std::chrono::milliseconds window{10000}; // length of the window, from 100 ms to 1 h
 
     friend bool operator==(const retry_allowance &, const retry_allowance &) = default;
--- a/tests/integration/test_promise_retry_allowance.cpp
+++ b/tests/integration/test_promise_retry_allowance.cpp
@@ -80,3 +80,24 @@
 {
     expectCallsWithinAllowance(false);
 }
+
+// The ingress learns from the sidecars that no repeat is left after a worker has answered with an error. The caller gets that answer
+// and not one made up by the node.
+Test(retry_allowance, a_denied_repeat_leaves_the_caller_the_failed_answer_of_the_worker)
+{
+    constexpr int Requests = 20;
+    fleet_plan plan = threeDataCentres();
+    plan.pools.front().settings.merge(std::map<std::string, std::string>{{"retry_share", "0"}, {"retry_extra", "0.5"}, {"guard", "off"}});
+    fleet fleet(plan);
+    fleet.start();
+    for (const char *worker : {"kiambu-0", "kiambu-1", "thika-0", "thika-1", "ruiru-0", "ruiru-1"}) {
+        fleet.setFault(worker, "fail=1");
+    }
+    const std::size_t runsBefore = fleet.runCount();
+    for (int i = 0; i < Requests; ++i) {
+        const http_outcome outcome = getHttp(fleet.node(0).callers, "/lookup");
+        cr_assert_eq(outcome.status, 500, "status %u: %s", outcome.status, outcome.body.c_str());
+        cr_assert(outcome.body.starts_with("failed "), "body: %s", outcome.body.c_str());
+    }
+    cr_assert_eq(fleet.runCount() - runsBefore, static_cast<std::size_t>(Requests), "%zu runs of %d requests", fleet.runCount() - runsBefore, Requests);
+}
