Count the calls of repeated runs against the allowance of the pool that is called

Cause: a run that is a repeat makes its calls again. They are first attempts for the node that sends them, so no budget counted them; RerunShare bounded them by the calling pool's allowance, which may be a multiple of the called one's. Change: a repeat of the kind call uses the budget of the worker that it reaches, like any other. Since every arrival passes a sidecar and says what it is, the bound of repeat_budget.h holds whatever a run calls.

--- a/coordination/src/repeat_budget.cpp
+++ b/coordination/src/repeat_budget.cpp
@@ -37,7 +37,7 @@
 
 repeat_verdict repeat_budget::check(repeat_kind kind, const state::retry_allowance &allowance, state::time_point now)
 {
-    if (kind == repeat_kind::none || kind == repeat_kind::call || allowance.extraPerWindow <= 0.0) {
+    if (kind == repeat_kind::none || allowance.extraPerWindow <= 0.0) {
         return {};
     }
     advance(allowance.window, now);
@@ -59,7 +59,7 @@
 repeat_verdict repeat_budget::count(repeat_kind kind, const state::retry_allowance &allowance, state::time_point now)
 {
     const repeat_verdict verdict = check(kind, allowance, now);
-    if (verdict.admitted && kind != repeat_kind::none && kind != repeat_kind::call && allowance.extraPerWindow > 0.0) {
+    if (verdict.admitted && kind != repeat_kind::none && allowance.extraPerWindow > 0.0) {
         ++m_buckets.back().repeats;
         m_buckets.back().reruns += mayHaveRun(kind) ? 1 : 0;
     }
--- a/coordination/tests/test_repeat_budget.cpp
+++ b/coordination/tests/test_repeat_budget.cpp
@@ -304,6 +304,15 @@
     cr_assert(pool.sendRepeat(0, Start, repeat_kind::call));
 }
 
+// A call of a repeated run cannot be told from other repeats by the pool that is called.
+Test(retry_allowance, calls_of_repeated_runs_use_it_like_retries)
+{
+    pool_model pool(1);
+    while (pool.sendRepeat(0, Start, repeat_kind::call) && pool.repeats().size() < 1000) { }
+    cr_assert_leq(pool.worstExcess(), 0.0, "%zu calls of repeated runs", pool.repeats().size());
+    cr_assert(not(pool.sendRepeat(0, Start, repeat_kind::retry)));
+}
+
 // The counts of a window of another length do not apply any more; the worker counts as one that is served anew.
 Test(retry_allowance, a_changed_window_does_not_hand_out_the_extra_repeats_again)
 {
