A node that cannot be reached keeps its share of an organisation's rate

What callers saw: nothing; nodes that are cut off from each other while callers are served beside them admitted up to the whole rate of an organisation each. Change: countSharingNodes counts nodes whose workers are in use or unreachable. A dead node's share lapses until its rows leave the pool table; ejected and leaving workers hold none, as before, since they get no work.

--- a/coordination/include/dandelionstall/coordination/limits.h
+++ b/coordination/include/dandelionstall/coordination/limits.h
@@ -19,7 +19,7 @@
     std::string_view organisation; // name of the organisation as stated by the caller
     std::string_view route;        // route name; limits are per pair of route and organisation
     double rate = 0.0;             // requests per second over the whole fleet; 0 means unlimited
-    std::uint32_t nodes = 1;       // number of nodes that currently accept callers
+    std::uint32_t nodes = 1;       // number of nodes that share the rate
 };
 
 class organisation_limiter
--- a/coordination/include/dandelionstall/coordination/pool_view.h
+++ b/coordination/include/dandelionstall/coordination/pool_view.h
@@ -80,8 +80,9 @@
     std::vector<worker_view> workers;      // in table order
 };
 
-bool isUsable(const worker_view &worker);                                   // true in the states unknown, healthy and probation
-std::string_view stateName(worker_state state);                             // name of the enumerator, e.g. "healthy"
+bool isUsable(const worker_view &worker);               // true in the states unknown, healthy and probation
+std::uint32_t countSharingNodes(const pool_view &pool); // nodes with a worker that takes work here or, if unreachable, may take it elsewhere
+std::string_view stateName(worker_state state);         // name of the enumerator, e.g. "healthy"
 bool isNewer(const worker_report &candidate, const worker_report &current); // compares the incarnation, then the version
 pool_view makePoolView(const state::pool &pool);                            // initial view: all workers are in the state unknown
 
--- a/coordination/src/pool_view.cpp
+++ b/coordination/src/pool_view.cpp
@@ -1,5 +1,7 @@
 #include <dandelionstall/coordination/pool_view.h>
 
+#include <set>
+
 namespace dandelionstall::coordination {
 
 bool isUsable(const worker_view &worker)
@@ -7,6 +9,17 @@
     return worker.state == worker_state::unknown || worker.state == worker_state::healthy || worker.state == worker_state::probation;
 }
 
+std::uint32_t countSharingNodes(const pool_view &pool)
+{
+    std::set<state::node_address> nodes;
+    for (const worker_view &worker : pool.workers) {
+        if (isUsable(worker) || worker.state == worker_state::unreachable) {
+            nodes.insert(worker.node);
+        }
+    }
+    return static_cast<std::uint32_t>(nodes.size());
+}
+
 std::string_view stateName(worker_state state)
 {
     switch (state) {
--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar.h
@@ -111,7 +111,7 @@
 
     coordination::refusal_reason checkAttempt(const protocol::attempt_head &head, state::time_point now);
     bool admitOrganisation(const std::shared_ptr<attempt_stream> &stream, state::time_point now);
-    std::uint32_t countSidecars(std::string_view pool) const; // nodes with a usable worker of the pool; at least 1
+    std::uint32_t countSidecars(std::string_view pool) const; // nodes that share the limits of the pool; at least 1
     bool beginRecord(const std::shared_ptr<attempt_stream> &stream, state::time_point now);
     void answerDuplicate(const std::shared_ptr<attempt_stream> &stream, const state::attempt_record *earlier);
     void applyActions(served_worker &worker, const coordination::admission_actions &actions);
--- a/programs/dandelionstall/sidecar_attempts.cpp
+++ b/programs/dandelionstall/sidecar_attempts.cpp
@@ -209,14 +209,7 @@
     if (!m_snapshot || !m_snapshot->poolViews.contains(pool)) {
         return 1;
     }
-    const auto view = m_snapshot->poolViews.find(pool);
-    std::set<state::node_address> nodes;
-    for (const coordination::worker_view &worker : view->second->workers) {
-        if (coordination::isUsable(worker)) {
-            nodes.insert(worker.node);
-        }
-    }
-    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(nodes.size()));
+    return std::max(1U, coordination::countSharingNodes(*m_snapshot->poolViews.find(pool)->second));
 }
 
 bool sidecar::beginRecord(const std::shared_ptr<attempt_stream> &stream, state::time_point now)
