Use more of the retry allowance: follow a rising load, ask more sidecars, no limit on reruns

Change: weights 0.6, 0.2, 0.2 for the three windows, whose sum is 1 so that the bound holds as before; RerunShare is gone; the ingress asks up to eight sidecars.

--- a/coordination/include/dandelionstall/coordination/repeat_budget.h
+++ b/coordination/include/dandelionstall/coordination/repeat_budget.h
@@ -6,8 +6,8 @@
 //
 // Bound. The allowance of a window is a share of the requests of this window, of the window before it, or of the one that begins
 // half a window earlier, whichever has most, plus extra repeats. The parts of the workers add up to less than that:
-//   - Requests. A request is counted by the one sidecar to which its first attempt is sent. A part uses the mean of the three
-//     windows: means add up over workers, maxima do not, and the mean is never above the maximum.
+//   - Requests. A request is counted by the one sidecar to which its first attempt is sent. A part uses a weighted mean
+//     of the three windows: means add up over workers, maxima do not, and a mean is never above the maximum.
 //   - Extra repeats. A part is the extra divided by the largest number of workers that the pool had in the last window. A worker
 //     uses its part only after it has been known for a window. So all workers that use their parts within one window were in the
 //     pool together at its beginning, and each of them divides by at least their number.
@@ -47,12 +47,11 @@
     struct bucket {
         std::uint32_t requests = 0;
         std::uint32_t repeats = 0;
-        std::uint32_t reruns = 0; // of the repeats, those whose work may have run before
     };
 
     void advance(std::chrono::milliseconds window, state::time_point now); // makes the last bucket the one of now
     double extraPart(const state::retry_allowance &allowance, state::time_point now);
-    std::size_t requestsBetween(std::size_t first, std::size_t end) const; // first and end: indices of buckets
+    double requestsBetween(std::size_t first, std::size_t end) const; // first and end: indices of buckets
     bool isWithin(const state::retry_allowance &allowance, double extra) const;
 
     state::time_point m_startedAt;
--- a/coordination/include/dandelionstall/coordination/repeats.h
+++ b/coordination/include/dandelionstall/coordination/repeats.h
@@ -21,7 +21,6 @@
 struct repeat_counts {
     std::size_t requests = 0;  // requests counted in the last window
     std::size_t repeats = 0;   // repeats counted in the last window, without the one decided on
-    std::size_t reruns = 0;    // of them, those whose work may have run before
     std::uint32_t sharers = 1; // number among which the extra repeats of the allowance are divided
     double allowed = 0.0;      // repeats allowed in the window
 };
--- a/coordination/src/repeat_budget.cpp
+++ b/coordination/src/repeat_budget.cpp
@@ -7,13 +7,13 @@
 namespace {
 
 constexpr double AllowanceShare = 0.9; // part of an allowance that is used; the rest covers the time from the sending of a request to its arrival
-constexpr double RerunShare = 0.5;     // share for repeats of work that may have run: each of them also repeats the calls of the work to other pools
 constexpr std::chrono::milliseconds SettlingTime{1000}; // time for a change of a pool's workers to reach all nodes
 
-bool mayHaveRun(repeat_kind kind)
-{
-    return kind == repeat_kind::rerun;
-}
+// Weights of the windows whose requests may count, with the sum 1. Most weight is on the window itself, so that the budget follows
+// a rising load; the rest admits repeats at once when failures begin under a steady load.
+constexpr double WindowWeight = 0.6;
+constexpr double WindowBeforeWeight = 0.2;
+constexpr double HalfEarlierWeight = 0.2;
 
 } // namespace
 
@@ -47,12 +47,10 @@
     for (auto entry = lastWindow; entry != m_buckets.end(); ++entry) {
         verdict.counts.requests += entry->requests;
         verdict.counts.repeats += entry->repeats;
-        verdict.counts.reruns += entry->reruns;
     }
     verdict.counts.sharers = m_poolWorkers.since(now - allowance.window - SettlingTime);
     verdict.counts.allowed = AllowanceShare * (allowance.share * static_cast<double>(verdict.counts.requests) + extra);
-    const bool rerunsLeft = static_cast<double>(verdict.counts.reruns) + 1.0 <= std::max(1.0, RerunShare * verdict.counts.allowed);
-    verdict.admitted = isWithin(allowance, extra) && (!mayHaveRun(kind) || rerunsLeft);
+    verdict.admitted = isWithin(allowance, extra);
     return verdict;
 }
 
@@ -61,7 +59,6 @@
     const repeat_verdict verdict = check(kind, allowance, now);
     if (verdict.admitted && kind != repeat_kind::none && allowance.extraPerWindow > 0.0) {
         ++m_buckets.back().repeats;
-        m_buckets.back().reruns += mayHaveRun(kind) ? 1 : 0;
     }
     return verdict;
 }
@@ -93,9 +90,9 @@
     return workers == 0 ? 0.0 : allowance.extraPerWindow / workers;
 }
 
-std::size_t repeat_budget::requestsBetween(std::size_t first, std::size_t end) const
+double repeat_budget::requestsBetween(std::size_t first, std::size_t end) const
 {
-    std::size_t sum = 0;
+    double sum = 0.0;
     for (std::size_t i = first; i < std::min(end, Buckets); ++i) {
         sum += m_buckets[i].requests;
     }
@@ -109,10 +106,10 @@
     std::size_t repeats = 1; // the one to be admitted
     for (std::size_t first = Buckets; first-- > BucketsPerWindow;) {
         repeats += m_buckets[first].repeats;
-        const std::size_t inWindow = requestsBetween(first + 1, first + BucketsPerWindow);
-        const std::size_t inWindowBefore = requestsBetween(first - BucketsPerWindow + 1, first);
-        const std::size_t halfEarlier = requestsBetween(first - BucketsPerWindow / 2 + 1, first + BucketsPerWindow / 2);
-        const double requests = static_cast<double>(inWindow + inWindowBefore + halfEarlier) / 3.0;
+        const double inWindow = requestsBetween(first + 1, first + BucketsPerWindow);
+        const double inWindowBefore = requestsBetween(first - BucketsPerWindow + 1, first);
+        const double halfEarlier = requestsBetween(first - BucketsPerWindow / 2 + 1, first + BucketsPerWindow / 2);
+        const double requests = WindowWeight * inWindow + WindowBeforeWeight * inWindowBefore + HalfEarlierWeight * halfEarlier;
         if (static_cast<double>(repeats) > AllowanceShare * (allowance.share * requests + extra)) {
             return false;
         }
--- a/coordination/src/retry.cpp
+++ b/coordination/src/retry.cpp
@@ -14,7 +14,7 @@
 constexpr std::uint32_t MaxArrivals = 4;        // attempts of one request that may reach a worker: enough when half of the workers are unhealthy
 constexpr std::uint32_t BaselineAttempts = 3;   // attempts of one request under fixed_count
 constexpr std::uint32_t MaxPlacements = 12;     // attempts of one request, including refused ones
-constexpr std::uint32_t MaxBudgetRefusals = 3;  // sidecars that are asked for a repeat within their part of a retry allowance
+constexpr std::uint32_t MaxBudgetRefusals = 8;  // sidecars that are asked for a repeat within their part of a retry allowance
 constexpr double RefusalTokensPerRequest = 0.1; // retries after refusals: refusals are a sign of load, so that retries must be few
 constexpr double FailureTokensPerRequest = 0.5; // retries after failures of one worker or path: another worker can do the work
 constexpr double TokensPerSecond = 0.5;         // refill rate that lets a node with few requests retry as well
--- a/programs/dandelionstall/sidecar_outcomes.cpp
+++ b/programs/dandelionstall/sidecar_outcomes.cpp
@@ -113,7 +113,6 @@
               {"kind", kind},
               {"requests", fmt::to_string(counts.requests)},
               {"repeats", fmt::to_string(counts.repeats)},
-              {"reruns", fmt::to_string(counts.reruns)},
               {"workers", fmt::to_string(counts.sharers)},
               {"allowed", fmt::format("{:.2f}", counts.allowed)}});
 }
