--- a/tests/integration/test_promise_retry_allowance.cpp
+++ b/tests/integration/test_promise_retry_allowance.cpp
@@ -53,7 +53,7 @@
     load_job load = fleet.startLoad(phase(10, 60) + lookups({{"share", "1"}}));
     const check_input evidence = fleet.evidence(load.finish());
     const repeat_usage worst = findWorstWindow(evidence.workers, StockWorkers, Allowance);
-    cr_log_warn("worst window of stock: %zu repeats, %zu of them calls of repeated runs, %.1f allowed for %zu requests; %zu such calls in all",
+    cr_log_info("worst window of stock: %zu repeats, %zu of them calls of repeated runs, %.1f allowed for %zu requests; %zu such calls in all",
                 worst.repeats,
                 worst.calls,
                 worst.allowed,
