Learn the expected cost of a route from its first ten answers, not from one

What callers saw: after a start fewer workers in use than the pool has (test_promise_floor: 4 where 5 are asked). Cause: the first answer at a worker became the cost of its route; the cost then rises by a two-hundredth an answer only. A first answer cheaper than usual made all further ones look slow, and the worker was ejected. Evidence: worker_judged lines of the failing runs: healthy workers ejected as slow, 28 to 48 times, 1.6 s after the start. Change: the cost is the mean of the first ten answers, then follows as before.

--- a/coordination/src/route_costs.cpp
+++ b/coordination/src/route_costs.cpp
@@ -8,11 +8,12 @@
 
 using std::chrono::microseconds;
 
-constexpr std::size_t MaxRoutes = 256; // maximum number of routes with a learned cost; answers of further routes are ignored
-constexpr double StepDown = 0.10;      // smoothing factor of a learned cost for a run time below it
-constexpr double StepUp = 0.005;       // smoothing factor for a run time above it; small, so that a slow worker doesn't raise its expected cost
-constexpr double TypicalStep = 0.1;    // smoothing factor of the typical cost
-constexpr double MinCostUs = 50.0;     // lower limit of costs and run times, so that ratios stay finite
+constexpr std::size_t MaxRoutes = 256;     // maximum number of routes with a learned cost; answers of further routes are ignored
+constexpr double StepDown = 0.10;          // smoothing factor of a learned cost for a run time below it
+constexpr double StepUp = 0.005;           // smoothing factor for a run time above it; small, so that a slow worker doesn't raise its expected cost
+constexpr std::uint32_t FirstAnswers = 10; // answers over which a learned cost is the mean, so that one unusual answer does not decide it
+constexpr double TypicalStep = 0.1;        // smoothing factor of the typical cost
+constexpr double MinCostUs = 50.0;         // lower limit of costs and run times, so that ratios stay finite
 
 double toMicroseconds(microseconds span)
 {
@@ -58,10 +59,10 @@
     }
     const double measured = toMicroseconds(runTime);
     route_cost &cost = m_routes[route];
-    if (cost.learned == 0.0) {
-        cost.learned = measured;
-    }
-    cost.learned += (measured - cost.learned) * (measured < cost.learned ? StepDown : StepUp);
+    ++cost.answers;
+    const double laterStep = measured < cost.learned ? StepDown : StepUp;
+    const double step = cost.answers <= FirstAnswers ? 1.0 / cost.answers : laterStep;
+    cost.learned += (measured - cost.learned) * step;
     cost.hint = hint.count() > 0 ? toMicroseconds(hint) : 0.0;
     const double current = costOf(cost);
     m_typical = m_typical == 0.0 ? current : m_typical + (current - m_typical) * TypicalStep;
--- a/coordination/src/route_costs.h
+++ b/coordination/src/route_costs.h
@@ -20,8 +20,9 @@
 
 private:
     struct route_cost {
-        double learned = 0.0; // microseconds; 0 before the first answer
-        double hint = 0.0;    // microseconds; 0 when the table has none
+        double learned = 0.0;      // microseconds; 0 before the first answer
+        double hint = 0.0;         // microseconds; 0 when the table has none
+        std::uint32_t answers = 0; // number of answers learned from
     };
 
     static double costOf(const route_cost &cost);
--- a/coordination/tests/test_worker_outcome_tracker.cpp
+++ b/coordination/tests/test_worker_outcome_tracker.cpp
@@ -90,6 +90,26 @@
     cr_assert(gt(dbl, worker.report().slowness, 3.0));
 }
 
+// Callers found fewer workers in use after a start: one cheap first answer made all further ones look slow.
+Test(worker_outcome_tracker, an_unusually_fast_first_answer_does_not_make_a_worker_look_slow)
+{
+    for (int cheapAnswers = 1; cheapAnswers <= 3; ++cheapAnswers) {
+        worker_fixture worker;
+        for (int i = 0; i < cheapAnswers; ++i) {
+            worker.run(work_outcome::answered, 1ms, "lookup", 0ms);
+        }
+        for (int i = 0; i < 30; ++i) {
+            worker.run(work_outcome::answered, 20ms, "lookup", 0ms);
+            cr_assert_lt(
+                worker.report().slowness, 3.0, "slowness %.1f after %d answers of 1 ms and %d of 20 ms", worker.report().slowness, cheapAnswers, i + 1);
+        }
+        for (int i = 0; i < 9; ++i) {
+            worker.run(work_outcome::answered, 100ms, "lookup", 0ms);
+        }
+        cr_assert_geq(worker.report().slowness, 3.0, "slowness %.1f: a slow worker must still be noticed", worker.report().slowness);
+    }
+}
+
 Test(worker_outcome_tracker, reports_overdue_requests_before_they_end)
 {
     worker_fixture worker;
