Return workers ejected as slow when the others fail

Cause: slow workers are not ejected while the failure guards keep work from too many others, but that rule looked at the current fault. A worker ejected earlier gets no requests and so shows no fault: it stayed out, and only failing ones were left. Change: for an ejected worker without a current fault, the reason of its ejection counts.

--- a/coordination/src/ejector_peer_outlier.cpp
+++ b/coordination/src/ejector_peer_outlier.cpp
@@ -149,6 +149,12 @@
     beginProbation(entry.record, ejection_reason::floor, now);
 }
 
+// An ejected worker gets no requests and then shows no fault: the one that it was ejected for counts until it is in use again.
+ejection_reason faultOf(const worker_case &entry)
+{
+    return entry.wasEjected && entry.finding.severity == 0.0 ? entry.record.reason : entry.finding.fault;
+}
+
 // Tracks how many workers and slots may still be ejected without violating the floor.
 class ejection_budget
 {
@@ -173,7 +179,7 @@
     {
         const bool withinFloor = m_workers > m_minWorkers && m_slots - entry.worker->slots >= m_minSlots;
         // A slow worker still answers its requests: it stays in use while at most the floor's number of workers has a low risk.
-        if (entry.finding.fault == ejection_reason::slow && !entry.highRisk && m_lowRiskWorkers <= m_minWorkers) {
+        if (faultOf(entry) == ejection_reason::slow && !entry.highRisk && m_lowRiskWorkers <= m_minWorkers) {
             return false;
         }
         // For a new ejection, the remaining slots count by weight, so that it does not rely on workers on probation.
--- a/coordination/tests/test_ejector.cpp
+++ b/coordination/tests/test_ejector.cpp
@@ -152,6 +152,24 @@
     cr_assert(pool.stateOf(4) == worker_state::ejected);
 }
 
+// Callers found no working worker: those that answered stayed ejected as slow while the guards refused work for all others.
+Test(ejector, returns_workers_ejected_as_slow_when_the_others_fail)
+{
+    pool_fixture pool(6);
+    pool.view.floor = 0.5;
+    pool.report(4).slowness = 6.0;
+    pool.report(5).slowness = 6.0;
+    pool.evaluateAfter();
+    cr_assert(eq(sz, pool.count(worker_state::ejected), 2));
+    for (std::size_t i = 0; i < 6; ++i) {
+        pool.report(i).risk = i < 4 ? 0.9 : 0.01;
+        pool.report(i).slowness = 1.0;
+    }
+    pool.evaluateAfter();
+    cr_assert(isUsable(pool.view.workers[4]));
+    cr_assert(isUsable(pool.view.workers[5]));
+}
+
 Test(ejector, ejects_no_worker_when_all_are_unhealthy_or_the_node_suspects_itself)
 {
     pool_fixture unhealthy(8);
