--- a/coordination/tests/test_ejector.cpp
+++ b/coordination/tests/test_ejector.cpp
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <fmt/format.h>
 #include <rapidcheck.h>
 
 #include <algorithm>
@@ -27,7 +28,7 @@
         input.now = state::time_point{1000s};
         for (std::size_t i = 0; i < workers; ++i) {
             worker_view worker;
-            worker.id = "w" + std::to_string(i);
+            worker.id = fmt::format("w{}", i);
             worker.slots = 3;
             worker.report.version = 1;
             worker.report.samples = 12;
@@ -188,7 +189,7 @@
     pool_fixture isolated(8);
     isolated.input.localHealth.isolated = true;
     for (std::size_t i = 0; i < 3; ++i) {
-        isolated.input.paths["w" + std::to_string(i)].inboundUp = false;
+        isolated.input.paths[fmt::format("w{}", i)].inboundUp = false;
     }
     isolated.evaluateAfter();
     cr_assert(eq(sz, isolated.count(worker_state::ejected), 0));
--- a/coordination/tests/test_health_fleet.cpp
+++ b/coordination/tests/test_health_fleet.cpp
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <fmt/format.h>
 #include <rapidcheck.h>
 
 #include <algorithm>
@@ -31,7 +32,7 @@
     pool.name = "tagdesk";
     pool.floor = floor;
     for (std::size_t i = 0; i < workers; ++i) {
-        pool.workers.push_back({"w" + std::to_string(i), i % 2 == 0 ? "sul-poa" : "sul-floripa", nodeOf(i), 5});
+        pool.workers.push_back({fmt::format("w{}", i), i % 2 == 0 ? "sul-poa" : "sul-floripa", nodeOf(i), 5});
     }
     table->pools.push_back(pool);
     return table;
@@ -40,7 +41,7 @@
 worker_report drawReport(std::size_t index)
 {
     worker_report report;
-    report.worker = "w" + std::to_string(index);
+    report.worker = fmt::format("w{}", index);
     report.pool = "tagdesk";
     report.node = nodeOf(index);
     report.incarnation = *rc::gen::inRange<std::uint64_t>(1, 4);
--- a/coordination/tests/test_health_paths.cpp
+++ b/coordination/tests/test_health_paths.cpp
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <fmt/format.h>
 
 #include <algorithm>
 
@@ -23,7 +24,7 @@
         state::pool pool;
         pool.name = "catalogue";
         for (int i = 0; i < 6; ++i) {
-            pool.workers.push_back({"w" + std::to_string(i), i < 3 ? "kiambu" : "thika", nodeOf(i), 3});
+            pool.workers.push_back({fmt::format("w{}", i), i < 3 ? "kiambu" : "thika", nodeOf(i), 3});
         }
         table->pools.push_back(pool);
         tracker.setTable(table, now);
--- a/coordination/tests/test_pool_tracker.cpp
+++ b/coordination/tests/test_pool_tracker.cpp
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <fmt/format.h>
 
 using namespace dandelionstall;
 using namespace dandelionstall::coordination;
@@ -23,7 +24,7 @@
     state::pool pool;
     pool.name = "catalogue";
     for (int i = 0; i < workers; ++i) {
-        pool.workers.push_back({"w" + std::to_string(i), "kiambu", nodeOf(i), 3});
+        pool.workers.push_back({fmt::format("w{}", i), "kiambu", nodeOf(i), 3});
     }
     table->pools.push_back(pool);
     return table;
@@ -32,7 +33,7 @@
 worker_report makeReport(int index, std::uint64_t version)
 {
     worker_report report;
-    report.worker = "w" + std::to_string(index);
+    report.worker = fmt::format("w{}", index);
     report.pool = "catalogue";
     report.node = nodeOf(index);
     report.incarnation = 1;
--- a/coordination/tests/test_pool_view.cpp
+++ b/coordination/tests/test_pool_view.cpp
@@ -4,6 +4,7 @@
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <fmt/format.h>
 
 using namespace dandelionstall;
 using namespace dandelionstall::coordination;
@@ -18,8 +19,8 @@
     pool_view view;
     for (std::uint32_t i = 0; i < nodes; ++i) {
         worker_view worker;
-        worker.id = "w" + std::to_string(i);
-        worker.node = {"10.0.0." + std::to_string(i + 1), 7400};
+        worker.id = fmt::format("w{}", i);
+        worker.node = {fmt::format("10.0.0.{}", i + 1), 7400};
         worker.state = i == 0 ? worker_state::healthy : others;
         view.workers.push_back(worker);
     }
--- a/state/tests/test_attempts.cpp
+++ b/state/tests/test_attempts.cpp
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <fmt/format.h>
 #include <rapidcheck.h>
 
 #include <map>
@@ -102,7 +103,7 @@
         for (const auto &[action, number] : steps) {
             const auto sequence = static_cast<std::uint64_t>(number);
             const attempt_id id = makeId(sequence);
-            const std::string ticket = number > 3 ? "t" + std::to_string(number % 2) : std::string();
+            const std::string ticket = number > 3 ? fmt::format("t{}", number % 2) : std::string();
             switch (action) {
             case 0:
             case 1:
@@ -146,7 +147,7 @@
 {
     cr_assert(rc::check("ticket round trip", [] {
         ticket value;
-        value.worker = "do-" + std::to_string(*rc::gen::inRange(1, 30000));
+        value.worker = fmt::format("do-{}", *rc::gen::inRange(1, 30000));
         value.sidecarIncarnation = *rc::gen::arbitrary<std::uint64_t>();
         value.id = {*rc::gen::arbitrary<std::uint64_t>(), *rc::gen::arbitrary<std::uint64_t>()};
         value.expiresAtMs = *rc::gen::inRange<std::int64_t>(0, 1'000'000'000'000);
--- a/transport/tests/test_admin_server.cpp
+++ b/transport/tests/test_admin_server.cpp
@@ -51,7 +51,12 @@
         protocol::fleet_status fleet;
         fleet.self = {"127.0.0.1", 7400};
         fleet.pools.inForce = {9, 2};
-        fleet.members.push_back({{{"127.0.0.2", 7400}, "thika", 3, 0, coordination::member_state::suspect, false}, 4, 8});
+        coordination::member other;
+        other.address = {"127.0.0.2", 7400};
+        other.dataCentre = "thika";
+        other.incarnation = 3;
+        other.state = coordination::member_state::suspect;
+        fleet.members.push_back({other, 4, 8});
         return fleet;
     };
     providers.metrics = [] {
