--- a/coordination/include/dandelionstall/coordination/pool_view.h
+++ b/coordination/include/dandelionstall/coordination/pool_view.h
@@ -70,14 +70,13 @@
 
 // State of one pool as known to this node.
 struct pool_view {
-    std::string name;                      // name of the pool
-    double floor = 0.5;                    // minimum share of the pool that ejection leaves in use, 0..1
-    std::string balancer;                  // name of the balancer policy
-    std::string ejector;                   // name of the ejector policy
-    std::string admission;                 // name of the admission policy
-    std::string retry;                     // name of the retry policy
-    state::retry_allowance retryAllowance; // retries that the fleet may make in the pool
-    std::vector<worker_view> workers;      // in table order
+    std::string name;                 // name of the pool
+    double floor = 0.5;               // minimum share of the pool that ejection leaves in use, 0..1
+    std::string balancer;             // name of the balancer policy
+    std::string ejector;              // name of the ejector policy
+    std::string admission;            // name of the admission policy
+    std::string retry;                // name of the retry policy
+    std::vector<worker_view> workers; // in table order
 };
 
 bool isUsable(const worker_view &worker);               // true in the states unknown, healthy and probation
--- a/coordination/src/pool_view.cpp
+++ b/coordination/src/pool_view.cpp
@@ -56,7 +56,6 @@
     view.ejector = pool.ejector;
     view.admission = pool.admission;
     view.retry = pool.retry;
-    view.retryAllowance = pool.retryAllowance;
     view.workers.reserve(pool.workers.size());
     for (const state::pool_worker &worker : pool.workers) {
         worker_view row;
