Split the execution of attempts from their arrival

Change: what starts, runs and ends an attempt moves to sidecar_execution.cpp, unchanged; unused includes go.

--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -1,4 +1,4 @@
-// Sidecar: listening, configuration of the workers, probes, reports and shutdown. Attempts: sidecar_attempts.cpp.
+// Sidecar: listening, configuration of the workers, probes, reports and shutdown. Attempts: sidecar_attempts.cpp, sidecar_execution.cpp.
 #include "sidecar.h"
 
 #include <dandelionstall/protocol/caller_http.h>
