Split the requests of bench_health from its fleet

Change: the records of requests and what is computed from one alone move to bench_health_requests.h, unchanged.

--- a/bench/bench_health_fleet.h
+++ b/bench/bench_health_fleet.h
@@ -6,7 +6,7 @@
 // calling balancers with the observers' views.
 #pragma once
 
-#include "bench_health_options.h"
+#include "bench_health_requests.h"
 
 #include <dandelionstall/coordination/balancer.h>
 #include <dandelionstall/coordination/pool_tracker.h>
@@ -22,24 +22,6 @@
 
 namespace bench_health {
 
-// One request.
-struct request_record {
-    state::attempt_id id;        // id of its only attempt
-    state::time_point arrivedAt; // when an observer sent it to a worker
-    state::time_point startedAt; // when it got a slot
-    state::time_point endsAt;    // when its run ends; time_point::max() for never
-    std::size_t observer = 0;    // index of the observer that sent it
-    bool isLong = false;         // known to be long
-    bool fails = false;          // ends with a failure
-};
-
-// Latencies of requests from arrival to answer.
-struct service_record {
-    std::vector<double> shortMs; // latencies of short requests
-    std::vector<double> longMs;  // latencies of long requests
-    std::uint64_t failed = 0;    // requests that failed or exceeded their deadline
-};
-
 using ejection_counts = std::map<ejection_reason, std::uint64_t>; // number of ejections by reason
 
 class fleet
@@ -206,11 +188,6 @@
         m_workers[index].queue.push_back(item);
     }
 
-    static const char *routeOf(const request_record &item)
-    {
-        return item.isLong ? "long" : "short";
-    }
-
     microseconds costOf(bool isLong) const
     {
         return isLong ? microseconds(m_options.cost) * static_cast<int>(LongFactor) : microseconds(m_options.cost);
@@ -284,11 +261,6 @@
         return true;
     }
 
-    static milliseconds deadlineOf(const request_record &item)
-    {
-        return item.isLong ? 5 * Timeout : Timeout;
-    }
-
     void recordService(const request_record &item, work_outcome outcome, state::time_point endedAt)
     {
         if (outcome != work_outcome::answered) {
