Read and log what workers state in their answers: rate limit and leaving

Callers saw workers get 33 requests in 4 s that had named a limit of one a second; no line or counter showed that a limit existed, so that the three hypotheses of the incident could not be told apart. The sidecar now reads both headers of each answer and logs and counts each limit that begins, changes and ends, each leaving and each value that cannot be used. Nothing acts on them yet. Reports, attempts and rows of discovered workers get the fields that the design needs: the worker's lifetime, what is known of its limit, and the rate that a node has been told.

--- a/coordination/include/dandelionstall/coordination/pool_view.h
+++ b/coordination/include/dandelionstall/coordination/pool_view.h
@@ -19,6 +19,13 @@
 
 // [SECTION] Reports
 
+// What a sidecar knows about a rate limit of its worker.
+enum class limit_knowledge {
+    unknown, // nothing: it has heard no answer of the worker since its start
+    none,    // the worker states no limit
+    limited, // the worker states a limit
+};
+
 // Report of a sidecar on one of its workers. Of two reports, the newer one has the higher (incarnation, version).
 struct worker_report {
     std::string worker;                          // id of the worker in the pool table
@@ -40,6 +47,11 @@
     double risk = -1.0;                          // probability that the worker is unhealthy, 0..1; negative when no failure guard estimates it
     bool leaving = false;                        // the worker accepts no new work
     bool starting = false;                       // the worker is cold: not yet ready for its full share of work
+    std::uint64_t lifetime = 0; // start of the worker as announced (pool_worker::startedAtMs); 0 when not announced, or without limit and leaving
+    limit_knowledge limit = limit_knowledge::unknown; // whether the worker states a rate limit
+    double rateLimit = 0.0;                           // stated limit in requests per second, when limited
+    std::chrono::microseconds roomAfter{0};           // time until a request has room within the limit; 0 when it has room at once
+    bool workerLeaving = false;                       // the worker itself states that it is leaving
 };
 
 // [SECTION] Views
@@ -63,6 +75,7 @@
     std::uint32_t slots = 1;                    // concurrent requests allowed
     bool announcedLeaving = false;              // the worker has announced that it accepts no new work
     state::time_point coldUntil;                // the worker has announced that it is slow until this time point
+    std::uint64_t lifetime = 0;                 // start of the worker as announced; see worker_report::lifetime
     worker_report report;                       // latest report; version 0 when there is none
     state::time_point reportReceivedAt;         // when the latest report was received
     state::incarnation incarnation = 0;         // incarnation of the worker's sidecar; 0 when not known
--- a/coordination/src/pool_view.cpp
+++ b/coordination/src/pool_view.cpp
@@ -65,6 +65,7 @@
         row.slots = worker.slots != 0 ? worker.slots : pool.slots;
         row.announcedLeaving = worker.leaving;
         row.coldUntil = worker.coldUntil;
+        row.lifetime = worker.startedAtMs;
         view.workers.push_back(std::move(row));
     }
     return view;
--- a/coordination/src/worker_directory.cpp
+++ b/coordination/src/worker_directory.cpp
@@ -39,6 +39,7 @@
     row.leaving = entry.phase == worker_phase::leaving;
     row.address = entry.address;
     row.coldUntil = entry.coldUntil;
+    row.startedAtMs = entry.startedAtMs;
     return row;
 }
 
--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -198,6 +198,7 @@
                 known = &addWorker({row.id, pool.name, row.address, {}});
             }
             known->unlisted = false;
+            beginLifetime(*known, row.startedAtMs);
             setDraining(*known, row.leaving);
         }
     }
--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar.h
@@ -15,6 +15,7 @@
 #include <dandelionstall/coordination/fleet_snapshot.h>
 #include <dandelionstall/coordination/limits.h>
 #include <dandelionstall/coordination/repeat_budget.h>
+#include <dandelionstall/coordination/worker_limit.h>
 #include <dandelionstall/coordination/worker_outcome_tracker.h>
 #include <dandelionstall/state/attempts.h>
 #include <dandelionstall/state/settings.h>
@@ -62,6 +63,9 @@
     std::unique_ptr<coordination::repeat_budget> repeatBudget;            // the worker's part of the retry allowance
     std::unique_ptr<transport::worker_client> client;                     // connections to the worker
     std::shared_ptr<boost::asio::steady_timer> admissionTimer;            // expires at the time of the next call of admission->advance()
+    std::uint64_t lifetime = 0;                                           // start of the worker as announced; 0 when not announced
+    coordination::worker_limit limit;                                     // rate limit that the worker states in its answers
+    bool statesLeaving = false;                                           // the worker states in its answers that it is leaving, in this lifetime
     bool draining = false;                                                // the worker accepts no new work
     bool unlisted = false;                                                // the pool table no longer lists it at the service address; removed once idle
     bool loggedSuspected = false;                                         // suspicion that was logged last
@@ -105,6 +109,9 @@
     boost::asio::awaitable<void> probe(served_worker &worker);
     void configureWorker(served_worker &worker);
     void setDraining(served_worker &worker, bool draining);
+    void beginLifetime(served_worker &worker, std::uint64_t lifetime); // the entry of the worker names another start: what it stated before has ended
+    void recordSignals(served_worker &worker, const protocol::worker_signals &signals, bool mayLift, state::time_point requestedAt);
+    void logLimitChange(const served_worker &worker, coordination::limit_change change, std::string_view source);
     bool refusesWork(const served_worker &worker) const; // true if the worker is draining or this node is leaving or stopping
     void drainWorkers();
     served_worker *findWorker(std::string_view id);
--- a/programs/dandelionstall/sidecar_execution.cpp
+++ b/programs/dandelionstall/sidecar_execution.cpp
@@ -60,6 +60,9 @@
 
 // Forwards a worker's answer while it arrives, and keeps a copy if the attempt must not run twice.
 struct sidecar::answer_sink : transport::worker_answer_sink {
+    sidecar *owner = nullptr;                  // sidecar that runs the attempt
+    served_worker *worker = nullptr;           // worker that runs the attempt
+    state::time_point requestedAt;             // when the request is sent to the worker
     answer_writer *writer = nullptr;           // writer of the attempt's stream
     protocol::answer_head head;                // head of the answer; status and headers are set by onHead
     state::kept_answer kept;                   // copy of the answer; without body if it was too long to keep
@@ -77,6 +80,11 @@
         XXH3_freeState(digest);
     }
 
+    void onSignals(const protocol::worker_signals &signals, bool isRefusal) override
+    {
+        owner->recordSignals(*worker, signals, !isRefusal, requestedAt);
+    }
+
     void onHead(std::uint32_t status, protocol::http_headers headers) override
     {
         head.status = status;
@@ -185,6 +193,9 @@
     request.expectedWorker = worker.settings.id;
 
     answer_sink sink;
+    sink.owner = this;
+    sink.worker = &worker;
+    sink.requestedAt = startedAt;
     sink.writer = &stream->writer();
     sink.head = makeAnswerHead(id, worker.settings.id);
     sink.maxKeptBytes = attempt.tracked ? m_settings.maxKeptAnswerBytes : 0;
--- a/protocol/include/dandelionstall/protocol/messages.h
+++ b/protocol/include/dandelionstall/protocol/messages.h
@@ -18,6 +18,7 @@
 #include <dandelionstall/coordination/repeats.h>
 #include <dandelionstall/protocol/errors.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,8 @@
     std::uint64_t bodyBytes = 0;                           // length of the following body, in bytes
     coordination::repeat_kind repeat = coordination::repeat_kind::none; // whether the attempt is a repeat if it reaches the worker
     bool firstSent = false;                                             // no attempt of the request was sent before
+    std::optional<double> statedRate;                                   // rate limit that answers of the worker have stated to the sending node, per second
+    std::uint64_t lifetime = 0;                                         // lifetime of the worker that the sending node means; see worker_report::lifetime
 };
 
 // Outcome of an attempt. The body of the worker's answer follows when the status is not zero.
--- a/protocol/src/messages.cpp
+++ b/protocol/src/messages.cpp
@@ -1,6 +1,7 @@
 #include <dandelionstall/protocol/messages.h>
 #include <dandelionstall/protocol/report_codec.h>
 
+#include <cmath>
 #include <fmt/format.h>
 #include <node.pb.h>
 
@@ -97,6 +98,10 @@
     }
     out.set_repeat(std::string(coordination::repeatName(message.repeat)));
     out.set_first_sent(message.firstSent);
+    if (message.statedRate) {
+        out.set_stated_rate(*message.statedRate);
+    }
+    out.set_lifetime(message.lifetime);
     return out.SerializeAsString();
 }
 
@@ -194,6 +199,10 @@
     message.targetAt = in->has_target_at_us() ? fromMicros(in->target_at_us()) : state::time_point::max();
     message.repeat = coordination::parseRepeatKind(in->repeat());
     message.firstSent = in->first_sent();
+    if (in->has_stated_rate() && in->stated_rate() >= 0.0 && std::isfinite(in->stated_rate())) {
+        message.statedRate = in->stated_rate();
+    }
+    message.lifetime = in->lifetime();
     return message;
 }
 
--- a/protocol/src/report_codec.cpp
+++ b/protocol/src/report_codec.cpp
@@ -2,9 +2,16 @@
 #include <dandelionstall/protocol/report_codec.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace dandelionstall::protocol {
 
+namespace {
+
+constexpr std::uint64_t MaxRoomAfterUs = 3'600'000'000; // one hour
+
+} // namespace
+
 void writeReport(const coordination::worker_report &report, wire::WorkerReport &out)
 {
     out.set_worker(report.worker);
@@ -25,6 +32,13 @@
     out.set_starting(report.starting);
     out.set_overdue(report.overdueCount);
     out.set_probe_failing(report.probeFailing);
+    out.set_limit(static_cast<std::uint32_t>(report.limit));
+    out.set_rate_limit(report.rateLimit);
+    out.set_room_after_us(static_cast<std::uint64_t>(report.roomAfter.count()));
+    out.set_worker_leaving(report.workerLeaving);
+    if (report.limit == coordination::limit_knowledge::limited || report.workerLeaving) {
+        out.set_lifetime(report.lifetime);
+    }
     if (report.risk >= 0.0) {
         out.set_risk(static_cast<float>(report.risk));
     }
@@ -56,6 +70,12 @@
     report.overdueCount = in.overdue();
     report.probeFailing = in.probe_failing();
     report.risk = in.has_risk() ? std::clamp(static_cast<double>(in.risk()), 0.0, 1.0) : -1.0;
+    report.lifetime = in.lifetime();
+    const bool knownLimit = in.limit() <= static_cast<std::uint32_t>(coordination::limit_knowledge::limited);
+    report.limit = knownLimit ? static_cast<coordination::limit_knowledge>(in.limit()) : coordination::limit_knowledge::unknown;
+    report.rateLimit = std::isfinite(in.rate_limit()) ? std::max(in.rate_limit(), 0.0) : 0.0;
+    report.roomAfter = std::chrono::microseconds(std::min(in.room_after_us(), MaxRoomAfterUs));
+    report.workerLeaving = in.worker_leaving();
     return report;
 }
 
--- a/state/include/dandelionstall/state/settings.h
+++ b/state/include/dandelionstall/state/settings.h
@@ -25,12 +25,14 @@
 
 // Names of the headers between callers, nodes and workers. An empty name disables the feature.
 struct header_names {
-    std::string requestId;                   // request id, set by the caller and echoed by the worker; matches an answer to its request
-    std::string timeLeft = "X-Deadline-Ms";  // time left in milliseconds: how long the caller waits, or how long the worker may take
-    std::string originPool;                  // pool of the VM that received the request; always set by the node
-    std::string expectedWorker;              // id of the worker that may run the request
-    std::string notRun = "X-Worker-Refused"; // set by a worker on its answer when it did not run the request
-    std::string seal;                        // set by a worker on its answer to prove that the answer comes from it
+    std::string requestId;                         // request id, set by the caller and echoed by the worker; matches an answer to its request
+    std::string timeLeft = "X-Deadline-Ms";        // time left in milliseconds: how long the caller waits, or how long the worker may take
+    std::string originPool;                        // pool of the VM that received the request; always set by the node
+    std::string expectedWorker;                    // id of the worker that may run the request
+    std::string notRun = "X-Worker-Refused";       // set by a worker on its answer when it did not run the request
+    std::string seal;                              // set by a worker on its answer to prove that the answer comes from it
+    std::string rateLimit = "X-Worker-Rate-Limit"; // set by a worker on its answers: requests per second that it takes from all nodes together
+    std::string leaving = "X-Worker-Leaving";      // set to 1 by a worker on its answers when it accepts no new work
 
     friend bool operator==(const header_names &, const header_names &) = default;
 };
--- a/state/include/dandelionstall/state/tables.h
+++ b/state/include/dandelionstall/state/tables.h
@@ -81,13 +81,14 @@
 
 // One worker of a pool and the node on the same VM.
 struct pool_worker {
-    std::string id;          // worker id, unique in the table
-    std::string dataCentre;  // data centre of the worker
-    node_address node;       // address of the node process on the worker's VM
-    std::uint32_t slots = 0; // requests that it runs at the same time; 0 means the pool's value
-    bool leaving = false;    // discovered workers only: accepts no new requests
-    node_address address{};  // discovered workers only: address at which the worker listens
-    time_point coldUntil{};  // discovered workers only: time until which a cold start makes it slow
+    std::string id;                // worker id, unique in the table
+    std::string dataCentre;        // data centre of the worker
+    node_address node;             // address of the node process on the worker's VM
+    std::uint32_t slots = 0;       // requests that it runs at the same time; 0 means the pool's value
+    bool leaving = false;          // discovered workers only: accepts no new requests
+    node_address address{};        // discovered workers only: address at which the worker listens
+    time_point coldUntil{};        // discovered workers only: time until which a cold start makes it slow
+    std::uint64_t startedAtMs = 0; // discovered workers only: wall clock time of its start; with the id, it names one lifetime of the worker
 
     friend bool operator==(const pool_worker &, const pool_worker &) = default;
 };
--- a/state/src/settings.cpp
+++ b/state/src/settings.cpp
@@ -142,6 +142,8 @@
     reader.readName("expected_worker", target.expectedWorker);
     reader.readName("not_run", target.notRun);
     reader.readName("seal", target.seal);
+    reader.readName("rate_limit", target.rateLimit);
+    reader.readName("leaving", target.leaving);
     reader.reportUnknownKeys();
 }
 
--- a/transport/include/dandelionstall/transport/worker_client.h
+++ b/transport/include/dandelionstall/transport/worker_client.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include <dandelionstall/protocol/messages.h>
+#include <dandelionstall/protocol/worker_signals.h>
 #include <dandelionstall/state/settings.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -57,6 +58,8 @@
 public:
     virtual ~worker_answer_sink() = default;
 
+    virtual void onSignals(const protocol::worker_signals &, bool) // called before onHead(), and for a refusal, which isRefusal tells
+    { }
     virtual void onHead(std::uint32_t status, protocol::http_headers headers) = 0; // called once, with the end-to-end headers
     virtual boost::asio::awaitable<void> onBody(std::string_view bytes) = 0;       // returns when the sink can accept more bytes
 };
--- a/transport/src/worker_client.cpp
+++ b/transport/src/worker_client.cpp
@@ -293,6 +293,9 @@
     }
     result.status = current.status;
     if (isDocumentedRefusal(current.status, current.headers, m_names)) {
+        if (current.status != StatusMisdirected) {
+            sink.onSignals(protocol::readWorkerSignals(current.headers, m_names), true);
+        }
         result.outcome = worker_call_outcome::refused;
         result.retryAfter = retryAfterOf(current.headers);
         stream->close();
@@ -303,6 +306,7 @@
         stream->close();
         co_return result;
     }
+    sink.onSignals(protocol::readWorkerSignals(current.headers, m_names), false);
     result.answerStarted = true;
     sink.onHead(current.status, current.headers);
 
