Failing test: a worker gets more than the rate it states, and requests after it states that it leaves

Four nodes, real processes, stand-in workers that state a limit of 1.5 a second or that they leave; in two of the checks the sidecar beside the worker is killed and started again while nodes that have been told go on.

--- a/tests/standins/run_log.cpp
+++ b/tests/standins/run_log.cpp
@@ -39,6 +39,10 @@
             log.runs.push_back({line.id, worker, std::chrono::microseconds(line.time)});
         } else if (line.kind == "call") {
             log.calls.push_back({line.id, line.detail, worker, std::chrono::microseconds(line.time)});
+        } else if (line.kind == "arrival") {
+            log.arrivals.push_back({line.id, line.detail, worker, std::chrono::microseconds(line.time)});
+        } else if (line.kind == "states") {
+            log.statements.push_back({line.detail, line.id, worker, std::chrono::microseconds(line.time)});
         } else if (line.kind == "draining") {
             log.leaving.push_back({worker, std::chrono::microseconds(line.time)});
         }
--- a/tests/standins/run_log.h
+++ b/tests/standins/run_log.h
@@ -28,10 +28,28 @@
     std::chrono::microseconds since{0}; // start of draining on the steady clock
 };
 
+// A request that reached a worker, whether it was run or not; also health probes.
+struct arrival {
+    std::string id;   // X-Request-Id; "-" when absent
+    std::string path; // request target
+    std::string worker;
+    std::chrono::microseconds at{0}; // on the steady clock
+};
+
+// A change of what a worker states in its answers.
+struct statement {
+    std::string kind; // "rate_limit" or "leaving"
+    std::string text; // header text; "none" when the header is no longer sent
+    std::string worker;
+    std::chrono::microseconds since{0}; // on the steady clock
+};
+
 struct run_log {
     std::vector<run_record> runs;
     std::vector<call_of_run> calls;
     std::vector<leaving_mark> leaving;
+    std::vector<arrival> arrivals;
+    std::vector<statement> statements;
 };
 
 // Appends the events of the text to the log and ignores an incomplete last line. Throws std::invalid_argument for a
--- a/tests/standins/standin_worker_main.cpp
+++ b/tests/standins/standin_worker_main.cpp
@@ -18,6 +18,8 @@
     add("seal", options::value(&worker.sealHeader), "header set on each answer");
     add("identity", options::value(&worker.identityHeader), "request header with the name of the intended worker");
     add("not-run", options::value(&worker.notRunHeader), "header set on refusals");
+    add("rate-limit", options::value(&worker.rateLimitHeader), "header that states the rate limit");
+    add("leaving", options::value(&worker.leavingHeader), "header that states the leaving");
     add("calls", options::value(&worker.calls.count)->default_value(0), "number of calls that each run makes");
     add("calls-through", options::value(&worker.calls.node), "ip:port of the node that the calls go through");
     add("call-path", options::value(&worker.calls.path)->default_value("/"), "path of the calls");
--- a/tests/standins/worker_faults.cpp
+++ b/tests/standins/worker_faults.cpp
@@ -37,6 +37,8 @@
     faults.cold = values.consumeMillis("cold_ms", faults.cold);
     faults.health = values.consume("health", faults.health);
     faults.load = values.consume("load", faults.load);
+    faults.rateLimit = values.consume("rate_limit", faults.rateLimit);
+    faults.leaving = values.consume("leaving", faults.leaving);
     faults.flap = values.consumeMillis("flap_ms", faults.flap);
     faults.since = now;
     values.expectAllConsumed();
--- a/tests/standins/worker_faults.h
+++ b/tests/standins/worker_faults.h
@@ -12,6 +12,8 @@
 //   cold_ms=5000        cold start: the run time falls linearly from five times normal to normal over this time
 //   health=sick         report of the health endpoint: honest (the actual state), ok or sick
 //   load=idle           report of the load endpoint: honest (the actual load), idle or full
+//   rate_limit=1.5        rate limit header on every answer, with this text; a "|" divides the texts of two such headers
+//   leaving=1             leaving header on every answer, with this text
 //   flap_ms=1000        the faults are active in every other interval of this length, starting with the first
 #pragma once
 
@@ -34,6 +36,8 @@
     std::chrono::milliseconds cold{0};
     std::string health = "honest";
     std::string load = "honest";
+    std::string rateLimit; // empty sets no header
+    std::string leaving;   // empty sets no header
     std::chrono::milliseconds flap{0};
     state::time_point since; // time at which the faults were set
 };
--- a/tests/standins/worker_service.cpp
+++ b/tests/standins/worker_service.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <cstdio>
+#include <sstream>
 
 namespace dandelionstall::standins {
 
@@ -44,6 +45,7 @@
     if (request.target() == "/_fault") {
         co_return setFaults(request.body());
     }
+    logLine("arrival", requestIdOf(request), std::string(request.target()));
     const std::string intendedWorker = m_options.identityHeader.empty() ? std::string() : headerOf(request, m_options.identityHeader);
     http_reply reply;
     if (!intendedWorker.empty() && intendedWorker != m_options.name) {
@@ -65,6 +67,7 @@
     if (faultsNow().draining) {
         reply.message.set("X-Worker-State", "draining");
     }
+    addStatements(reply.message);
     co_return reply;
 }
 
@@ -141,13 +144,32 @@
     co_return reply;
 }
 
+void worker_service::addStatements(http_response &message) const
+{
+    const worker_faults faults = faultsNow();
+    std::istringstream rates(faults.rateLimit);
+    for (std::string rate; std::getline(rates, rate, '|');) {
+        message.insert(m_options.rateLimitHeader, rate);
+    }
+    if (!faults.leaving.empty()) {
+        message.set(m_options.leavingHeader, faults.leaving);
+    }
+}
+
 http_reply worker_service::setFaults(const std::string &text)
 {
+    const worker_faults before = m_faults;
     try {
         m_faults = parseWorkerFaults(text, state::clock::now());
     } catch (const std::invalid_argument &error) {
         return makeReply(http::status::bad_request, std::string(error.what()) + "\n");
     }
+    if (m_faults.rateLimit != before.rateLimit) {
+        logLine("states", m_faults.rateLimit.empty() ? "none" : m_faults.rateLimit, "rate_limit");
+    }
+    if (m_faults.leaving != before.leaving) {
+        logLine("states", m_faults.leaving.empty() ? "none" : m_faults.leaving, "leaving");
+    }
     if (m_faults.draining) {
         logLine("draining", m_options.name, "yes");
     }
--- a/tests/standins/worker_service.h
+++ b/tests/standins/worker_service.h
@@ -7,10 +7,10 @@
 //   X-Test-Idempotent  "yes" or "no"; only logged
 //   X-Deadline-Ms      milliseconds left; a run that would take longer is aborted at that time with status 504
 // Each run is logged to standard output as "start <request id> <idempotent> <steady us>" and "end <request id> <outcome>
-// <steady us>"; "draining <name> yes <steady us>" marks the start of draining. When the caller closes the connection, the
-// run is aborted and its slot released. A worker with a call plan makes its calls at the end of each run, in the slot of the run;
-// a run whose call fails ends with status 500. The body of PUT /_fault sets the faults of worker_faults.h; an empty body clears
-// them.
+// <steady us>"; "draining <name> yes <steady us>" marks the start of draining, and "states <header text> <kind> <steady us>" each
+// change of a stated rate limit or leaving. Each request is logged as "arrival <request id> <path> <steady us>" before it waits. When the caller closes the
+// connection, the run is aborted and its slot released. A worker with a call plan makes its calls at the end of each run, in the slot of the run; a run whose
+// call fails ends with status 500. The body of PUT /_fault sets the faults of worker_faults.h; an empty body clears them.
 #pragma once
 
 #include "http_server.h"
@@ -27,13 +27,15 @@
 struct worker_options {
     std::string name = "worker"; // sent as X-Worker
     std::uint32_t slots = 3;
-    std::size_t defaultBytes = 64;                 // answer size without X-Test-Bytes
-    std::uint64_t seed = 1;                        // seed of the random draws of faults
-    std::string echoHeader;                        // name of the request header that each answer repeats; empty repeats none
-    std::string sealHeader;                        // name of the header set on each answer; empty sets none
-    std::string identityHeader;                    // name of the request header with the intended worker; requests for another worker get status 421
-    std::string notRunHeader = "X-Worker-Refused"; // name of the header set on refusals
-    worker_call_plan calls;                        // calls of each run
+    std::size_t defaultBytes = 64;                       // answer size without X-Test-Bytes
+    std::uint64_t seed = 1;                              // seed of the random draws of faults
+    std::string echoHeader;                              // name of the request header that each answer repeats; empty repeats none
+    std::string sealHeader;                              // name of the header set on each answer; empty sets none
+    std::string identityHeader;                          // name of the request header with the intended worker; requests for another worker get status 421
+    std::string notRunHeader = "X-Worker-Refused";       // name of the header set on refusals
+    std::string rateLimitHeader = "X-Worker-Rate-Limit"; // name of the header that states the rate limit
+    std::string leavingHeader = "X-Worker-Leaving";      // name of the header that states the leaving
+    worker_call_plan calls;                              // calls of each run
 };
 
 class worker_service : public http_service
@@ -48,6 +50,7 @@
     asio::awaitable<http_reply> applyAnswerFaults(std::string id, http_reply reply);
     asio::awaitable<std::string> run(const http_request &request, tcp::socket &peer);
     http_reply setFaults(const std::string &text);
+    void addStatements(http_response &message) const;
     http_reply describeHealth() const;
     http_reply describeLoad() const;
     worker_faults faultsNow() const;
