Hold the rate limit that a worker states, also after its sidecar has started again

Cause: nothing read the header, so the sidecar filled the worker's slots, and an idle worker drew even more.

The sidecar, which every arrival passes, now counts all requests, health probes too, against the stated rate (GCRA, burst of 0.5 s, empty at its start) and refuses at once what has no room, queued attempts as well, with another worker and the time of the next room. It forgets at a restart, so each node remembers what the answers that it passed on have stated, keeps to it, and carries it with its attempts; a sidecar that has not heard its worker yet adopts it before it admits the attempt. Balancing and ejection count a limited worker with the slots that its rate can fill.

--- a/coordination/include/dandelionstall/coordination/pool_view.h
+++ b/coordination/include/dandelionstall/coordination/pool_view.h
@@ -92,9 +92,11 @@
     std::vector<worker_view> workers; // in table order
 };
 
-bool isUsable(const worker_view &worker);               // true in the states unknown, healthy and probation
-std::uint32_t countSharingNodes(const pool_view &pool); // nodes with a worker that takes work here or, if unreachable, may take it elsewhere
-std::string_view stateName(worker_state state);         // name of the enumerator, e.g. "healthy"
+bool isUsable(const worker_view &worker);                // true in the states unknown, healthy and probation
+state::time_point rateRoomAt(const worker_view &worker); // time from which its rate limit has room, by its latest report; epoch without a limit
+double usableSlots(const worker_view &worker);           // slots that its rate limit can keep busy; all of them without a limit
+std::uint32_t countSharingNodes(const pool_view &pool);  // nodes with a worker that takes work here or, if unreachable, may take it elsewhere
+std::string_view stateName(worker_state state);          // name of the enumerator, e.g. "healthy"
 bool isNewer(const worker_report &candidate, const worker_report &current); // compares the incarnation, then the version
 pool_view makePoolView(const state::pool &pool);                            // initial view: all workers are in the state unknown
 
--- a/coordination/include/dandelionstall/coordination/rate_gate.h
+++ b/coordination/include/dandelionstall/coordination/rate_gate.h
@@ -16,13 +16,15 @@
 public:
     rate_gate(double perSecond, state::time_point now); // perSecond: 0 or more
 
-    void setRate(double perSecond);                        // requests already counted stay counted
-    double rate() const;                                   // as set, in requests per second
-    std::uint32_t room(state::time_point now) const;       // number of requests that may come now
-    state::time_point roomAt(state::time_point now) const; // earliest time with room for a request; now when there is room
-    void count(state::time_point now);                     // counts a request, also beyond the rate
-    void discount();                                       // takes back a counted request that did not take place
-    state::time_point promiseRoom(state::time_point now);  // time with room that is promised to no other refused request; at most MaxPromise ahead
+    void setRate(double perSecond);                  // requests already counted stay counted
+    double rate() const;                             // as set, in requests per second
+    state::duration interval() const;                // time of one request at the rate
+    std::uint32_t room(state::time_point now) const; // number of requests that may come now
+    state::time_point roomAt(state::time_point now,
+                             std::uint32_t ahead = 0) const; // earliest time with room for a request after `ahead` others; now when there is room
+    void count(state::time_point now);                       // counts a request, also beyond the rate
+    void discount();                                         // takes back a counted request that did not take place
+    state::time_point promiseRoom(state::time_point now);    // time with room that is promised to no other refused request; at most MaxPromise ahead
 
 private:
     double m_rate = 0.0;
--- a/coordination/include/dandelionstall/coordination/reasons.h
+++ b/coordination/include/dandelionstall/coordination/reasons.h
@@ -28,6 +28,7 @@
     duplicate_attempt,    // an attempt with this id or ticket was received before
     worker_shed,          // the worker refused the work with its documented refusal answer
     worker_unreachable,   // no connection to the worker could be opened
+    worker_limited,       // the worker states a rate limit, and it has no room now
     worker_at_risk,       // the worker has failed work recently; other workers are tried first
     retry_budget_empty,   // the retry budget is used up
     cancelled,            // the caller cancelled the request or closed its connection
--- a/coordination/src/balancer_least_wait.cpp
+++ b/coordination/src/balancer_least_wait.cpp
@@ -37,7 +37,8 @@
 
     void add(std::size_t index, const worker_view &worker)
     {
-        const double share = std::max(worker.weight, MinWeight) * std::max<std::uint32_t>(worker.slots, 1);
+        const double slots = std::max(usableSlots(worker), worker.slots == 0 ? 1.0 : MinWeight);
+        const double share = std::max(worker.weight, MinWeight) * slots;
         m_indices.push_back(index);
         m_sums.push_back((m_sums.empty() ? 0.0 : m_sums.back()) + share);
     }
--- a/coordination/src/ejector_peer_outlier.cpp
+++ b/coordination/src/ejector_peer_outlier.cpp
@@ -182,7 +182,8 @@
         if (faultOf(entry) == ejection_reason::slow && !entry.highRisk && m_lowRiskWorkers <= m_minWorkers) {
             return false;
         }
-        // For a new ejection, the remaining slots count by weight, so that it does not rely on workers on probation.
+        // For a new ejection, the remaining slots count by weight, and those of a worker with a rate limit as far as the rate can
+        // fill them, so that it relies neither on workers on probation nor on slots that may not be used.
         return withinFloor && (entry.wasEjected || m_weightedSlots - weightedSlots(entry) >= m_minSlots);
     }
 
@@ -197,7 +198,7 @@
 private:
     static double weightedSlots(const worker_case &entry)
     {
-        return entry.wasEjected ? 0.0 : entry.worker->slots * entry.record.weight;
+        return entry.wasEjected ? 0.0 : usableSlots(*entry.worker) * entry.record.weight;
     }
 
     std::size_t m_minWorkers;
--- a/coordination/src/pool_view.cpp
+++ b/coordination/src/pool_view.cpp
@@ -1,14 +1,35 @@
 #include <dandelionstall/coordination/pool_view.h>
 
+#include <algorithm>
 #include <set>
 
 namespace dandelionstall::coordination {
 
+namespace {
+
+constexpr std::chrono::microseconds DefaultRunTime{100'000}; // of a worker that has not reported any
+
+} // namespace
+
 bool isUsable(const worker_view &worker)
 {
     return worker.state == worker_state::unknown || worker.state == worker_state::healthy || worker.state == worker_state::probation;
 }
 
+state::time_point rateRoomAt(const worker_view &worker)
+{
+    return worker.report.limit == limit_knowledge::limited ? worker.reportReceivedAt + worker.report.roomAfter : state::time_point{};
+}
+
+double usableSlots(const worker_view &worker)
+{
+    if (worker.report.limit != limit_knowledge::limited) {
+        return worker.slots;
+    }
+    const std::chrono::duration<double> runTime = worker.report.latency.count() > 0 ? worker.report.latency : DefaultRunTime;
+    return std::min<double>(worker.slots, worker.report.rateLimit * runTime.count());
+}
+
 std::uint32_t countSharingNodes(const pool_view &pool)
 {
     std::set<state::node_address> nodes;
--- a/coordination/src/rate_gate.cpp
+++ b/coordination/src/rate_gate.cpp
@@ -34,15 +34,20 @@
     return m_rate;
 }
 
+state::duration rate_gate::interval() const
+{
+    return m_interval;
+}
+
 std::uint32_t rate_gate::room(state::time_point now) const
 {
     const state::duration spare = now + BurstTime - std::max(m_usedUntil, now);
     return spare < state::duration::zero() ? 0 : static_cast<std::uint32_t>(spare / m_interval) + 1;
 }
 
-state::time_point rate_gate::roomAt(state::time_point now) const
+state::time_point rate_gate::roomAt(state::time_point now, std::uint32_t ahead) const
 {
-    return std::max(now, m_usedUntil - BurstTime);
+    return std::max(now, std::max(m_usedUntil, now) + m_interval * ahead - BurstTime);
 }
 
 void rate_gate::count(state::time_point now)
--- a/coordination/src/reasons.cpp
+++ b/coordination/src/reasons.cpp
@@ -25,6 +25,7 @@
     std::pair{refusal_reason::duplicate_attempt, "duplicate_attempt"},
     std::pair{refusal_reason::worker_shed, "worker_shed"},
     std::pair{refusal_reason::worker_unreachable, "worker_unreachable"},
+    std::pair{refusal_reason::worker_limited, "worker_limited"},
     std::pair{refusal_reason::worker_at_risk, "worker_at_risk"},
     std::pair{refusal_reason::retry_budget_empty, "retry_budget_empty"},
     std::pair{refusal_reason::cancelled, "cancelled"},
--- a/coordination/src/retry.cpp
+++ b/coordination/src/retry.cpp
@@ -198,8 +198,9 @@
         if (now + failure.expectedCost >= failure.deadline) {
             return giveUp(failure, refusal_reason::deadline_unreachable, now);
         }
-        if (failure.refusal == refusal_reason::worker_at_risk) {
-            return grantRetry(); // a refusal by a failure guard is no sign of load, and nothing was run
+        // A refusal by a failure guard or within a worker's rate limit concerns one worker, and nothing was run.
+        if (failure.refusal == refusal_reason::worker_at_risk || failure.refusal == refusal_reason::worker_limited) {
+            return grantRetry();
         }
         if (failure.hasAllowance) {
             return grantRetry();
--- a/programs/dandelionstall/ingress.cpp
+++ b/programs/dandelionstall/ingress.cpp
@@ -31,11 +31,13 @@
                  std::uint64_t seed,
                  transport::metrics &counters,
                  shared_local_runs &localRuns,
+                 shared_told_signals &told,
                  ingress_events events)
     : m_io(io)
     , m_settings(settings)
     , m_metrics(counters)
     , m_localRuns(localRuns)
+    , m_told(told)
     , m_events(std::move(events))
     , m_acceptor(io)
     , m_sweepTimer(io)
@@ -167,7 +169,11 @@
         }
         m_routes = std::make_unique<state::route_index>(snapshot->routes);
     }
+    const bool poolsChanged = snapshot->pools && (!m_snapshot || m_snapshot->pools != snapshot->pools);
     m_snapshot = std::move(snapshot);
+    if (poolsChanged) {
+        endEarlierLifetimes(*m_snapshot->pools);
+    }
     if (m_snapshot->pools != m_fallbackViewsTable) {
         m_fallbackViews.clear();
         m_fallbackViewsTable = m_snapshot->pools;
@@ -296,11 +302,6 @@
     return m_metrics;
 }
 
-const ingress_events &ingress::events() const
-{
-    return m_events;
-}
-
 std::uint64_t ingress::random()
 {
     return m_random();
--- a/programs/dandelionstall/ingress.h
+++ b/programs/dandelionstall/ingress.h
@@ -8,12 +8,13 @@
 
 #include "caller_connection.h"
 #include "peer_directory.h"
-#include "shared_local_runs.h"
+#include "shared_state.h"
 
 #include <dandelionstall/coordination/balancer.h>
 #include <dandelionstall/coordination/fleet_snapshot.h>
 #include <dandelionstall/coordination/path_backoff.h>
 #include <dandelionstall/coordination/retry.h>
+#include <dandelionstall/protocol/worker_signals.h>
 #include <dandelionstall/state/settings.h>
 #include <dandelionstall/state/tables_index.h>
 #include <dandelionstall/transport/metrics.h>
@@ -45,6 +46,7 @@
             std::uint64_t seed,
             transport::metrics &counters,
             shared_local_runs &localRuns,
+            shared_told_signals &told,
             ingress_events events);
 
     absl::Status listen();                                         // binds the callers' address and starts to accept connections
@@ -67,7 +69,14 @@
     bool isAvoided(const coordination::worker_view &worker) const;
     bool isAvoided(const state::node_address &node) const;
     transport::metrics &metrics();
-    const ingress_events &events() const;
+    void recordReports(const std::vector<coordination::worker_report> &reports);                           // reports that came with an answer
+    void recordSignals(const coordination::worker_identity &who, const protocol::worker_signals &signals); // the head of an answer that this node passes on
+    std::vector<std::string> barredWorkers(const coordination::pool_view &view); // ids of workers that leave, or whose rate limit has no room now
+    std::optional<state::time_point>
+    promiseRoom(const coordination::pool_view &view); // when a usable worker of the pool has room again; nullopt when none is limited
+    std::optional<coordination::told_limit> toldLimit(const std::string &worker); // to be carried with an attempt
+    void recordSent(const std::string &worker);                                   // an attempt is sent to the worker
+    void recordNotArrived(const std::string &worker);                             // it did not reach the worker
     std::uint64_t random();
     state::attempt_id nextAttempt();
     std::size_t expectedAnswerBytes(const std::string &route) const; // moving average of the route; 0 without a recorded answer
@@ -82,12 +91,14 @@
     boost::asio::awaitable<void> serve(std::shared_ptr<caller_connection> connection);
     boost::asio::awaitable<bool> handleRequest(caller_connection &connection, caller_request &request);
     read_limits readLimits() const;
+    void endEarlierLifetimes(const state::pool_table &pools); // forgets what earlier lifetimes of workers have stated
     boost::asio::awaitable<bool> refuseUnreadable(caller_connection &connection, read_result result);
 
     boost::asio::io_context &m_io;
     const state::settings &m_settings;
     transport::metrics &m_metrics;
     shared_local_runs &m_localRuns;
+    shared_told_signals &m_told;
     ingress_events m_events;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_sweepTimer;
--- a/programs/dandelionstall/node.cpp
+++ b/programs/dandelionstall/node.cpp
@@ -67,7 +67,7 @@
             m_control->recordPoolUse(std::move(pool));
         };
         auto entry = std::make_unique<ingress_thread>();
-        entry->server = std::make_unique<ingress>(entry->io, m_settings, drawSeed(), m_metrics, m_localRuns, std::move(events));
+        entry->server = std::make_unique<ingress>(entry->io, m_settings, drawSeed(), m_metrics, m_localRuns, m_told, std::move(events));
         if (absl::Status status = entry->server->listen(); !status.ok()) {
             return status;
         }
--- a/programs/dandelionstall/node.h
+++ b/programs/dandelionstall/node.h
@@ -63,6 +63,7 @@
     state::time_point m_startedAt; // start time of the process, reported by the admin API
     transport::metrics m_metrics;
     shared_local_runs m_localRuns;
+    shared_told_signals m_told;
     boost::asio::io_context m_controlIo{1};
     boost::asio::io_context m_sidecarIo{1};
     boost::asio::signal_set m_signals;
--- a/programs/dandelionstall/request_attempt.cpp
+++ b/programs/dandelionstall/request_attempt.cpp
@@ -94,6 +94,11 @@
     head.bodyBytes = m_request.body.size();
     head.acceptedRisk = acceptedRisk();
     head.firstSent = !std::exchange(m_sent, true);
+    head.lifetime = worker.lifetime;
+    if (const auto limit = m_ingress.toldLimit(worker.id)) {
+        head.statedRate = limit->rate;
+        head.lifetime = std::max(head.lifetime, limit->lifetime);
+    }
     head.repeat = coordination::repeatKindOf(m_arrivals, m_runState, m_isCallOfRepeat);
     return head;
 }
@@ -119,6 +124,7 @@
     m_lastAttemptId = state::formatAttemptId(head.id);
     logPlaced(worker, head.id);
     sent.worker = worker.id;
+    sent.lifetime = head.lifetime;
     sent.node = worker.node;
     sent.contactedNode = worker.node;
     sent.link = *link;
@@ -208,8 +214,9 @@
     }
     sent.headArrived = true;
     m_ingress.recordPathOutcome(sent.contactedNode, true);
-    if (!head->reports.empty()) {
-        m_ingress.events().reports(head->reports);
+    m_ingress.recordReports(head->reports);
+    if (head->status != 0) {
+        m_ingress.recordSignals({sent.worker, m_pool->name, sent.lifetime}, protocol::readWorkerSignals(head->headers, m_ingress.settings().headers));
     }
     if (head->status == 0) {
         co_return sent.answer.streaming ? abortAnswer(sent) : makeRefusalOutcome(sent, *head);
--- a/programs/dandelionstall/request_attempt.h
+++ b/programs/dandelionstall/request_attempt.h
@@ -47,6 +47,7 @@
 struct request_handler::sent_attempt {
     state::attempt_id id;                      // id of the attempt
     std::string worker;                        // worker that the attempt is for
+    std::uint64_t lifetime = 0;                // lifetime of the worker, see coordination::worker_report
     state::node_address node;                  // node that the attempt was sent to
     state::node_address contactedNode;         // node at the other end of the current stream: `node`, or a relay for an outcome query
     std::uint32_t queries = 0;                 // number of outcome queries sent or tried
--- a/programs/dandelionstall/request_handler.cpp
+++ b/programs/dandelionstall/request_handler.cpp
@@ -184,7 +184,9 @@
     coordination::pick_request pick;
     pick.dataCentre = m_ingress.settings().dataCentre;
     pick.route = m_route->name;
-    std::vector<std::string> exclude = m_triedWorkers;
+    std::vector<std::string> barred = m_ingress.barredWorkers(view);
+    barred.insert(barred.end(), m_triedWorkers.begin(), m_triedWorkers.end());
+    std::vector<std::string> exclude = barred;
     for (const coordination::worker_view &worker : view.workers) {
         if (m_ingress.isAvoided(worker)) {
             exclude.push_back(worker.id);
@@ -200,10 +202,10 @@
     pick.idempotent = m_route->idempotent && m_ticket.empty();
     pick.now = state::clock::now();
     const std::size_t chosen = m_ingress.balancerOf(view).pick(view, pick);
-    if (chosen != coordination::NoWorker || exclude.size() == m_triedWorkers.size()) {
+    if (chosen != coordination::NoWorker || exclude.size() == barred.size()) {
         return chosen;
     }
-    pick.exclude = m_triedWorkers; // without another choice, workers in path backoff are included
+    pick.exclude = barred; // without another choice, workers in path backoff are included
     return m_ingress.balancerOf(view).pick(view, pick);
 }
 
@@ -214,11 +216,13 @@
 
 std::size_t request_handler::chooseLeastRisky(const coordination::pool_view &view)
 {
+    const std::vector<std::string> barred = m_ingress.barredWorkers(view);
     std::size_t best = coordination::NoWorker;
     double bestRisk = 0.0;
     for (std::size_t i = 0; i < view.workers.size(); ++i) {
         const auto refused = m_refusedRisks.find(view.workers[i].id);
-        if (refused != m_refusedRisks.end() && (best == coordination::NoWorker || refused->second < bestRisk)) {
+        const bool isBarred = std::find(barred.begin(), barred.end(), view.workers[i].id) != barred.end();
+        if (refused != m_refusedRisks.end() && !isBarred && (best == coordination::NoWorker || refused->second < bestRisk)) {
             best = i;
             bestRisk = refused->second;
         }
@@ -242,21 +246,23 @@
             index = chooseLeastRisky(*view);
         }
         if (index == coordination::NoWorker) {
-            const bool attempted = m_attempts > 0;
-            const refusal_reason reason = !m_ticket.empty() ? refusal_reason::unknown_outcome : (attempted ? lastFailure.refusal : refusal_reason::no_capacity);
-            const run_state run = !m_ticket.empty() ? run_state::unknown : m_runState;
-            co_return co_await refuse(reason, run, state::clock::now() + NoCapacityRetryAfter);
+            co_return co_await refuseWithoutWorker(*view, lastFailure);
         }
         const coordination::worker_view worker = view->workers[index]; // copied, since the view may be replaced during the attempt
         ++m_attempts;
         ++m_ingress.inFlight(worker.id);
+        m_ingress.recordSent(worker.id);
         attempt_outcome outcome = co_await sendAttempt(worker);
         --m_ingress.inFlight(worker.id);
         if (outcome.end != attempt_end::failed) {
             logEnded(outcome.end, worker.id);
             co_return outcome.end == attempt_end::delivered;
         }
-        m_arrivals += mayHaveReachedWorker(outcome.failure) ? 1 : 0;
+        if (mayHaveReachedWorker(outcome.failure)) {
+            ++m_arrivals;
+        } else {
+            m_ingress.recordNotArrived(worker.id);
+        }
         outcome.failure.arrivals = m_arrivals;
         m_budgetRefusals = outcome.failure.budgetRefusals;
         lastFailure = outcome.failure;
@@ -290,6 +296,17 @@
 
 // [SECTION] Refusals
 
+// No worker can be chosen. When workers have no room within their rate limits, the caller is told when the first of them has.
+asio::awaitable<bool> request_handler::refuseWithoutWorker(const coordination::pool_view &view, const coordination::failed_attempt &lastFailure)
+{
+    if (!m_ticket.empty()) {
+        co_return co_await refuse(refusal_reason::unknown_outcome, run_state::unknown, state::clock::now() + NoCapacityRetryAfter);
+    }
+    const std::optional<state::time_point> roomAt = m_ingress.promiseRoom(view);
+    const refusal_reason withoutAttempt = roomAt ? refusal_reason::worker_limited : refusal_reason::no_capacity;
+    co_return co_await refuse(m_attempts > 0 ? lastFailure.refusal : withoutAttempt, m_runState, roomAt ? *roomAt : state::clock::now() + NoCapacityRetryAfter);
+}
+
 asio::awaitable<bool> request_handler::sendFailedAnswer()
 {
     m_answerStatus = m_failedAnswer->status;
--- a/programs/dandelionstall/request_handler.h
+++ b/programs/dandelionstall/request_handler.h
@@ -59,6 +59,7 @@
     boost::asio::awaitable<bool> runAttempts();
     boost::asio::awaitable<bool> issueTicket();
     boost::asio::awaitable<bool> sendFailedAnswer(); // sends m_failedAnswer to the caller
+    boost::asio::awaitable<bool> refuseWithoutWorker(const coordination::pool_view &view, const coordination::failed_attempt &lastFailure);
     boost::asio::awaitable<bool> refuse(coordination::refusal_reason reason, coordination::run_state run, state::time_point retryAt);
 
     // request_log.cpp
--- /dev/null
+++ b/programs/dandelionstall/shared_state.h
@@ -0,0 +1,32 @@
+// State of a node that several of its threads use: the runs at the local workers, recorded by the sidecar's thread and read by the
+// threads of the ingresses, and what answers have told the ingresses about workers.
+#pragma once
+
+#include <dandelionstall/coordination/local_runs.h>
+#include <dandelionstall/coordination/told_signals.h>
+
+#include <mutex>
+
+namespace dandelionstall {
+
+template<typename value>
+class shared_state
+{
+public:
+    // Calls the operation with the value while no other thread uses it, and returns its result.
+    template<typename operation>
+    auto access(operation use)
+    {
+        const std::lock_guard lock(m_mutex);
+        return use(m_value);
+    }
+
+private:
+    std::mutex m_mutex;
+    value m_value;
+};
+
+using shared_local_runs = shared_state<coordination::local_runs>;
+using shared_told_signals = shared_state<coordination::told_signals>;
+
+} // namespace dandelionstall
--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -23,11 +23,17 @@
 constexpr auto ProbePeriod = std::chrono::milliseconds(250);
 constexpr auto ExpiryPeriod = std::chrono::milliseconds(1000); // interval between removals of expired attempt records
 constexpr auto ProbeTimeout = std::chrono::milliseconds(1000);
+constexpr int ProbeShareOfLimit = 4; // with a rate limit, one request in this many may be a probe
 
-// Records status and draining state of a probe's answer and discards the body.
+// Records status, draining state and signals of a probe's answer and discards the body.
 class probe_sink : public transport::worker_answer_sink
 {
 public:
+    void onSignals(const protocol::worker_signals &stated, bool) override
+    {
+        signals = stated;
+    }
+
     void onHead(std::uint32_t status, protocol::http_headers headers) override
     {
         ok = status < 400;
@@ -41,6 +47,7 @@
 
     bool ok = false;
     bool draining = false;
+    protocol::worker_signals signals;
 };
 
 } // namespace
@@ -199,13 +206,15 @@
             }
             known->unlisted = false;
             beginLifetime(*known, row.startedAtMs);
-            setDraining(*known, row.leaving);
+            known->listedLeaving = row.leaving;
+            updateDraining(*known);
         }
     }
     for (auto &[id, worker] : m_workers) {
         if (!present.contains(id)) {
             worker.unlisted = true;
-            setDraining(worker, true);
+            worker.listedLeaving = true;
+            updateDraining(worker);
         }
     }
 }
@@ -263,12 +272,12 @@
     }
 }
 
-void sidecar::setDraining(served_worker &worker, bool draining)
+void sidecar::updateDraining(served_worker &worker)
 {
-    if (worker.draining == draining) {
+    const bool draining = worker.listedLeaving || worker.probedLeaving;
+    if (std::exchange(worker.draining, draining) == draining) {
         return;
     }
-    worker.draining = draining;
     transport::logEvent(transport::event::worker_draining, {{"worker", worker.settings.id}, {"draining", draining ? "yes" : "no"}});
     if (draining && worker.admission) {
         applyActions(worker, worker.admission->drain(state::clock::now()));
@@ -286,13 +295,21 @@
 
 void sidecar::probeWorkers()
 {
+    const state::time_point now = state::clock::now();
     for (auto &[id, worker] : m_workers) {
-        if (!worker.settings.healthPath.empty()) {
+        if (!worker.settings.healthPath.empty() && mayProbe(worker, now)) {
             asio::co_spawn(m_io, probe(worker), asio::detached);
         }
     }
 }
 
+// Probes take their part of a rate limit: the worker counts them like any other request.
+bool sidecar::mayProbe(const served_worker &worker, state::time_point now) const
+{
+    const coordination::rate_gate *gate = worker.limit.gate();
+    return gate == nullptr || (gate->room(now) > 0 && now >= worker.lastProbeAt + gate->interval() * ProbeShareOfLimit);
+}
+
 asio::awaitable<void> sidecar::probe(served_worker &worker)
 {
     transport::worker_request request;
@@ -301,12 +318,16 @@
     request.headers = {{"Host", state::formatNodeAddress(worker.settings.address)}};
     request.deadline = state::clock::now() + ProbeTimeout;
     probe_sink sink;
+    worker.lastProbeAt = state::clock::now();
+    worker.limit.recordStart(worker.lastProbeAt);
     ++worker.runningProbes;
     const transport::worker_result result = co_await worker.client->run(request, sink, std::make_shared<transport::worker_call>());
     --worker.runningProbes;
     worker.outcomeTracker->recordProbe(result.outcome == transport::worker_call_outcome::answered && sink.ok, state::clock::now());
+    recordSignals(worker, sink.signals, false, worker.lastProbeAt);
     if (result.outcome == transport::worker_call_outcome::answered) {
-        setDraining(worker, sink.draining);
+        worker.probedLeaving = sink.draining;
+        updateDraining(worker);
     }
 }
 
@@ -341,6 +362,14 @@
     worker.outcomeTracker->fillReport(report, now);
     report.risk = worker.guard->risk(now);
     report.leaving = refusesWork(worker);
+    report.workerLeaving = worker.statesLeaving;
+    report.lifetime = worker.lifetime;
+    report.limit = worker.limit.knowledge();
+    if (const coordination::rate_gate *gate = worker.limit.gate()) {
+        report.rateLimit = gate->rate();
+        report.roomAfter = std::chrono::duration_cast<std::chrono::microseconds>(gate->roomAt(now, report.queued) - now);
+        report.expectedWait = std::max(report.expectedWait, report.roomAfter);
+    }
     return report;
 }
 
--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar.h
@@ -8,7 +8,7 @@
 
 #include "attempt_stream.h"
 #include "peer_directory.h"
-#include "shared_local_runs.h"
+#include "shared_state.h"
 
 #include <dandelionstall/coordination/admission.h>
 #include <dandelionstall/coordination/failure_guard.h>
@@ -66,9 +66,12 @@
     std::uint64_t lifetime = 0;                                           // start of the worker as announced; 0 when not announced
     coordination::worker_limit limit;                                     // rate limit that the worker states in its answers
     bool statesLeaving = false;                                           // the worker states in its answers that it is leaving, in this lifetime
-    bool draining = false;                                                // the worker accepts no new work
+    bool listedLeaving = false;                                           // the pool table lists it as leaving, or not at all
+    bool probedLeaving = false;                                           // its latest health answer says that it is leaving
+    bool draining = false;                                                // the worker accepts no new work, for one of these reasons
     bool unlisted = false;                                                // the pool table no longer lists it at the service address; removed once idle
     bool loggedSuspected = false;                                         // suspicion that was logged last
+    state::time_point lastProbeAt;                                        // when the latest probe was sent
     std::uint32_t runningProbes = 0;                                      // number of probes in flight
     std::uint64_t reportVersion = 0;                                      // incremented with every published report
 };
@@ -107,16 +110,24 @@
     void syncDiscoveredWorkers();
     void removeUnlistedWorkers();
     boost::asio::awaitable<void> probe(served_worker &worker);
+    bool mayProbe(const served_worker &worker, state::time_point now) const;
     void configureWorker(served_worker &worker);
-    void setDraining(served_worker &worker, bool draining);
+    void updateDraining(served_worker &worker);                        // applies a change of the reasons for which the worker accepts no new work
     void beginLifetime(served_worker &worker, std::uint64_t lifetime); // the entry of the worker names another start: what it stated before has ended
     void recordSignals(served_worker &worker, const protocol::worker_signals &signals, bool mayLift, state::time_point requestedAt);
+    void applyLimitChange(served_worker &worker, coordination::limit_change change, std::string_view source);
     void logLimitChange(const served_worker &worker, coordination::limit_change change, std::string_view source);
+    void adoptLimit(served_worker &worker,
+                    const protocol::attempt_head &head); // the node that sent the attempt was told of a limit before this sidecar was started
+    bool hasRoomInQueue(const served_worker &worker, state::time_point now) const; // within the limit, after the attempts that wait already
+    void refuseQueuedBeyondLimit(served_worker &worker);
+    void recordLimitedStart(served_worker &worker, const protocol::attempt_head &head, state::time_point now);
     bool refusesWork(const served_worker &worker) const; // true if the worker is draining or this node is leaving or stopping
     void drainWorkers();
     served_worker *findWorker(std::string_view id);
 
     coordination::refusal_reason checkAttempt(const protocol::attempt_head &head, state::time_point now);
+    bool refuseBeyondLimit(const std::shared_ptr<attempt_stream> &stream, state::time_point now);
     bool admitOrganisation(const std::shared_ptr<attempt_stream> &stream, state::time_point now);
     std::uint32_t countSidecars(std::string_view pool) const; // nodes that share the limits of the pool; at least 1
     bool beginRecord(const std::shared_ptr<attempt_stream> &stream, state::time_point now);
--- a/programs/dandelionstall/sidecar_attempts.cpp
+++ b/programs/dandelionstall/sidecar_attempts.cpp
@@ -27,6 +27,9 @@
     if (!admitOrganisation(stream, now)) {
         return;
     }
+    if (refuseBeyondLimit(stream, now)) {
+        return;
+    }
     if (!guardAdmits(*findWorker(head.worker), head, now)) {
         sendRefusal(stream->writer(), head, refusal_reason::worker_at_risk, run_state::not_run);
         return;
@@ -61,6 +64,21 @@
     applyActions(worker, worker.admission->offer(item, now));
 }
 
+// Refuses the attempt, and returns true, when the rate limit of the worker has no room for it. A repeated ticket needs no room: its
+// outcome is known.
+bool sidecar::refuseBeyondLimit(const std::shared_ptr<attempt_stream> &stream, state::time_point now)
+{
+    const protocol::attempt_head &head = stream->head();
+    served_worker &worker = *findWorker(head.worker);
+    adoptLimit(worker, head);
+    const bool isRepeated = !head.ticket.empty() && m_registry.findByTicket(head.ticket) != nullptr;
+    if (isRepeated || hasRoomInQueue(worker, now)) {
+        return false;
+    }
+    sendRefusal(stream->writer(), head, refusal_reason::worker_limited, run_state::not_run, worker.limit.promiseRoom(now));
+    return true;
+}
+
 refusal_reason sidecar::checkAttempt(const protocol::attempt_head &head, state::time_point now)
 {
     const served_worker *worker = findWorker(head.worker);
--- a/programs/dandelionstall/sidecar_execution.cpp
+++ b/programs/dandelionstall/sidecar_execution.cpp
@@ -83,6 +83,7 @@
     void onSignals(const protocol::worker_signals &signals, bool isRefusal) override
     {
         owner->recordSignals(*worker, signals, !isRefusal, requestedAt);
+        head.reports.front() = owner->makeReport(*worker, state::clock::now()); // the one from the start of the run lacks what this answer states
     }
 
     void onHead(std::uint32_t status, protocol::http_headers headers) override
@@ -146,6 +147,9 @@
     if (head.deadline <= now) { // a process pause may have followed the admission decision
         return refusal_reason::expired_in_queue;
     }
+    if (worker.limit.room(now) == 0) {
+        return refusal_reason::worker_limited;
+    }
     if (!countRepeat(worker, head, now)) {
         return refusal_reason::retry_budget_empty;
     }
@@ -163,11 +167,12 @@
     local_attempt &attempt = found->second;
     const protocol::attempt_head &head = attempt.stream->head();
     if (const refusal_reason reason = beginRun(worker, attempt, now); reason != refusal_reason::none) {
-        refuseAttempt(id, reason, run_state::not_run, now);
+        refuseAttempt(id, reason, run_state::not_run, reason == refusal_reason::worker_limited ? worker.limit.promiseRoom(now) : now);
         applyActions(worker, worker.admission->finish(id, work_result::abandoned, now));
         return;
     }
     attempt.started = true;
+    recordLimitedStart(worker, head, now);
     worker.guard->recordStart(guardedItemOf(head), now);
     m_localRuns.access([&](coordination::local_runs &runs) { runs.recordStart({id, head.worker, requestId(head), head.repeat, head.deadline}); });
     attempt.call = std::make_shared<transport::worker_call>();
--- a/programs/dandelionstall/sidecar_signals.cpp
+++ b/programs/dandelionstall/sidecar_signals.cpp
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace dandelionstall {
 
 using coordination::limit_change;
@@ -19,7 +21,7 @@
         logEvent(event::signal_invalid, {{"worker", worker.settings.id}, {"value", signals.invalid}});
     }
     const limit_change change = worker.limit.recordAnswer({signals.rateLimit, mayLift && signals.invalid.empty(), requestedAt}, now);
-    logLimitChange(worker, change, "answer");
+    applyLimitChange(worker, change, "answer");
     if (signals.leaving && !worker.statesLeaving) {
         worker.statesLeaving = true;
         m_metrics.incrementCounter("workers_leaving_stated");
@@ -27,6 +29,13 @@
     }
 }
 
+void sidecar::adoptLimit(served_worker &worker, const protocol::attempt_head &head)
+{
+    if (head.statedRate && head.lifetime >= worker.lifetime) {
+        applyLimitChange(worker, worker.limit.adopt(*head.statedRate, state::clock::now()), "attempt");
+    }
+}
+
 void sidecar::beginLifetime(served_worker &worker, std::uint64_t lifetime)
 {
     if (worker.lifetime == lifetime) {
@@ -34,7 +43,17 @@
     }
     worker.lifetime = lifetime;
     worker.statesLeaving = false;
-    logLimitChange(worker, worker.limit.forget(), "lifetime");
+    applyLimitChange(worker, worker.limit.forget(), "lifetime");
+}
+
+void sidecar::applyLimitChange(served_worker &worker, limit_change change, std::string_view source)
+{
+    if (change == limit_change::none) {
+        return;
+    }
+    logLimitChange(worker, change, source);
+    refuseQueuedBeyondLimit(worker);
+    publishReports();
 }
 
 void sidecar::logLimitChange(const served_worker &worker, limit_change change, std::string_view source)
@@ -55,4 +74,47 @@
     }
 }
 
+// [SECTION] Room
+
+bool sidecar::hasRoomInQueue(const served_worker &worker, state::time_point now) const
+{
+    return worker.limit.gate() == nullptr || worker.limit.room(now) > worker.admission->load(now).queued;
+}
+
+// Refuses queued attempts for which the limit has no room now, the latest first: other workers may have room.
+void sidecar::refuseQueuedBeyondLimit(served_worker &worker)
+{
+    const state::time_point now = state::clock::now();
+    if (worker.limit.gate() == nullptr || !worker.admission) {
+        return;
+    }
+    std::vector<std::pair<state::time_point, state::attempt_id>> queued;
+    for (const auto &[id, attempt] : m_attempts) {
+        if (!attempt.started && attempt.stream->head().worker == worker.settings.id) {
+            queued.emplace_back(attempt.arrivedAt, id);
+        }
+    }
+    std::sort(queued.begin(), queued.end());
+    for (std::size_t i = worker.limit.room(now); i < queued.size(); ++i) {
+        const coordination::admission_actions actions = worker.admission->cancel(queued[i].second, now);
+        refuseAttempt(queued[i].second, coordination::refusal_reason::worker_limited, coordination::run_state::not_run, worker.limit.promiseRoom(now));
+        applyActions(worker, actions);
+    }
+}
+
+void sidecar::recordLimitedStart(served_worker &worker, const protocol::attempt_head &head, state::time_point now)
+{
+    if (worker.limit.gate() == nullptr) {
+        return;
+    }
+    worker.limit.recordStart(now);
+    m_metrics.incrementCounter("limited_attempts_started");
+    logEvent(event::limit_applied,
+             {{"request", requestId(head)},
+              {"attempt", state::formatAttemptId(head.id)},
+              {"worker", head.worker},
+              {"rate", fmt::to_string(worker.limit.gate()->rate())},
+              {"room", fmt::to_string(worker.limit.room(now))}});
+}
+
 } // namespace dandelionstall
--- a/tests/integration/support/fleet.h
+++ b/tests/integration/support/fleet.h
@@ -64,6 +64,7 @@
     std::vector<node_plan> nodes;
     bool proxyCallers = true; // callers connect to nodes through the fault proxy
     bool faultProxy = true;   // nodes connect to each other through the fault proxy
+    bool probes = true;       // nodes probe the health path of their workers
     std::string nodeSettings; // additional INI lines for the settings of every node
     std::uint64_t seed = 1;   // random seed of the stand-ins
 };
--- a/tests/standins/call_log.cpp
+++ b/tests/standins/call_log.cpp
@@ -47,6 +47,8 @@
         {"run", record.run},
         {"body", record.body},
         {"retry_after", record.retryAfter},
+        {"states_limit", record.statesLimit},
+        {"states_leaving", record.statesLeaving},
     };
     return json::serialize(line);
 }
@@ -72,6 +74,8 @@
         record.run = textOf(line, "run");
         record.body = textOf(line, "body");
         record.retryAfter = line.at("retry_after").as_bool();
+        record.statesLimit = line.at("states_limit").as_bool();
+        record.statesLeaving = line.at("states_leaving").as_bool();
         return record;
     } catch (const std::exception &error) {
         throw std::invalid_argument("malformed line in call log: " + std::string(error.what()));
--- a/tests/standins/call_log.h
+++ b/tests/standins/call_log.h
@@ -25,6 +25,8 @@
     std::string run;                       // X-Dandelionstall-Run header: not_run, ran or unknown; empty when absent
     std::string body;                      // verdict own, short or foreign for an answer with status 200; otherwise empty
     bool retryAfter = false;               // true when the answer has a Retry-After header
+    bool statesLimit = false;              // true when the answer states a rate limit of the worker
+    bool statesLeaving = false;            // true when the answer states that the worker is leaving
 };
 
 bool isUseful(const call_record &record);                      // true for a complete answer to this request before its deadline
--- a/tests/standins/load_run.cpp
+++ b/tests/standins/load_run.cpp
@@ -156,6 +156,8 @@
         record.reason = answer["X-Dandelionstall-Reason"];
         record.run = answer["X-Dandelionstall-Run"];
         record.retryAfter = answer.count(http::field::retry_after) > 0;
+        record.statesLimit = answer.count("X-Worker-Rate-Limit") > 0;
+        record.statesLeaving = answer.count("X-Worker-Leaving") > 0;
         if (record.status == 200) {
             record.body = verdictName(verifyAnswerBody(planned.id, kind.bytes, answer.body()));
         }
