Send nothing to a worker that has stated that it is leaving

Callers: a request sent later than drainMs after a node had passed on an answer with the leaving header reached that worker. Cause: nothing read the header; a worker that is not listed as leaving, or whose node is cut off from the store, went on getting requests.

--- a/coordination/src/told_signals.cpp
+++ b/coordination/src/told_signals.cpp
@@ -166,7 +166,7 @@
 
 bool told_signals::mayUse(std::string_view worker, state::time_point now) const
 {
-    return roomAt(worker, now) <= now;
+    return !isLeaving(worker) && roomAt(worker, now) <= now;
 }
 
 void told_signals::recordSent(std::string_view worker, state::time_point now)
--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -274,7 +274,7 @@
 
 void sidecar::updateDraining(served_worker &worker)
 {
-    const bool draining = worker.listedLeaving || worker.probedLeaving;
+    const bool draining = worker.listedLeaving || worker.probedLeaving || worker.statesLeaving;
     if (std::exchange(worker.draining, draining) == draining) {
         return;
     }
--- a/programs/dandelionstall/sidecar_signals.cpp
+++ b/programs/dandelionstall/sidecar_signals.cpp
@@ -26,6 +26,7 @@
         worker.statesLeaving = true;
         m_metrics.incrementCounter("workers_leaving_stated");
         logEvent(event::worker_states_leaving, {{"worker", worker.settings.id}, {"lifetime", fmt::to_string(worker.lifetime)}});
+        updateDraining(worker);
     }
 }
 
