Tests of stated limits and leaving: lifetimes, unusable values, refusals, repeats, calls and probes

The fleet with the store moves to tests/integration/support, unchanged but for the headers of its workers.

--- a/coordination/tests/test_balancer.cpp
+++ b/coordination/tests/test_balancer.cpp
@@ -138,3 +138,23 @@
     request.preferredWorker = "w7";
     cr_assert(eq(sz, (*policy)->pick(view, request), 7));
 }
+
+Test(balancer, draws_a_limited_worker_less_often_but_not_never)
+{
+    const auto policy = makeBalancer("least_wait");
+    pool_view view = makeView(6);
+    for (worker_view &worker : view.workers) {
+        worker.dataCentre = "kiambu";
+    }
+    view.workers[0].report.limit = limit_knowledge::limited;
+    view.workers[0].report.rateLimit = 0.01;
+    pick_request request;
+    request.dataCentre = "kiambu";
+    std::size_t limited = 0;
+    constexpr std::size_t Picks = 6000;
+    for (std::size_t i = 0; i < Picks; ++i) {
+        request.random = i * 0x9e3779b97f4a7c15U;
+        limited += (*policy)->pick(view, request) == 0 ? 1 : 0;
+    }
+    cr_assert(limited > Picks / 100 && limited < Picks / 6, "%zu", limited);
+}
--- a/coordination/tests/test_ejector.cpp
+++ b/coordination/tests/test_ejector.cpp
@@ -320,3 +320,23 @@
         }
     }));
 }
+
+// A limited worker stays in use, but most of its slots may not be used: the floor does not count on them.
+Test(ejector, a_new_ejection_does_not_rely_on_slots_beyond_a_rate_limit)
+{
+    for (const bool limited : {false, true}) {
+        pool_fixture pool(4);
+        pool.view.floor = 0.5;
+        pool.evaluateAfter();
+        for (std::size_t i = 2; i < 4 && limited; ++i) {
+            pool.report(i).limit = limit_knowledge::limited;
+            pool.report(i).rateLimit = 1.0;
+            pool.report(i).latency = 100ms;
+        }
+        pool.report(0).longestOverdue = 5s;
+        pool.report(0).overdueCount = 3;
+        pool.evaluateAfter();
+        cr_assert(pool.stateOf(0) == (limited ? worker_state::probation : worker_state::ejected), "limited: %d", limited);
+        cr_assert(isUsable(pool.view.workers[2]) && isUsable(pool.view.workers[3]));
+    }
+}
--- a/coordination/tests/test_pool_view.cpp
+++ b/coordination/tests/test_pool_view.cpp
@@ -6,6 +6,8 @@
 #include <criterion/new/assert.h>
 #include <fmt/format.h>
 
+#include <cmath>
+
 using namespace dandelionstall;
 using namespace dandelionstall::coordination;
 using namespace std::chrono_literals;
@@ -60,3 +62,20 @@
     view.workers.push_back(view.workers.back());
     cr_assert(eq(u32, countSharingNodes(view), 3));
 }
+
+Test(limited_worker, counts_with_the_slots_that_its_rate_can_fill)
+{
+    worker_view worker;
+    worker.slots = 3;
+    worker.reportReceivedAt = Start;
+    worker.report.latency = 200ms;
+    cr_assert(usableSlots(worker) == 3.0);
+    cr_assert(rateRoomAt(worker) == state::time_point{});
+    worker.report.limit = limit_knowledge::limited;
+    worker.report.rateLimit = 2.0;
+    worker.report.roomAfter = 300ms;
+    cr_assert(std::abs(usableSlots(worker) - 0.4) < 1e-9);
+    cr_assert(rateRoomAt(worker) == Start + 300ms);
+    worker.report.rateLimit = 1000.0;
+    cr_assert(usableSlots(worker) == 3.0);
+}
--- a/protocol/tests/test_messages.cpp
+++ b/protocol/tests/test_messages.cpp
@@ -41,6 +41,10 @@
         head.bodyBytes = *rc::gen::inRange<std::uint64_t>(0, 1'000'000);
         head.repeat = *rc::gen::element(coordination::repeat_kind::none, coordination::repeat_kind::rerun, coordination::repeat_kind::call);
         head.firstSent = *rc::gen::arbitrary<bool>();
+        if (*rc::gen::arbitrary<bool>()) {
+            head.statedRate = *rc::gen::inRange(0, 1000) / 10.0;
+        }
+        head.lifetime = *rc::gen::arbitrary<std::uint64_t>();
         const auto parsed = decodeAttemptHead(encode(head));
         RC_ASSERT(parsed.ok());
         RC_ASSERT(parsed->id == head.id);
@@ -52,6 +56,8 @@
         RC_ASSERT(parsed->bodyBytes == head.bodyBytes);
         RC_ASSERT(parsed->repeat == head.repeat);
         RC_ASSERT(parsed->firstSent == head.firstSent);
+        RC_ASSERT(parsed->statedRate == head.statedRate);
+        RC_ASSERT(parsed->lifetime == head.lifetime);
     }));
 }
 
@@ -67,6 +73,11 @@
     report.node = {"10.0.0.1", 7400};
     report.version = 9;
     report.slowness = 2.5;
+    report.limit = coordination::limit_knowledge::limited;
+    report.rateLimit = 1.3;
+    report.roomAfter = std::chrono::milliseconds(70);
+    report.workerLeaving = true;
+    report.lifetime = 1780483690000U;
     head.reports.push_back(report);
     const auto parsed = decodeAnswerHead(encode(head));
     cr_assert(parsed.ok());
@@ -76,6 +87,9 @@
     cr_assert(eq(sz, parsed->reports.size(), 1));
     cr_assert(parsed->reports.front().node == report.node);
     cr_assert(parsed->reports.front().slowness == 2.5);
+    cr_assert(parsed->reports.front().limit == report.limit && parsed->reports.front().rateLimit == 1.3);
+    cr_assert(parsed->reports.front().roomAfter == report.roomAfter && parsed->reports.front().workerLeaving);
+    cr_assert(parsed->reports.front().lifetime == report.lifetime);
 }
 
 Test(messages, an_unknown_run_state_is_never_decoded_as_not_run)
--- /dev/null
+++ b/tests/integration/support/store_fleet.h
@@ -0,0 +1,58 @@
+// A small fleet of real processes on a platform with a key-value store: nodes with one worker each, whose workers announce themselves in
+// the store. The service is "orders"; routes are /read/ (idempotent) and /book/ (non-idempotent) of the host shop.example.
+//
+// Usage:
+//   store_fleet fleet;
+//   fleet.start();                                 // throws when a node does not become ready
+//   fleet.announce(1, "w1", "draining");
+//   std::string answer = fleet.request(0, "GET", "/read/1", "my-id");
+#pragma once
+
+#include "http_call.h"
+#include "process.h"
+
+#include <array>
+#include <string>
+
+namespace dandelionstall::testing {
+
+class store_fleet
+{
+public:
+    static constexpr std::size_t Nodes = 4;
+
+    store_fleet();
+
+    void start();                          // configuration version 1, workers w0 to w3, and all nodes
+    void startNode(std::size_t index);     // also restarts one that has ended
+    bool isReady(std::size_t index) const; // the ready address answers 200
+    void startWorker(std::size_t index, const std::string &id);
+    void announce(std::size_t index, const std::string &id, const std::string &state = "ready", std::uint64_t born = 1); // writes the worker's entry
+    void removeEntry(const std::string &id) const;
+    void configure(std::uint64_t version, const std::string &path); // the idempotent route gets this path
+    void setStoreFault(const std::string &lines) const;
+    void setWorkerFault(std::size_t index, const std::string &lines) const;
+
+    // Sends one request with the given id and returns its whole answer, header included.
+    std::string request(std::size_t index, const std::string &method, const std::string &path, const std::string &id) const;
+    std::string statusOf(std::size_t index, const std::string &path) const; // of a GET, for example "HTTP/1.1 200"
+
+    std::size_t runsAt(std::size_t index) const;          // runs that the worker at this place has started
+    std::string linesWith(const std::string &text) const; // log lines of all nodes that contain it
+    std::string nodeIp(std::size_t index) const;
+    std::string callers(std::size_t index) const; // ip:port at which callers reach the node
+    child_process &node(std::size_t index);
+
+private:
+    std::string ip(std::size_t host) const;
+    std::string nodeLog(std::size_t index) const;
+
+    temporary_directory m_directory;
+    std::string m_prefix; // "127.A.B."
+    std::string m_storeAddress;
+    child_process m_store;
+    std::array<child_process, Nodes> m_nodes;
+    std::array<child_process, Nodes> m_workers;
+};
+
+} // namespace dandelionstall::testing
--- a/tests/integration/test_promise_discovery.cpp
+++ b/tests/integration/test_promise_discovery.cpp
@@ -9,207 +9,19 @@
 // Mechanisms: key_value_source, worker_directory, worker_dissemination, and the sidecar that follows its worker's
 // announcement.
 #include "expect.h"
+#include "store_fleet.h"
 
-#include <boost/asio.hpp>
 #include <criterion/criterion.h>
 #include <fmt/format.h>
 #include <unistd.h>
 
 using namespace dandelionstall::testing;
-using boost::asio::ip::tcp;
 
 namespace {
 
-constexpr unsigned NodePort = 7400;
-constexpr unsigned CallersPort = 7480;
-constexpr unsigned ReadyPort = 7481;
-constexpr unsigned AdministrationPort = 7490;
-constexpr unsigned WorkerPort = 9000;
-constexpr std::size_t Nodes = 4;
+constexpr std::size_t Nodes = store_fleet::Nodes;
 constexpr std::chrono::seconds InForceTime{2}; // limit for a new configuration or a leaving worker, counted from the store's acknowledgement
 
-// Four nodes with one worker each, and the key-value store.
-class store_fleet
-{
-public:
-    store_fleet()
-        : m_prefix(fmt::format("127.{}.{}.", 64 + (static_cast<unsigned>(getpid()) / 256) % 128, static_cast<unsigned>(getpid()) % 256))
-    {
-        m_storeAddress = ip(1) + ":8500";
-        m_store = child_process(programPath("standin_keyed_store"), {"--listen", m_storeAddress}, m_directory.path("store.log"));
-        awaitPort(m_store);
-    }
-
-    std::string ip(std::size_t host) const
-    {
-        return m_prefix + std::to_string(host);
-    }
-
-    std::string nodeIp(std::size_t index) const
-    {
-        return ip(10 + index);
-    }
-
-    void startNode(std::size_t index)
-    {
-        const std::string at = nodeIp(index);
-        std::string text = fmt::format("[node]\nname = node-{}\ndata_centre = dc-{}\nregion = here\nlisten = {}:{}\n", index, index % 2, at, NodePort);
-        text += fmt::format(
-            "callers = {}:{}\nadmin = {}:{}\nready = {}:{}\nown_pool = orders\nstop_grace = 6s\n", at, CallersPort, at, AdministrationPort, at, ReadyPort);
-        text += fmt::format("[platform]\nkind = keyed_store\nconfig_service = {}\nbound.drainMs = 2000\nbound.retryBudgetSlack = 56\n", m_storeAddress);
-        text += fmt::format("[discovered_worker]\npool = orders\naddress = {}:{}\n", at, WorkerPort);
-        text += "[headers]\nrequest_id = Attempt-Id\ntime_left = Deadline-Remaining\norigin_pool = Caller-Service\n";
-        text += "expected_worker = Expect-Instance\nnot_run = Not-Executed\nseal = Server-Stamp\n";
-        const std::string settings = m_directory.write(fmt::format("node-{}.ini", index), text);
-        m_nodes[index] = child_process(programPath("dandelionstall"), {"--config", settings}, nodeLog(index));
-    }
-
-    void startWorker(std::size_t index, const std::string &id)
-    {
-        m_workers[index] = child_process(programPath("standin_worker"),
-                                         {"--listen",
-                                          fmt::format("{}:{}", nodeIp(index), WorkerPort),
-                                          "--name",
-                                          id,
-                                          "--echo",
-                                          "Attempt-Id",
-                                          "--seal",
-                                          "Server-Stamp",
-                                          "--identity",
-                                          "Expect-Instance",
-                                          "--not-run",
-                                          "Not-Executed"},
-                                         m_directory.path(fmt::format("worker-{}.log", index)));
-        awaitPort(m_workers[index]);
-    }
-
-    void announce(std::size_t index, const std::string &id, const std::string &state = "ready", std::uint64_t born = 1)
-    {
-        const std::string entry = fmt::format(
-            R"({{"service":"orders","address":"{}:{}","zone":"dc-{}","version":"v1","slots":3,"state":"{}","coldRemainingMs":0,"sequence":1,"born":{}}})",
-            nodeIp(index),
-            WorkerPort,
-            index % 2,
-            state,
-            born);
-        command(m_storeAddress, "/_put/servers/" + id, entry);
-    }
-
-    void configure(std::uint64_t version, const std::string &path)
-    {
-        command(
-            m_storeAddress,
-            "/_put/op/config",
-            fmt::format(R"({{"version":{},"services":[{{"name":"orders"}}],"virtualHosts":[{{"host":"shop.example","paths":[)"
-                        R"({{"name":"read","prefix":"/{}/","kind":"idempotent","timeoutMs":2000,"priority":2,"service":"orders","maxAttempts":2}},)"
-                        R"({{"name":"book","prefix":"/book/","kind":"non_idempotent","timeoutMs":2000,"priority":1,"service":"orders","maxAttempts":2}}]}}]}})",
-                        version,
-                        path));
-    }
-
-    void start()
-    {
-        configure(1, "read");
-        for (std::size_t i = 0; i < Nodes; ++i) {
-            startWorker(i, fmt::format("w{}", i));
-            announce(i, fmt::format("w{}", i));
-            startNode(i);
-        }
-        for (std::size_t i = 0; i < Nodes; ++i) {
-            cr_assert(waitUntil([&] { return isReady(i); }), "node %zu did not become ready: %s", i, m_nodes[i].output().c_str());
-        }
-    }
-
-    bool isReady(std::size_t index) const
-    {
-        return getHttp(fmt::format("{}:{}", nodeIp(index), ReadyPort), "/ready").status == 200;
-    }
-
-    // Sends one request with the given id and returns its whole answer, header included.
-    std::string request(std::size_t index, const std::string &method, const std::string &path, const std::string &id) const
-    {
-        boost::asio::io_context io;
-        tcp::socket socket(io);
-        boost::system::error_code error;
-        socket.connect(tcp::endpoint(boost::asio::ip::make_address(nodeIp(index)), CallersPort), error);
-        const std::string text = fmt::format("{} {} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {}\r\nX-Request-Id: {}\r\nDeadline-Remaining: "
-                                             "1500\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
-                                             method,
-                                             path,
-                                             id,
-                                             id);
-        boost::asio::write(socket, boost::asio::buffer(text), error);
-        std::string answer;
-        boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
-        return answer;
-    }
-
-    std::string statusOf(std::size_t index, const std::string &path) const
-    {
-        return request(index, "GET", path, "probe").substr(0, 12);
-    }
-
-    void setStoreFault(const std::string &lines) const
-    {
-        command(m_storeAddress, "/_fault", lines);
-    }
-
-    void setWorkerFault(std::size_t index, const std::string &lines) const
-    {
-        command(fmt::format("{}:{}", nodeIp(index), WorkerPort), "/_fault", lines);
-    }
-
-    void removeEntry(const std::string &id) const
-    {
-        command(m_storeAddress, "/_remove/servers/" + id, "");
-    }
-
-    std::size_t runsAt(std::size_t index) const
-    {
-        const std::string log = m_workers[index].output();
-        std::size_t count = 0;
-        for (std::size_t at = log.find("start "); at != std::string::npos; at = log.find("start ", at + 1)) {
-            ++count;
-        }
-        return count;
-    }
-
-    std::string linesWith(const std::string &text) const
-    {
-        std::string found;
-        for (const child_process &node : m_nodes) {
-            const std::string log = node.output();
-            for (std::size_t begin = 0; begin < log.size();) {
-                const std::size_t end = std::min(log.find('\n', begin), log.size());
-                const std::string line = log.substr(begin, end - begin);
-                if (line.find(text) != std::string::npos) {
-                    found += line + "\n";
-                }
-                begin = end + 1;
-            }
-        }
-        return found;
-    }
-
-    child_process &node(std::size_t index)
-    {
-        return m_nodes[index];
-    }
-
-private:
-    std::string nodeLog(std::size_t index) const
-    {
-        return m_directory.path(fmt::format("node-{}.log", index));
-    }
-
-    temporary_directory m_directory;
-    std::string m_prefix;
-    std::string m_storeAddress;
-    child_process m_store;
-    std::array<child_process, Nodes> m_nodes;
-    std::array<child_process, Nodes> m_workers;
-};
-
 } // namespace
 
 Test(discovery, applies_the_store_and_keeps_serving_without_it)
@@ -276,7 +88,7 @@
     store_fleet fleet;
     fleet.startWorker(0, "w0");
     fleet.startNode(0);
-    const std::string callers = fmt::format("{}:{}", fleet.nodeIp(0), CallersPort);
+    const std::string callers = fleet.callers(0);
     cr_assert(waitUntil([&] { return getHttp(callers, "/read/1").status == 503; }));
     cr_assert(not(fleet.isReady(0)));
     fleet.announce(0, "w0");
--- a/tests/integration/test_promise_worker_limit.cpp
+++ b/tests/integration/test_promise_worker_limit.cpp
@@ -115,3 +115,27 @@
     const std::vector<arrival> late = findLateArrivals(evidence, LimitedWorker, DrainTime);
     cr_assert(late.empty(), "%zu requests reached a leaving worker, the first is %s", late.size(), late.front().id.c_str());
 }
+
+// Calls that runs make, runs that are repeated after a failure, the calls of these, and health probes all count.
+Test(worker_limit, holds_for_repeats_calls_of_workers_and_probes)
+{
+    const std::string called = "stock-0";
+    fleet_plan plan;
+    plan.pools = {{"orders", 12, 1.0, {{"guard", "off"}}, {"", "/stock", 2}}, {"stock", 12, 0.5, {{"guard", "off"}}}};
+    plan.routes = {{"lookup", "/lookup", "orders", true, 1.0, {}}, {"stock", "/stock", "stock", true, 1.0, {}}};
+    for (unsigned i = 0; i < 2; ++i) {
+        plan.nodes.push_back({"kiambu", {{fmt::format("orders-{}", i), "orders"}}});
+        plan.nodes.push_back({"thika", {{fmt::format("stock-{}", i), "stock"}}});
+    }
+    plan.nodeSettings = "[headers]\nrequest_id = X-Request-Id\n";
+    plan.proxyCallers = false;
+    fleet fleet(plan);
+    fleet.start();
+    for (const char *worker : {"orders-0", "orders-1", "stock-1"}) {
+        fleet.setFault(worker, "fail=0.3");
+    }
+    load_job load = fleet.startLoad(phase(14, 40) + lookups({{"share", "1"}}));
+    std::this_thread::sleep_for(milliseconds(2000));
+    fleet.setFault(called, "rate_limit=2\nfail=0.3");
+    expectWithinLimit(fleet.evidence(load.finish()), called);
+}
