Limit every part of an answer that is not the body of a success

Cause: only the header of an answer and the body of an answer of the store had limits.

Now: 128 KB received and not yet parsed, 256 KB of a late answer's body, 1 MB of an error's body, 64 KB of a probe's answer, eight interim answers (status 1xx, skipped now; before, the first one ended the request); of the store only the body of status 200 is read. Beyond that the connection is closed and the attempt counts as cut.

The body of a success may still be of any length until its deadline.

--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -23,6 +23,7 @@
 constexpr auto ProbePeriod = std::chrono::milliseconds(250);
 constexpr auto ExpiryPeriod = std::chrono::milliseconds(1000); // interval between removals of expired attempt records
 constexpr auto ProbeTimeout = std::chrono::milliseconds(1000);
+constexpr std::size_t MaxProbeAnswerBytes = 65'536;
 constexpr int ProbeShareOfLimit = 4; // with a rate limit, one request in this many may be a probe
 
 // Records status, draining state and signals of a probe's answer and discards the body.
@@ -317,6 +318,7 @@
     request.target = worker.settings.healthPath;
     request.headers = {{"Host", state::formatNodeAddress(worker.settings.address)}};
     request.deadline = state::clock::now() + ProbeTimeout;
+    request.maxAnswerBytes = MaxProbeAnswerBytes;
     probe_sink sink;
     worker.lastProbeAt = state::clock::now();
     worker.limit.recordStart(worker.lastProbeAt);
--- a/tests/integration/support/store_fleet.cpp
+++ b/tests/integration/support/store_fleet.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio.hpp>
 #include <fmt/format.h>
 
+#include <sstream>
 #include <stdexcept>
 #include <unistd.h>
 
@@ -183,6 +184,22 @@
     return found;
 }
 
+std::vector<std::size_t> store_fleet::endlessBytes() const
+{
+    std::string log = m_store.output();
+    for (const child_process &worker : m_workers) {
+        log += worker.output();
+    }
+    std::vector<std::size_t> bytes;
+    std::istringstream lines(log);
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with("endless - ")) {
+            bytes.push_back(std::stoul(line.substr(10)));
+        }
+    }
+    return bytes;
+}
+
 // [SECTION] Addresses
 
 std::string store_fleet::ip(std::size_t host) const
--- a/tests/integration/support/store_fleet.h
+++ b/tests/integration/support/store_fleet.h
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <string>
+#include <vector>
 
 namespace dandelionstall::testing {
 
@@ -42,6 +43,7 @@
     std::string nodeIp(std::size_t index) const;
     std::string callers(std::size_t index) const; // ip:port at which callers reach the node
     child_process &node(std::size_t index);
+    std::vector<std::size_t> endlessBytes() const; // bytes of each endless answer of workers and store whose connection has been closed
 
 private:
     std::string ip(std::size_t host) const;
--- a/tests/standins/http_server.cpp
+++ b/tests/standins/http_server.cpp
@@ -14,9 +14,12 @@
 #include <boost/beast/http/write.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 #include <csignal>
 #include <cstdio>
+#include <sstream>
 #include <stdexcept>
 
 namespace dandelionstall::standins {
@@ -25,6 +28,8 @@
 
 constexpr std::uint64_t MaxBodyBytes = 16 * 1024 * 1024;
 constexpr std::chrono::milliseconds PipelinedPollInterval{20};
+constexpr std::size_t EndlessBlockBytes = 16'384;
+constexpr std::chrono::microseconds EndlessPause{300};
 
 void resetConnection(tcp::socket &peer)
 {
@@ -44,6 +49,80 @@
     peer.close(error);
 }
 
+std::optional<endless_part> parseEndlessPart(std::string_view name)
+{
+    constexpr std::array Names{std::pair{endless_part::head, "head"},
+                               std::pair{endless_part::head_lines, "head_lines"},
+                               std::pair{endless_part::chunk_head, "chunk_head"},
+                               std::pair{endless_part::trailer, "trailer"},
+                               std::pair{endless_part::interim, "interim"},
+                               std::pair{endless_part::late_answer, "late_answer"},
+                               std::pair{endless_part::body, "body"}};
+    const auto found = std::find_if(Names.begin(), Names.end(), [&](const auto &entry) { return entry.second == name; });
+    return found == Names.end() ? std::nullopt : std::optional(found->first);
+}
+
+std::string headTextOf(const http_response &message, bool chunked)
+{
+    http::response<http::empty_body> head(message.base());
+    head.erase(http::field::content_length);
+    head.chunked(chunked);
+    std::ostringstream text;
+    text << head.base();
+    return text.str();
+}
+
+std::string repeatText(const std::string &text)
+{
+    std::string block;
+    while (block.size() < EndlessBlockBytes) {
+        block += text;
+    }
+    return block;
+}
+
+// The bytes before the part that never ends, and the ones that are then sent again and again.
+std::pair<std::string, std::string> endlessTexts(const http_reply &reply)
+{
+    const std::string filler(EndlessBlockBytes, 'a');
+    const std::string lines = repeatText("X-Filler: " + filler.substr(0, 100) + "\r\n");
+    switch (reply.part) {
+    case endless_part::head:
+        return {"HTTP/1.1 200 OK\r\nX-Filler: ", filler};
+    case endless_part::head_lines:
+        return {"HTTP/1.1 200 OK\r\n", lines};
+    case endless_part::chunk_head:
+        return {headTextOf(reply.message, true) + "1;", filler};
+    case endless_part::trailer:
+        return {headTextOf(reply.message, true) + "1\r\na\r\n0\r\n", lines};
+    case endless_part::interim:
+        return {"", repeatText("HTTP/1.1 102 Processing\r\n\r\n")};
+    case endless_part::late_answer: {
+        http_response late = reply.message;
+        late.set(reply.echoHeader, "another-request");
+        return {headTextOf(late, true), "4000\r\n" + filler + "\r\n"};
+    }
+    case endless_part::body:
+        return {headTextOf(reply.message, true), "4000\r\n" + filler + "\r\n"};
+    }
+    return {};
+}
+
+// Prints "endless <bytes sent>" for tests when the peer has closed the connection.
+asio::awaitable<void> sendEndless(tcp::socket &peer, const http_reply &reply)
+{
+    const auto [first, repeated] = endlessTexts(reply);
+    boost::system::error_code error;
+    std::size_t sent = co_await asio::async_write(peer, asio::buffer(first), asio::redirect_error(asio::use_awaitable, error));
+    while (!error) {
+        sent += co_await asio::async_write(peer, asio::buffer(repeated), asio::redirect_error(asio::use_awaitable, error));
+        co_await pauseFor(EndlessPause); // some 50 MB a second, so that a node without limits does not take the machine's memory
+    }
+    fmt::print("endless - {} {}\n", sent, std::chrono::duration_cast<std::chrono::microseconds>(state::clock::now().time_since_epoch()).count());
+    std::fflush(stdout);
+    peer.close(error);
+}
+
 // Returns true when the connection stays open.
 asio::awaitable<bool> sendReply(tcp::socket &peer, http_reply &reply)
 {
@@ -58,6 +137,9 @@
     case delivery::truncated:
         co_await sendTruncated(peer, reply.message);
         co_return false;
+    case delivery::endless:
+        co_await sendEndless(peer, reply);
+        co_return false;
     case delivery::whole:
         break;
     }
@@ -91,6 +173,17 @@
 
 } // namespace
 
+void makeEndless(http_reply &reply, std::string_view name, const std::string &echoHeader)
+{
+    const bool isError = name == "error_body";
+    reply.how = delivery::endless;
+    reply.part = isError ? endless_part::body : parseEndlessPart(name).value_or(endless_part::head);
+    reply.echoHeader = echoHeader;
+    if (isError) {
+        reply.message.result(http::status::internal_server_error);
+    }
+}
+
 http_reply makeReply(http::status status, std::string body, std::string_view contentType)
 {
     http_reply reply;
--- a/tests/standins/http_server.h
+++ b/tests/standins/http_server.h
@@ -34,13 +34,30 @@
     truncated, // headers and half of the body are sent, then the connection is closed
     reset,     // no byte is sent; the connection is reset
     dropped,   // no byte is sent; the connection is closed
+    endless,   // bytes without end are sent until the peer closes the connection; see endless_bytes
+};
+
+// Where the bytes come that never end.
+enum class endless_part {
+    head,        // a header value
+    head_lines,  // header after header
+    chunk_head,  // a chunk extension, after a proper head
+    trailer,     // trailer fields, after a proper body
+    interim,     // status 102, again and again
+    late_answer, // the body of an answer to another request
+    body,        // the body of an answer with the status of the reply
 };
 
 struct http_reply {
     http_response message;
     delivery how = delivery::whole;
+    endless_part part = endless_part::head; // for delivery::endless
+    std::string echoHeader;                 // for endless_part::late_answer: header that names another request
 };
 
+// Sends bytes without end in place of the reply. name: an enumerator of endless_part, or "error_body" for a body with status 500.
+void makeEndless(http_reply &reply, std::string_view name, const std::string &echoHeader = {});
+
 class http_service
 {
 public:
--- a/tests/standins/keyed_store.cpp
+++ b/tests/standins/keyed_store.cpp
@@ -76,6 +76,11 @@
         co_await awaitPeerClosed(peer);
         co_return makeDropped();
     }
+    if (!m_endless.empty()) {
+        http_reply reply = makeReply(http::status::ok, "");
+        makeEndless(reply, m_endless);
+        co_return reply;
+    }
     if (m_absent == "close") {
         co_return makeDropped();
     }
@@ -164,6 +169,7 @@
     try {
         key_values values(text);
         m_absent = values.consume("absent", std::string());
+        m_endless = values.consume("endless", std::string());
         m_refusedIp = values.consume("refuse", std::string());
         m_silent = values.consumeFlag("silent");
         if (values.consumeFlag("compact")) {
--- a/tests/standins/keyed_store.h
+++ b/tests/standins/keyed_store.h
@@ -8,6 +8,7 @@
 // Faults:
 //   absent=error        error: each read gets status 503; close: the connection is closed without an answer
 //   silent=yes          reads are never answered
+//   endless=chunk_head  bytes without end in place of answers, see makeEndless()
 //   refuse=127.0.0.2    reads from this IP address get status 503; others are served
 //   compact=yes         drops the history up to now: watches from an older revision get status 410
 #pragma once
@@ -49,6 +50,7 @@
     std::uint64_t m_compactedRevision = 0; // oldest revision that a watch may start from; earlier history is dropped
     asio::steady_timer m_changed;          // never expires; cancelled at each change to wake watches
     std::string m_absent;
+    std::string m_endless;   // see makeEndless(); empty sends whole answers
     std::string m_refusedIp; // IP address whose reads get status 503; empty refuses none
     bool m_silent = false;
 };
--- a/tests/standins/worker_faults.cpp
+++ b/tests/standins/worker_faults.cpp
@@ -39,6 +39,9 @@
     faults.load = values.consume("load", faults.load);
     faults.rateLimit = values.consume("rate_limit", faults.rateLimit);
     faults.leaving = values.consume("leaving", faults.leaving);
+    faults.endless = values.consume("endless", faults.endless);
+    faults.endlessShare = values.consume("endless_share", faults.endlessShare);
+    faults.endlessHealth = values.consumeFlag("endless_health");
     faults.flap = values.consumeMillis("flap_ms", faults.flap);
     faults.since = now;
     values.expectAllConsumed();
--- a/tests/standins/worker_faults.h
+++ b/tests/standins/worker_faults.h
@@ -14,6 +14,10 @@
 //   load=idle           report of the load endpoint: honest (the actual load), idle or full
 //   rate_limit=1.5        rate limit header on every answer, with this text; a "|" divides the texts of two such headers
 //   leaving=1             leaving header on every answer, with this text
+//   endless=chunk_head    bytes without end in place of answers, see http_server.h: head, head_lines, chunk_head, trailer, interim,
+//                         late_answer, body (of a success), error_body (of status 500)
+//   endless_share=0.5     share of the runs that end so; 1 when absent
+//   endless_health=yes    the health endpoint answers so, too
 //   flap_ms=1000        the faults are active in every other interval of this length, starting with the first
 #pragma once
 
@@ -38,6 +42,9 @@
     std::string load = "honest";
     std::string rateLimit; // empty sets no header
     std::string leaving;   // empty sets no header
+    std::string endless;   // empty sends whole answers
+    double endlessShare = 1.0;
+    bool endlessHealth = false;
     std::chrono::milliseconds flap{0};
     state::time_point since; // time at which the faults were set
 };
--- a/tests/standins/worker_service.cpp
+++ b/tests/standins/worker_service.cpp
@@ -68,6 +68,7 @@
         reply.message.set("X-Worker-State", "draining");
     }
     addStatements(reply.message);
+    applyEndlessFault(request, reply);
     co_return reply;
 }
 
@@ -156,6 +157,16 @@
     }
 }
 
+void worker_service::applyEndlessFault(const http_request &request, http_reply &reply)
+{
+    const worker_faults faults = faultsNow();
+    const bool isHealth = request.target() == "/healthz";
+    if (faults.endless.empty() || (isHealth ? !faults.endlessHealth : !draw(faults.endlessShare))) {
+        return;
+    }
+    makeEndless(reply, faults.endless, m_options.echoHeader);
+}
+
 http_reply worker_service::setFaults(const std::string &text)
 {
     const worker_faults before = m_faults;
--- a/tests/standins/worker_service.h
+++ b/tests/standins/worker_service.h
@@ -51,6 +51,7 @@
     asio::awaitable<std::string> run(const http_request &request, tcp::socket &peer);
     http_reply setFaults(const std::string &text);
     void addStatements(http_response &message) const;
+    void applyEndlessFault(const http_request &request, http_reply &reply);
     http_reply describeHealth() const;
     http_reply describeLoad() const;
     worker_faults faultsNow() const;
--- a/transport/include/dandelionstall/transport/worker_client.h
+++ b/transport/include/dandelionstall/transport/worker_client.h
@@ -1,4 +1,6 @@
 // HTTP/1.1 client of one worker on this VM, with keep-alive connections, deadlines, cancellation and streamed answers.
+// What is not the body of a success is limited in size, so that a worker that sends bytes without end costs little; interim answers
+// (status 1xx) are skipped. Only the body of a success may be of any length, until the deadline.
 // It may be used from one thread only.
 //
 // Usage:
@@ -18,6 +20,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <limits>
 #include <memory>
 #include <vector>
 
@@ -26,12 +29,13 @@
 // [SECTION] Calls
 
 struct worker_request {
-    std::string method;             // HTTP method, e.g. "GET"
-    std::string target;             // path and query of the request line
-    protocol::http_headers headers; // end-to-end headers only
-    std::string body;               // whole body; may be empty
-    state::time_point deadline;     // time at which the call ends as timed_out
-    std::string expectedWorker;     // id of the only worker that may run the request; empty when any may
+    std::string method;                                                   // HTTP method, e.g. "GET"
+    std::string target;                                                   // path and query of the request line
+    protocol::http_headers headers;                                       // end-to-end headers only
+    std::string body;                                                     // whole body; may be empty
+    state::time_point deadline;                                           // time at which the call ends as timed_out
+    std::string expectedWorker;                                           // id of the only worker that may run the request; empty when any may
+    std::size_t maxAnswerBytes = std::numeric_limits<std::size_t>::max(); // longest body of the answer; a longer one is cut
 };
 
 enum class worker_call_outcome {
@@ -98,6 +102,7 @@
     boost::asio::awaitable<stream_ptr> connect(const worker_request &request, worker_call &call); // null when the connection cannot be made
     boost::asio::awaitable<worker_result> runOn(stream_ptr stream, const worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call);
     boost::asio::awaitable<boost::system::error_code> readHead(exchange &current, const worker_request &request) const;
+    boost::asio::awaitable<boost::system::error_code> dropBody(exchange &current) const;
     bool answersRequest(const exchange &current, const worker_request &request) const;
     bool passesSealCheck(const exchange &current) const;
     void keepIdleConnection(const exchange &current, const worker_call &call);
--- a/transport/src/platform_client.cpp
+++ b/transport/src/platform_client.cpp
@@ -17,6 +17,7 @@
 
 namespace {
 
+constexpr std::size_t MaxBufferedBytes = 131'072; // received and not yet parsed: bounds header, chunk headers and trailers
 constexpr std::size_t MaxAnswerBytes = 4'194'304; // 4 MiB, enough for the list of VMs, which is larger than a single value
 
 constexpr auto NoThrow = asio::as_tuple(asio::use_awaitable);
@@ -29,6 +30,11 @@
     return index;
 }
 
+absl::Status makeReadError(const boost::system::error_code &error)
+{
+    return makeSocketError(error == beast::error::timeout ? transport_error::silent : transport_error::closed, error);
+}
+
 // Binds the socket to the node's address, unless the service's address is of the other IP family.
 boost::system::error_code bindLocal(asio::ip::tcp::socket &socket, const asio::ip::tcp::endpoint &remote, const std::string &localIp)
 {
@@ -84,12 +90,19 @@
         co_return makeSocketError(transport_error::closed, writeError);
     }
 
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{MaxBufferedBytes};
     http::response_parser<http::string_body> parser;
     parser.body_limit(MaxAnswerBytes);
+    const auto [headError, headBytes] = co_await http::async_read_header(stream, buffer, parser, NoThrow);
+    if (headError) {
+        co_return makeReadError(headError);
+    }
+    if (parser.get().result() != http::status::ok) { // the body of any other status is not used
+        co_return platform_answer{parser.get().result_int(), readIndex(parser.get()), {}};
+    }
     const auto [readError, read] = co_await http::async_read(stream, buffer, parser, NoThrow);
     if (readError) {
-        co_return makeSocketError(readError == beast::error::timeout ? transport_error::silent : transport_error::closed, readError);
+        co_return makeReadError(readError);
     }
     http::response<http::string_body> response = parser.release();
     co_return platform_answer{response.result_int(), readIndex(response), std::move(response.body())};
--- a/transport/src/worker_client.cpp
+++ b/transport/src/worker_client.cpp
@@ -24,7 +24,12 @@
 constexpr std::size_t MaxIdleConnections = 16;
 constexpr std::size_t BodyChunkBytes = 32'768;
 constexpr std::uint32_t HeaderLimitBytes = 65'536;
-constexpr int MaxEarlierAnswers = 3; // late answers to earlier requests that may precede the expected answer
+constexpr int MaxEarlierAnswers = 3;                           // late answers to earlier requests that may precede the expected answer
+constexpr int MaxInterimAnswers = 8;                           // answers with a status of 1xx that may precede the expected answer
+constexpr std::size_t MaxDroppedBytes = 262'144;               // of the body of a late answer, before the connection is given up
+constexpr std::size_t MaxErrorBytes = 1'048'576;               // of the body of an answer with an error
+constexpr std::size_t MaxBufferedBytes = 2 * HeaderLimitBytes; // received and not yet parsed: bounds chunk headers and trailers
+constexpr std::uint32_t FirstFinalStatus = 200;
 constexpr std::uint32_t StatusMisdirected = 421;
 constexpr std::uint32_t FirstErrorStatus = 400;
 
@@ -157,7 +162,7 @@
 struct worker_client::exchange {
     stream_ptr stream;
     std::shared_ptr<request_write> write;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{MaxBufferedBytes};
     std::unique_ptr<answer_parser> parser;
     protocol::http_headers headers; // end-to-end headers of the answer
     std::uint32_t status = 0;
@@ -241,7 +246,9 @@
 asio::awaitable<boost::system::error_code> worker_client::readHead(exchange &current, const worker_request &request) const
 {
     constexpr auto token = asio::as_tuple(asio::use_awaitable);
-    for (int earlier = 0; earlier <= MaxEarlierAnswers; ++earlier) {
+    int earlier = 0;
+    int interim = 0;
+    while (earlier <= MaxEarlierAnswers && interim <= MaxInterimAnswers) {
         current.parser = std::make_unique<answer_parser>();
         current.parser->header_limit(HeaderLimitBytes);
         current.parser->body_limit(boost::none);
@@ -252,23 +259,43 @@
         }
         current.status = current.parser->get().result_int();
         current.headers = headersOf(current.parser->get().base());
-        if (answersRequest(current, request)) {
+        const bool isInterim = current.status < FirstFinalStatus;
+        if (!isInterim && answersRequest(current, request)) {
             co_return beast::error_code();
         }
-        std::array<char, BodyChunkBytes> dropped{};
-        while (!current.parser->is_done()) {
-            current.parser->get().body().data = dropped.data();
-            current.parser->get().body().size = dropped.size();
-            const auto [bodyError, bodyBytes] = co_await http::async_read(*current.stream, current.buffer, *current.parser, token);
-            if (bodyError && bodyError != http::error::need_buffer) {
-                co_return bodyError;
-            }
-        }
         current.status = 0;
+        if (isInterim) {
+            ++interim;
+            continue;
+        }
+        ++earlier;
+        if (const beast::error_code dropError = co_await dropBody(current); dropError) {
+            co_return dropError;
+        }
     }
     co_return beast::error_code(http::error::bad_status);
 }
 
+// Reads the body of a late answer, which belongs to nobody, as far as MaxDroppedBytes.
+asio::awaitable<beast::error_code> worker_client::dropBody(exchange &current) const
+{
+    std::array<char, BodyChunkBytes> dropped{};
+    std::size_t total = 0;
+    while (!current.parser->is_done()) {
+        current.parser->get().body().data = dropped.data();
+        current.parser->get().body().size = dropped.size();
+        const auto [error, bytes] = co_await http::async_read(*current.stream, current.buffer, *current.parser, asio::as_tuple(asio::use_awaitable));
+        if (error && error != http::error::need_buffer) {
+            co_return error;
+        }
+        total += dropped.size() - current.parser->get().body().size;
+        if (total > MaxDroppedBytes) {
+            co_return beast::error_code(http::error::body_limit);
+        }
+    }
+    co_return beast::error_code();
+}
+
 asio::awaitable<worker_result>
 worker_client::runOn(stream_ptr stream, const worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call)
 {
@@ -310,6 +337,8 @@
     result.answerStarted = true;
     sink.onHead(current.status, current.headers);
 
+    const std::size_t maxBytes = current.status < FirstErrorStatus ? request.maxAnswerBytes : std::min(MaxErrorBytes, request.maxAnswerBytes);
+    std::size_t total = 0;
     std::array<char, BodyChunkBytes> chunk{};
     while (!current.parser->is_done()) {
         current.parser->get().body().data = chunk.data();
@@ -321,6 +350,12 @@
             co_return result;
         }
         const std::size_t length = chunk.size() - current.parser->get().body().size;
+        total += length;
+        if (total > maxBytes) {
+            result.outcome = worker_call_outcome::cut;
+            stream->close();
+            co_return result;
+        }
         if (length > 0) {
             co_await sink.onBody({chunk.data(), length});
         }
--- a/transport/tests/test_worker_client.cpp
+++ b/transport/tests/test_worker_client.cpp
@@ -64,6 +64,37 @@
     tcp::acceptor m_acceptor;
 };
 
+// Sends the same bytes in answer to each request.
+class scripted_worker
+{
+public:
+    scripted_worker(asio::io_context &io, std::string answer)
+        : m_acceptor(io, {asio::ip::make_address("127.0.0.1"), 0})
+        , m_answer(std::move(answer))
+    {
+        asio::co_spawn(io, serve(), asio::detached);
+    }
+
+    state::node_address address() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+
+private:
+    asio::awaitable<void> serve()
+    {
+        while (true) {
+            tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+            std::string text;
+            co_await asio::async_read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n", asio::use_awaitable);
+            co_await asio::async_write(socket, asio::buffer(m_answer), asio::use_awaitable);
+        }
+    }
+
+    tcp::acceptor m_acceptor;
+    std::string m_answer;
+};
+
 worker_request makeLookup()
 {
     worker_request request;
@@ -100,3 +131,22 @@
     cr_assert_eq(worker.requests, 3);
     cr_assert_eq(worker.connections, 2, "the broken connection is not reused");
 }
+
+Test(worker_client, interim_answers_are_skipped_as_far_as_a_limit)
+{
+    const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for (const bool many : {false, true}) {
+        asio::io_context io(1);
+        std::string interim;
+        for (int i = 0; i < (many ? 100 : 2); ++i) {
+            interim += "HTTP/1.1 102 Processing\r\n\r\n";
+        }
+        scripted_worker worker(io, interim + final);
+        worker_client client(worker.address(), {});
+        std::vector<worker_call_outcome> outcomes;
+        asio::co_spawn(io, runThree(client, outcomes), asio::detached);
+        io.run_for(std::chrono::seconds(1));
+        const worker_call_outcome expected = many ? worker_call_outcome::cut : worker_call_outcome::answered;
+        cr_assert(outcomes == std::vector<worker_call_outcome>(3, expected), "many: %d", many);
+    }
+}
