--- a/programs/dandelionstall/caller_connection.cpp
+++ b/programs/dandelionstall/caller_connection.cpp
@@ -19,6 +19,7 @@
 constexpr auto CompletionToken = asio::as_tuple(asio::use_awaitable);
 constexpr auto DrainTimeout = std::chrono::seconds(1);  // maximum time that drainInput() reads from a refused caller
 constexpr std::size_t MaxDrainedBytes = 1'048'576;      // maximum input that drainInput() discards before the connection is closed
+constexpr std::size_t MaxChunkHeadBytes = 65'536;       // received and not yet parsed beyond a header: bounds chunk headers and trailers
 constexpr auto WriteTimeout = std::chrono::seconds(30); // maximum time for writing one part of an answer
 
 std::string lowerCase(std::string_view text)
@@ -92,6 +93,7 @@
     m_answerStarted = false;
     m_retryAfterFractions = limits.retryAfterFractions;
     m_streamedAnswer.reset();
+    m_buffer.max_size(limits.maxHeaderBytes + MaxChunkHeadBytes);
     if (m_buffer.size() == 0) {
         m_idle = true;
         m_stream.expires_after(limits.idleTimeout);
--- a/tests/integration/test_caller_input.cpp
+++ b/tests/integration/test_caller_input.cpp
@@ -7,6 +7,10 @@
 #include <boost/asio.hpp>
 #include <criterion/criterion.h>
 
+#include <algorithm>
+#include <atomic>
+#include <thread>
+
 using namespace dandelionstall::testing;
 using boost::asio::ip::tcp;
 
@@ -69,3 +73,27 @@
     const std::string good = sendBytes(ip, "GET /lookup HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nX-Test-Bytes: 4\r\nConnection: close\r\n\r\n");
     cr_assert(good.starts_with("HTTP/1.1 200"), "the node stopped serving: %s", good.c_str());
 }
+
+Test(caller_input, a_chunk_header_without_end_costs_little_memory)
+{
+    constexpr std::size_t ManyBytes = 64 * 1024 * 1024;
+    constexpr std::size_t MemoryGrowth = 16 * 1024 * 1024;
+    fleet_plan plan = threeDataCentres();
+    plan.faultProxy = false;
+    fleet fleet(plan);
+    fleet.start();
+    const std::size_t before = fleet.node(0).process.usage().residentBytes;
+    const std::string head = "POST /book HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1;";
+    std::atomic<bool> sent{false};
+    std::thread caller([&] {
+        sendBytes(fleet.node(0).ip, head + std::string(ManyBytes, 'a'));
+        sent = true;
+    });
+    std::size_t most = before;
+    while (!sent) {
+        most = std::max(most, fleet.node(0).process.usage().residentBytes);
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    caller.join();
+    cr_assert_leq(most, before + MemoryGrowth, "memory grew from %zu to %zu bytes", before, most);
+}
