--- a/coordination/include/dandelionstall/coordination/pool_view.h
+++ b/coordination/include/dandelionstall/coordination/pool_view.h
@@ -54,6 +54,11 @@
     bool workerLeaving = false;                       // the worker itself states that it is leaving
 };
 
+// Until when a worker counts as leaving after it has stated so: for its lifetime. Without an announced lifetime (0) it is tried
+// again after UnnamedLifetime, as nothing else would tell that it has been started anew.
+inline constexpr std::chrono::seconds UnnamedLifetime{30};
+state::time_point leavingUntil(std::uint64_t lifetime, state::time_point statedAt);
+
 // [SECTION] Views
 
 enum class worker_state {
--- a/coordination/include/dandelionstall/coordination/told_signals.h
+++ b/coordination/include/dandelionstall/coordination/told_signals.h
@@ -5,8 +5,8 @@
 // its attempts, because the sidecar beside the worker forgets it when it is started again.
 //
 // A limit ends with a newer report of the sidecar that the worker states none, or with the worker's lifetime; a leaving with the
-// lifetime only. Neither ends by time. Workers that are no longer listed are forgotten after UnlistedRetention, since the entry of
-// a worker may be away for a while without its lifetime having ended.
+// lifetime only. Neither ends by time, but for the leaving of a worker that announces no lifetime (leavingUntil() in pool_view.h). Workers that are no longer
+// listed are forgotten after UnlistedRetention, since the entry of a worker may be away for a while without its lifetime having ended.
 //
 // Usage:
 //   told.recordAnswer({worker, pool, lifetime}, rate, leaving, now);    // the head of an answer that is passed on
@@ -59,7 +59,7 @@
     told_events recordReport(const worker_report &report, state::time_point now);
     told_events applyTable(const state::pool_table &table, state::time_point now); // ends what belongs to earlier lifetimes
 
-    bool isLeaving(std::string_view worker) const;
+    bool isLeaving(std::string_view worker, state::time_point now) const;
     std::optional<told_limit> limitOf(std::string_view worker) const;               // limit in force; nullopt when there is none
     state::time_point roomAt(std::string_view worker, state::time_point now) const; // earliest time at which this node may send a request; now when it may now
     bool mayUse(std::string_view worker, state::time_point now) const;              // not leaving, and with room
@@ -72,7 +72,7 @@
     struct entry {
         worker_identity who;
         std::optional<rate_gate> gate;      // set while a limit is in force
-        bool leaving = false;               // for the rest of the lifetime
+        state::time_point leavingUntil;     // the worker has stated that it is leaving, see pool_view.h; epoch when it has not
         state::incarnation incarnation = 0; // of the latest report, with its version
         std::uint64_t version = 0;
         state::time_point noRoomUntil; // the sidecar has said that there is no room before
@@ -83,7 +83,7 @@
     const entry *find(std::string_view worker) const;
     entry &remember(const worker_identity &who, state::time_point now, told_events &events); // begins a new entry for a later lifetime
     static void setRate(entry &known, double rate, state::time_point now, told_events &events);
-    static void setLeaving(entry &known, told_events &events);
+    static void setLeaving(entry &known, state::time_point now, told_events &events);
     static void endLimit(entry &known, told_events &events);
 
     std::map<std::string, entry, std::less<>> m_entries;
--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -30,7 +30,8 @@
 bool hasStateChange(const worker_report &before, const worker_report &after)
 {
     const bool riskCrossed = (before.risk >= SuspectedRisk) != (after.risk >= SuspectedRisk);
-    return before.leaving != after.leaving || before.starting != after.starting || riskCrossed;
+    const bool limitChanged = (before.limit == limit_knowledge::limited) != (after.limit == limit_knowledge::limited);
+    return before.leaving != after.leaving || before.starting != after.starting || riskCrossed || limitChanged;
 }
 
 // Returns true for changes that other nodes of the pool need before the next regular report.
--- a/coordination/src/pool_view.cpp
+++ b/coordination/src/pool_view.cpp
@@ -11,6 +11,11 @@
 
 } // namespace
 
+state::time_point leavingUntil(std::uint64_t lifetime, state::time_point statedAt)
+{
+    return lifetime == 0 ? statedAt + UnnamedLifetime : state::time_point::max();
+}
+
 bool isUsable(const worker_view &worker)
 {
     return worker.state == worker_state::unknown || worker.state == worker_state::healthy || worker.state == worker_state::probation;
--- a/coordination/src/told_signals.cpp
+++ b/coordination/src/told_signals.cpp
@@ -35,7 +35,7 @@
         setRate(current, *rate, now, events);
     }
     if (leaving) {
-        setLeaving(current, events);
+        setLeaving(current, now, events);
     }
     return events;
 }
@@ -65,7 +65,7 @@
         endLimit(current, events);
     }
     if (report.workerLeaving) {
-        setLeaving(current, events);
+        setLeaving(current, now, events);
     }
     return events;
 }
@@ -92,10 +92,10 @@
     entry &known = m_entries[who.worker];
     if (known.who.lifetime < who.lifetime) {
         endLimit(known, events);
-        if (known.leaving) {
+        if (known.leavingUntil > now) {
             events.push_back({told_change::leaving_ended, who.worker});
         }
-        known.leaving = false;
+        known.leavingUntil = {};
         known.noRoomUntil = {};
     }
     known.who = who;
@@ -116,11 +116,12 @@
     events.push_back({told_change::limit, known.who.worker, rate});
 }
 
-void told_signals::setLeaving(entry &known, told_events &events)
+void told_signals::setLeaving(entry &known, state::time_point now, told_events &events)
 {
-    if (!std::exchange(known.leaving, true)) {
+    if (known.leavingUntil <= now) {
         events.push_back({told_change::leaving, known.who.worker});
     }
+    known.leavingUntil = leavingUntil(known.who.lifetime, now);
 }
 
 void told_signals::endLimit(entry &known, told_events &events)
@@ -146,10 +147,10 @@
     return found == m_entries.end() ? nullptr : &found->second;
 }
 
-bool told_signals::isLeaving(std::string_view worker) const
+bool told_signals::isLeaving(std::string_view worker, state::time_point now) const
 {
     const entry *known = find(worker);
-    return known != nullptr && known->leaving;
+    return known != nullptr && known->leavingUntil > now;
 }
 
 std::optional<told_limit> told_signals::limitOf(std::string_view worker) const
@@ -166,7 +167,7 @@
 
 bool told_signals::mayUse(std::string_view worker, state::time_point now) const
 {
-    return !isLeaving(worker) && roomAt(worker, now) <= now;
+    return !isLeaving(worker, now) && roomAt(worker, now) <= now;
 }
 
 void told_signals::recordSent(std::string_view worker, state::time_point now)
--- a/coordination/tests/test_told_signals.cpp
+++ b/coordination/tests/test_told_signals.cpp
@@ -89,7 +89,7 @@
     for (int minutes = 0; minutes < 120; ++minutes) {
         told.applyTable(table, Start + std::chrono::minutes(minutes));
     }
-    cr_assert(told.limitOf("w1").has_value() && told.isLeaving("w1"));
+    cr_assert(told.limitOf("w1").has_value() && told.isLeaving("w1", Start + std::chrono::hours(3)));
 }
 
 Test(told_signals, limit_and_leaving_end_with_the_lifetime)
@@ -112,7 +112,7 @@
     told.recordAnswer(First, std::nullopt, true, Start);
     told.applyTable({}, Start + std::chrono::minutes(9));
     told.applyTable(tableWith(100), Start + std::chrono::minutes(9));
-    cr_assert(told.isLeaving("w1"));
+    cr_assert(told.isLeaving("w1", Start + std::chrono::hours(3)));
     told.applyTable({}, Start + std::chrono::minutes(20));
     cr_assert(told.size() == 0);
 }
@@ -136,3 +136,14 @@
     cr_assert(told.mayUse("w1", Start + milliseconds(700)));
     cr_assert(told.promiseRoom("w1", Start) == Start + milliseconds(700));
 }
+
+Test(told_signals, a_leaving_worker_without_an_announced_lifetime_is_tried_again)
+{
+    told_signals told;
+    told.recordAnswer({"w1", "orders", 0}, std::nullopt, true, Start);
+    cr_assert(not told.mayUse("w1", Start + UnnamedLifetime - milliseconds(1)));
+    cr_assert(told.mayUse("w1", Start + UnnamedLifetime));
+    const told_events events = told.recordAnswer({"w1", "orders", 0}, std::nullopt, true, Start + UnnamedLifetime);
+    cr_assert(events.size() == 1 && events.front().change == told_change::leaving);
+    cr_assert(not told.mayUse("w1", Start + UnnamedLifetime));
+}
--- a/programs/dandelionstall/ingress_signals.cpp
+++ b/programs/dandelionstall/ingress_signals.cpp
@@ -91,7 +91,7 @@
         };
         const coordination::worker_view *first = nullptr;
         for (const coordination::worker_view &worker : view.workers) {
-            const bool waits = coordination::isUsable(worker) && !told.isLeaving(worker.id) && roomAt(worker) > now;
+            const bool waits = coordination::isUsable(worker) && !told.isLeaving(worker.id, now) && roomAt(worker) > now;
             first = waits && (first == nullptr || roomAt(worker) < roomAt(*first)) ? &worker : first;
         }
         return first == nullptr ? std::nullopt : std::optional(std::max(told.promiseRoom(first->id, now), coordination::rateRoomAt(*first)));
--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -156,6 +156,7 @@
     }
     removeUnlistedWorkers();
     for (auto &[id, worker] : m_workers) {
+        updateDraining(worker);
         configureWorker(worker);
     }
     publishReports();
@@ -275,7 +276,7 @@
 
 void sidecar::updateDraining(served_worker &worker)
 {
-    const bool draining = worker.listedLeaving || worker.probedLeaving || worker.statesLeaving;
+    const bool draining = worker.listedLeaving || worker.probedLeaving || statesLeaving(worker);
     if (std::exchange(worker.draining, draining) == draining) {
         return;
     }
@@ -364,7 +365,7 @@
     worker.outcomeTracker->fillReport(report, now);
     report.risk = worker.guard->risk(now);
     report.leaving = refusesWork(worker);
-    report.workerLeaving = worker.statesLeaving;
+    report.workerLeaving = statesLeaving(worker);
     report.lifetime = worker.lifetime;
     report.limit = worker.limit.knowledge();
     if (const coordination::rate_gate *gate = worker.limit.gate()) {
--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar.h
@@ -65,7 +65,7 @@
     std::shared_ptr<boost::asio::steady_timer> admissionTimer;            // expires at the time of the next call of admission->advance()
     std::uint64_t lifetime = 0;                                           // start of the worker as announced; 0 when not announced
     coordination::worker_limit limit;                                     // rate limit that the worker states in its answers
-    bool statesLeaving = false;                                           // the worker states in its answers that it is leaving, in this lifetime
+    state::time_point leavingUntil;                                       // the worker has stated that it is leaving, see pool_view.h; epoch when it has not
     bool listedLeaving = false;                                           // the pool table lists it as leaving, or not at all
     bool probedLeaving = false;                                           // its latest health answer says that it is leaving
     bool draining = false;                                                // the worker accepts no new work, for one of these reasons
@@ -114,6 +114,7 @@
     void configureWorker(served_worker &worker);
     void updateDraining(served_worker &worker);                        // applies a change of the reasons for which the worker accepts no new work
     void beginLifetime(served_worker &worker, std::uint64_t lifetime); // the entry of the worker names another start: what it stated before has ended
+    bool statesLeaving(const served_worker &worker) const;
     void recordSignals(served_worker &worker, const protocol::worker_signals &signals, bool mayLift, state::time_point requestedAt);
     void applyLimitChange(served_worker &worker, coordination::limit_change change, std::string_view source);
     void logLimitChange(const served_worker &worker, coordination::limit_change change, std::string_view source);
--- a/programs/dandelionstall/sidecar_signals.cpp
+++ b/programs/dandelionstall/sidecar_signals.cpp
@@ -22,14 +22,22 @@
     }
     const limit_change change = worker.limit.recordAnswer({signals.rateLimit, mayLift && signals.invalid.empty(), requestedAt}, now);
     applyLimitChange(worker, change, "answer");
-    if (signals.leaving && !worker.statesLeaving) {
-        worker.statesLeaving = true;
+    const bool begins = signals.leaving && !statesLeaving(worker);
+    if (signals.leaving) {
+        worker.leavingUntil = coordination::leavingUntil(worker.lifetime, now);
+    }
+    if (begins) {
         m_metrics.incrementCounter("workers_leaving_stated");
         logEvent(event::worker_states_leaving, {{"worker", worker.settings.id}, {"lifetime", fmt::to_string(worker.lifetime)}});
         updateDraining(worker);
     }
 }
 
+bool sidecar::statesLeaving(const served_worker &worker) const
+{
+    return worker.leavingUntil > state::clock::now();
+}
+
 void sidecar::adoptLimit(served_worker &worker, const protocol::attempt_head &head)
 {
     if (head.statedRate && head.lifetime >= worker.lifetime) {
@@ -43,7 +51,7 @@
         return;
     }
     worker.lifetime = lifetime;
-    worker.statesLeaving = false;
+    worker.leavingUntil = {};
     applyLimitChange(worker, worker.limit.forget(), "lifetime");
 }
 
