--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -34,7 +34,9 @@
     kind_row{fault_kind::path_reset, "path_reset"},     kind_row{fault_kind::path_silent, "path_silent", false},
     kind_row{fault_kind::store_closed, "store_closed"}, kind_row{fault_kind::store_silent, "store_silent"},
     kind_row{fault_kind::store_stale, "store_stale"},   kind_row{fault_kind::table_change, "table_change", false},
+    kind_row{fault_kind::worker_limit, "worker_limit"}, kind_row{fault_kind::worker_leave, "worker_leave"},
 };
+constexpr std::size_t UsualKinds = 20; // the first ones; kinds after them are drawn on request only, since seeds in use would change their meaning
 
 constexpr double MaxPathShare = 0.1; // maximum share of lost or reset segments; maximum delay in seconds
 constexpr double SeriesShare = 0.3;  // share of the generated steps that are repeated
@@ -55,7 +57,7 @@
 fault_step generateStep(const plan_options &options, pcg64 &random)
 {
     fault_step step;
-    step.kind = Kinds.at(random(Kinds.size())).kind;
+    step.kind = options.kinds.empty() ? Kinds.at(random(UsualKinds)).kind : options.kinds.at(random(static_cast<std::uint32_t>(options.kinds.size())));
     step.target = random(options.nodes);
     step.peer = (step.target + 1 + random(options.nodes - 1)) % options.nodes;
     step.strength = std::uniform_real_distribution<double>(0.1, 1.0)(random) * (isPath(step.kind) ? MaxPathShare : 1.0);
@@ -121,6 +123,15 @@
     return rowOf(kind).name;
 }
 
+absl::StatusOr<fault_kind> parseKind(std::string_view name)
+{
+    const auto found = std::find_if(Kinds.begin(), Kinds.end(), [name](const kind_row &row) { return row.name == name; });
+    if (found == Kinds.end()) {
+        return absl::InvalidArgumentError(fmt::format("unknown kind of fault \"{}\"", name));
+    }
+    return found->kind;
+}
+
 fault_plan generatePlan(const plan_options &options)
 {
     pcg64 random(options.seed);
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -38,6 +38,8 @@
     store_closed, // the configuration service closes connections
     store_silent, // the configuration service never answers
     store_stale,  // the configuration service answers with the value before the last change
+    worker_limit, // states a rate limit of 4 * `strength` requests a second
+    worker_leave, // states that it is leaving
     table_change, // publishes a new route table with one more route
 };
 
@@ -50,7 +52,8 @@
     double strength = 0.0;                 // 0..1; its meaning depends on the kind
 };
 
-std::string_view kindName(fault_kind kind); // "node_kill", ...
+std::string_view kindName(fault_kind kind);                  // "node_kill", ...
+absl::StatusOr<fault_kind> parseKind(std::string_view name); // inverse of kindName(); the error names the unknown text
 
 // [SECTION] Plans
 
@@ -59,6 +62,7 @@
     std::size_t nodes = 6;
     std::chrono::milliseconds length{15'000}; // time span in which all faults begin and end
     double stepsPerSecond = 0.8;
+    std::vector<fault_kind> kinds{}; // faults to draw from; empty: all but worker_limit and worker_leave
 };
 
 struct fault_plan {
--- a/soak/injector.cpp
+++ b/soak/injector.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr double SlowFactor = 20.0;
+constexpr double MaxRateLimit = 4.0; // requests per second
 
 bool isNodeKind(fault_kind kind)
 {
@@ -24,7 +25,7 @@
 
 bool isWorkerFault(fault_kind kind)
 {
-    return kind >= fault_kind::worker_fail && kind <= fault_kind::worker_reset;
+    return (kind >= fault_kind::worker_fail && kind <= fault_kind::worker_reset) || kind == fault_kind::worker_limit || kind == fault_kind::worker_leave;
 }
 
 bool isPathRule(fault_kind kind)
@@ -54,6 +55,10 @@
         return fmt::format("hang={:.3f}\nhealth=ok\n", step.strength);
     case fault_kind::worker_slow:
         return fmt::format("slow={:.3f}\n", 1.0 + SlowFactor * step.strength);
+    case fault_kind::worker_limit:
+        return fmt::format("rate_limit={:.2f}\n", MaxRateLimit * step.strength);
+    case fault_kind::worker_leave:
+        return "leaving=1\n";
     case fault_kind::worker_shed:
         return fmt::format("shed={:.3f}\n", step.strength);
     default:
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -23,6 +23,9 @@
     double minutes = 0;
     double seconds = 15;
     double rate = 80;
+    double steps = 0.8;
+    std::string kinds;
+    std::optional<soak::call_options> calls;
     std::string replay;
     std::string regressions;
     std::string report;
@@ -39,7 +42,7 @@
 
 soak::soak_result play(const soak::fault_plan &plan, const soak_command &command)
 {
-    soak::soak_result result = soak::runSoak(plan, {command.rate});
+    soak::soak_result result = soak::runSoak(plan, {command.rate, command.calls});
     std::cout << soak::formatResult(result) << std::flush;
     if (!command.report.empty()) {
         soak::writeReport(result, command.report);
@@ -83,6 +86,21 @@
     return plans;
 }
 
+// Names of kinds of faults, with commas between them.
+std::vector<soak::fault_kind> readKinds(const std::string &names)
+{
+    std::vector<soak::fault_kind> kinds;
+    std::istringstream words(names);
+    for (std::string name; std::getline(words, name, ',');) {
+        const absl::StatusOr<soak::fault_kind> kind = soak::parseKind(name);
+        if (!kind.ok()) {
+            throw std::invalid_argument(std::string(kind.status().message()));
+        }
+        kinds.push_back(*kind);
+    }
+    return kinds;
+}
+
 std::vector<soak::fault_plan> choosePlans(const soak_command &command)
 {
     if (!command.replay.empty()) {
@@ -92,10 +110,11 @@
         return readRegressions(command.regressions);
     }
     const auto length = std::chrono::milliseconds(static_cast<std::int64_t>(command.seconds * 1000));
+    const std::vector<soak::fault_kind> kinds = readKinds(command.kinds);
     std::vector<soak::fault_plan> plans;
     plans.reserve(command.count);
     for (std::size_t i = 0; i < command.count; ++i) {
-        plans.push_back(soak::generatePlan({command.seed + i, command.nodes, length}));
+        plans.push_back(soak::generatePlan({command.seed + i, command.nodes, length, command.steps, kinds}));
     }
     return plans;
 }
@@ -135,9 +154,19 @@
     add("seconds", options::value(&command.seconds)->default_value(15), "time span in seconds in which all faults of a plan begin and end");
     add("nodes", options::value(&command.nodes)->default_value(6), "number of nodes, each with one worker");
     add("rate", options::value(&command.rate)->default_value(80), "requests per second");
+    add("steps", options::value(&command.steps)->default_value(command.steps), "faults per second");
+    add("kinds", options::value(&command.kinds), "faults to draw from, with commas between them; all but worker_limit and worker_leave when absent");
+    soak::call_options calls;
+    add("calls", "two services, of which one calls the other, with retry allowances that are checked");
+    add("slots", options::value(&calls.slots)->default_value(calls.slots), "slots of each worker, with --calls");
+    add("extra", options::value(&calls.extra)->default_value(calls.extra), "repeats allowed beyond the share in 10 s, with --calls");
+    add("failing", options::value(&calls.failing)->default_value(calls.failing), "share of the runs that end with an error, with --calls");
     add("replay", options::value(&command.replay), "play the plan in this file");
     add("regressions", options::value(&command.regressions), "play the plans listed in this file");
     add("report", options::value(&command.report), "directory for plans, plots and logs");
     add("shrink", "search for the smallest set of faults that still breaks a promise");
-    return standins::runProgram(argc, argv, description, [&](const options::variables_map &given) { return run(command, given.contains("shrink")); });
+    return standins::runProgram(argc, argv, description, [&](const options::variables_map &given) {
+        command.calls = given.contains("calls") ? std::optional(calls) : std::nullopt;
+        return run(command, given.contains("shrink"));
+    });
 }
--- a/soak/report.cpp
+++ b/soak/report.cpp
@@ -80,6 +80,7 @@
                                    shareOf(sumOf(&served_second::useful), requests),
                                    shareOf(sumOf(&served_second::refused), requests),
                                    result.broken.empty() ? "all promises kept" : fmt::format("{} broken", result.broken.size()));
+    text += result.repeats;
     return result.broken.empty() ? text : text + standins::describeViolations(result.broken);
 }
 
--- a/soak/report.h
+++ b/soak/report.h
@@ -12,6 +12,7 @@
     std::vector<served_second> served;       // one entry per second from the start of the load
     std::vector<standins::violation> broken; // promises that were broken; empty when all hold
     std::string load;                        // text summary of the calls
+    std::string repeats;                     // worst window of each pool with a retry allowance, one line each
     std::string logs;                        // logs of the nodes; empty when no promise was broken
 };
 
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -5,7 +5,6 @@
 
 #include <fmt/format.h>
 
-#include <array>
 #include <set>
 #include <thread>
 
@@ -15,7 +14,6 @@
 
 using std::chrono::milliseconds;
 using testing::fleet;
-using testing::fleet_plan;
 
 constexpr milliseconds StepInterval{10};                     // interval between two calls of injector::advance()
 constexpr std::chrono::seconds LoadTime{5};                  // length of one load process; the promises are checked at its end
@@ -25,37 +23,14 @@
 constexpr std::chrono::seconds InForceTime{7};               // upper bound for a route table to be in force on all nodes
 constexpr std::chrono::milliseconds TableCheckInterval{120}; // interval between two checks of a node's route table
 constexpr std::chrono::milliseconds TableCheckTimeout{400};
-constexpr std::array DataCentres{"kiambu", "thika", "ruiru"};
-
-fleet_plan planFleet(const fault_plan &plan)
-{
-    fleet_plan result = testing::threeDataCentres();
-    result.proxyCallers = false; // the fault proxy cannot pass on refused connections
-    result.seed = plan.seed;
-    result.nodes.clear();
-    for (std::size_t i = 0; i < plan.nodes; ++i) {
-        const char *dataCentre = DataCentres.at(i % DataCentres.size());
-        result.nodes.push_back({dataCentre, {{fmt::format("{}-{}", dataCentre, i / DataCentres.size()), "orders"}}});
-    }
-    return result;
-}
-
-std::string loadText(std::chrono::seconds length, double rate)
-{
-    return fmt::format("[phase.all]\nseconds={}\nrate={}\n"
-                       "[class.lookup]\nshare=0.5\npath=/lookup\nidempotent=yes\ncost_ms=10\ncost_sigma=0.3\ndeadline_ms=2000\nbytes=700\n"
-                       "[class.book]\nshare=0.3\npath=/book\nmethod=POST\nidempotent=no\ncost_ms=20\ndeadline_ms=2000\nworth=5\n"
-                       "[class.book_again]\nshare=0.2\npath=/book\nmethod=POST\nidempotent=no\nticket=yes\nretries=2\ncost_ms=20\ndeadline_ms=2000\nworth=5\n",
-                       length.count(),
-                       rate);
-}
+constexpr std::chrono::milliseconds WorkerCommandTimeout{100}; // a killed or paused worker does not answer
 
 class soak_run
 {
 public:
     soak_run(const fault_plan &plan, const soak_options &options)
         : m_options(options)
-        , m_fleet(planFleet(plan))
+        , m_fleet(planFleet(plan, options.calls))
         , m_injector(m_fleet, plan)
     {
         m_result.plan = plan;
@@ -92,7 +67,8 @@
     // Runs a load of the given length, and meanwhile injects the faults that are due and checks the route tables.
     std::vector<standins::call_record> playLoad(std::chrono::seconds length)
     {
-        testing::load_job load = m_fleet.startLoad(loadText(length, m_options.rate));
+        failRuns();
+        testing::load_job load = m_fleet.startLoad(loadText(length, m_options.rate, m_options.calls.has_value()));
         while (load.running()) {
             m_injector.advance(elapsed());
             checkNextTable();
@@ -103,6 +79,15 @@
         return calls;
     }
 
+    // Makes all workers fail some of their runs. A worker fault that ends in between clears it until the next load.
+    void failRuns()
+    {
+        for (std::size_t i = 0; m_options.calls && i < m_fleet.nodeCount(); ++i) {
+            testing::fleet_worker &worker = m_fleet.node(i).workers.front();
+            testing::callHttp({worker.address, "/_fault", "PUT", fmt::format("fail={}", m_options.calls->failing)}, WorkerCommandTimeout);
+        }
+    }
+
     void recover()
     {
         m_injector.endAll();
@@ -121,7 +106,10 @@
         if (!testing::waitUntil(inForce, InForceTime)) {
             m_evidence.tables.push_back(fmt::format("table_late revision {} is not in force on all nodes", m_injector.log().lastTable));
         }
-        m_evidence.callsAfterRecovery = playLoad(AfterRecoveryTime);
+        std::vector<standins::call_record> calls = playLoad(AfterRecoveryTime);
+        if (!m_options.calls) { // with workers that fail their runs, nothing can be as good as before
+            m_evidence.callsAfterRecovery = std::move(calls);
+        }
         check();
     }
 
@@ -130,6 +118,10 @@
         m_evidence.observed.workers = m_fleet.evidence({}).workers;
         m_evidence.injected = m_injector.log();
         m_result.broken = findBrokenPromises(m_evidence);
+        if (m_options.calls) {
+            const auto excess = findExcessRepeats(m_fleet.plan(), m_evidence.observed, *m_options.calls, m_result.repeats);
+            m_result.broken.insert(m_result.broken.end(), excess.begin(), excess.end());
+        }
         return m_result.broken.empty();
     }
 
--- a/soak/soak_run.h
+++ b/soak/soak_run.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include "report.h"
+#include "soak_fleet.h"
 
 namespace dandelionstall::soak {
 
 struct soak_options {
-    double rate = 80.0; // requests per second
+    double rate = 80.0;                // requests per second
+    std::optional<call_options> calls; // two services instead of one
 };
 
 soak_result runSoak(const fault_plan &plan, const soak_options &options); // throws when the fleet cannot be started
--- a/soak/verdict.cpp
+++ b/soak/verdict.cpp
@@ -1,10 +1,12 @@
 #include "verdict.h"
 
+#include <limit_check.h>
 #include <load_report.h>
 
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 
 namespace dandelionstall::soak {
 
@@ -14,6 +16,8 @@
 using standins::violation;
 using std::chrono::microseconds;
 
+constexpr std::chrono::seconds LeavingTime{2}; // a node that has been told that a worker leaves sends it nothing more after this
+
 bool overlaps(const node_span &span, microseconds from, microseconds until)
 {
     const bool ongoing = span.until.count() == 0;
@@ -53,11 +57,43 @@
     }
 }
 
+// Starts of the processes of the nodes, by their addresses for callers.
+standins::node_starts startsOf(const soak_evidence &evidence)
+{
+    standins::node_starts starts;
+    for (const std::vector<node_span> *spans : {&evidence.injected.stops, &evidence.injected.disturbances}) {
+        for (const node_span &span : *spans) {
+            starts[evidence.callers.at(span.node)].push_back(span.from);
+        }
+    }
+    return starts;
+}
+
+void checkStatements(const soak_evidence &evidence, std::vector<violation> &found)
+{
+    std::set<std::string> workers;
+    for (const standins::statement &each : evidence.observed.workers.statements) {
+        workers.insert(each.worker);
+    }
+    const standins::node_starts starts = startsOf(evidence);
+    for (const std::string &worker : workers) {
+        const standins::limit_usage usage = standins::findFullestWindow(evidence.observed, worker, starts);
+        if (static_cast<double>(usage.arrivals) > usage.allowed) {
+            found.push_back(
+                {"rate_limit", "-", fmt::format("{} got {} requests in 4 s, {:.1f} allowed: {}", worker, usage.arrivals, usage.allowed, usage.kinds)});
+        }
+        for (const standins::arrival &late : standins::findLateArrivals(evidence.observed, worker, LeavingTime, starts)) {
+            found.push_back({"leaving_stated", late.id, fmt::format("reached {} although its node had been told", worker)});
+        }
+    }
+}
+
 } // namespace
 
 std::vector<violation> findBrokenPromises(const soak_evidence &evidence)
 {
     std::vector<violation> found = standins::findViolations(evidence.observed);
+    checkStatements(evidence, found);
     checkStops(evidence, found);
     checkRecovery(evidence, found);
     for (const std::string &line : evidence.injected.unexpectedExits) {
--- a/soak/verdict.h
+++ b/soak/verdict.h
@@ -5,6 +5,8 @@
 //   died        a node exited without a signal from the injector, stopped with an error, or was not ready after the last fault
 //   table_back  a node that had served a route table served an older one without a restart
 //   table_late  the last route table is not in force on all nodes at the end
+//   rate_limit      a worker got more than the rate limit that it stated, from nodes that had been told
+//   leaving_stated  a request reached a worker later than 2 s after its node had been told that the worker leaves
 //   recovery    the share of useful answers stays below RecoveredShare after all faults have ended
 #pragma once
 
--- a/tests/integration/support/process.cpp
+++ b/tests/integration/support/process.cpp
@@ -181,7 +181,8 @@
 
 std::string programPath(const std::string &name)
 {
-    const std::string build = DANDELIONSTALL_BUILD_DIR;
+    const char *other = std::getenv("DANDELIONSTALL_TEST_BUILD");
+    const std::string build = other != nullptr ? other : DANDELIONSTALL_BUILD_DIR;
     return name.starts_with("standin_") ? build + "/tests/standins/" + name : build + "/programs/" + name + "/" + name;
 }
 
--- a/tests/integration/support/process.h
+++ b/tests/integration/support/process.h
@@ -61,7 +61,7 @@
 inline constexpr std::chrono::seconds ReadyCap{20}; // upper bound for steps that normally take well under a second
 
 bool waitUntil(const std::function<bool()> &condition, std::chrono::milliseconds atMost = ReadyCap); // polls; false when the condition was never true
-std::string programPath(const std::string &name);                                                    // path of a program in the build tree
-std::string awaitPort(child_process &process); // waits for the output line "port=NNNN", returns "NNNN"; throws when it is missing
+std::string programPath(const std::string &name); // path of a program in the build tree; DANDELIONSTALL_TEST_BUILD in the environment names another build tree
+std::string awaitPort(child_process &process);    // waits for the output line "port=NNNN", returns "NNNN"; throws when it is missing
 
 } // namespace dandelionstall::testing
--- a/tests/standins/limit_check.cpp
+++ b/tests/standins/limit_check.cpp
@@ -3,8 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <map>
-#include <stdexcept>
 
 namespace dandelionstall::standins {
 
@@ -14,32 +12,75 @@
 
 constexpr double AllowedFactor = 1.5;
 constexpr double AllowedExtra = 5.0;
+constexpr std::string_view None = "none";
 
-struct limit_span {
-    double rate = 0.0;
+// A time in which a worker stated the same.
+struct statement_span {
+    std::string text;
     microseconds from{0};
     microseconds until = microseconds::max();
 };
 
-limit_span findLimit(const run_log &log, const std::string &worker)
+std::vector<statement_span> findSpans(const run_log &log, const std::string &worker, std::string_view kind)
 {
-    limit_span span;
+    std::vector<statement_span> spans;
     for (const statement &each : log.statements) {
-        if (each.worker != worker || each.kind != "rate_limit") {
+        if (each.worker != worker || each.kind != kind) {
             continue;
         }
-        if (span.from.count() == 0 && each.text != "none") {
-            span = {std::stod(each.text), each.since + SettlingTime, microseconds::max()};
-        } else if (each.text == "none") {
-            span.until = each.since;
+        if (!spans.empty() && spans.back().until == microseconds::max()) {
+            spans.back().until = each.since;
+        }
+        if (each.text != None) {
+            spans.push_back({each.text, each.since, microseconds::max()});
         }
     }
-    if (span.from.count() == 0) {
-        throw std::invalid_argument(worker + " has stated no rate limit");
-    }
-    return span;
+    return spans;
 }
 
+// Tells from the callers' log what the nodes had passed on.
+class told_nodes
+{
+public:
+    told_nodes(const check_input &input, const std::string &worker, bool call_record::*states, const node_starts &starts)
+        : m_starts(starts)
+    {
+        for (const call_record &call : input.calls) {
+            m_calls[call.id] = &call;
+            if (call.worker == worker && call.*states) {
+                m_told[call.node].push_back(call.answered);
+            }
+        }
+    }
+
+    const call_record *callOf(const arrival &each) const
+    {
+        const auto call = m_calls.find(each.id);
+        return call == m_calls.end() ? nullptr : call->second;
+    }
+
+    // True when the node passed on a statement of the span at the latest at that time, and was not started again before `until`.
+    bool isTold(const std::string &node, const statement_span &span, microseconds at, microseconds until) const
+    {
+        const auto told = m_told.find(node);
+        return told != m_told.end() && std::any_of(told->second.begin(), told->second.end(), [&](microseconds time) {
+                   return time >= span.from && time <= at && !wasStarted(node, time, until);
+               });
+    }
+
+private:
+    bool wasStarted(const std::string &node, microseconds from, microseconds until) const
+    {
+        const auto starts = m_starts.find(node);
+        return starts != m_starts.end()
+               && std::any_of(starts->second.begin(), starts->second.end(), [&](microseconds start) { return start >= from && start <= until; });
+    }
+
+    const node_starts &m_starts;
+    std::map<std::string, const call_record *> m_calls;
+    std::map<std::string, std::vector<microseconds>> m_told; // node -> times of answers that state it
+};
+
 std::string countKinds(const std::vector<arrival> &arrivals, std::size_t first, std::size_t end)
 {
     std::map<std::string, std::size_t> counts;
@@ -53,74 +94,61 @@
     return text;
 }
 
-// When each node passed on the first answer of the worker that states it.
-std::map<std::string, microseconds> toldTimes(const std::vector<call_record> &calls, const std::string &worker, bool call_record::*states)
+double shareOf(const limit_usage &usage)
 {
-    std::map<std::string, microseconds> times;
-    for (const call_record &call : calls) {
-        if (call.worker == worker && call.*states) {
-            const auto [known, added] = times.try_emplace(call.node, call.answered);
-            known->second = std::min(known->second, call.answered);
-        }
-    }
-    return times;
+    return usage.allowed > 0.0 ? static_cast<double>(usage.arrivals) / usage.allowed : -1.0;
 }
 
-std::map<std::string, const call_record *> callsById(const std::vector<call_record> &calls)
+// Keeps in `fullest` the window with the largest share of what is allowed. The arrivals are in order of time.
+void compareWindows(const std::vector<arrival> &arrivals, double rate, limit_usage &fullest)
 {
-    std::map<std::string, const call_record *> byId;
-    for (const call_record &call : calls) {
-        byId[call.id] = &call;
+    const double allowed = AllowedFactor * rate * std::chrono::duration<double>(LimitWindow).count() + AllowedExtra;
+    for (std::size_t first = 0, end = 0; first < arrivals.size(); ++first) {
+        while (end < arrivals.size() && arrivals[end].at < arrivals[first].at + LimitWindow) {
+            ++end;
+        }
+        const limit_usage usage{arrivals[first].at, end - first, allowed, fullest.allArrivals, countKinds(arrivals, first, end)};
+        if (shareOf(usage) > shareOf(fullest)) {
+            fullest = usage;
+        }
     }
-    return byId;
 }
 
 } // namespace
 
-limit_usage findFullestWindow(const check_input &input, const std::string &worker)
+limit_usage findFullestWindow(const check_input &input, const std::string &worker, const node_starts &starts)
 {
-    const limit_span span = findLimit(input.workers, worker);
-    const auto told = toldTimes(input.calls, worker, &call_record::statesLimit);
-    const auto calls = callsById(input.calls);
+    const told_nodes told(input, worker, &call_record::statesLimit, starts);
     limit_usage fullest;
-    std::vector<arrival> arrivals;
-    for (const arrival &each : input.workers.arrivals) {
-        if (each.worker != worker || each.at < span.from || each.at >= span.until) {
-            continue;
-        }
-        ++fullest.allArrivals;
-        const auto call = calls.find(each.id);
-        const auto toldAt = call == calls.end() ? told.end() : told.find(call->second->node);
-        const bool fromToldNode = call == calls.end() || (toldAt != told.end() && each.at >= toldAt->second + ToldTime);
-        if (fromToldNode) {
-            arrivals.push_back(each);
-        }
-    }
-    std::sort(arrivals.begin(), arrivals.end(), [](const arrival &left, const arrival &right) { return left.at < right.at; });
-    fullest.allowed = AllowedFactor * span.rate * std::chrono::duration<double>(LimitWindow).count() + AllowedExtra;
-    for (std::size_t first = 0, end = 0; first < arrivals.size(); ++first) {
-        while (end < arrivals.size() && arrivals[end].at < arrivals[first].at + LimitWindow) {
-            ++end;
-        }
-        if (end - first > fullest.arrivals) {
-            fullest.arrivals = end - first;
-            fullest.from = arrivals[first].at;
-            fullest.kinds = countKinds(arrivals, first, end);
+    for (const statement_span &span : findSpans(input.workers, worker, "rate_limit")) {
+        std::vector<arrival> arrivals;
+        for (const arrival &each : input.workers.arrivals) {
+            if (each.worker != worker || each.at < span.from + SettlingTime || each.at >= span.until) {
+                continue;
+            }
+            ++fullest.allArrivals;
+            const call_record *call = told.callOf(each);
+            if (call == nullptr || told.isTold(call->node, span, each.at - ToldTime, each.at)) {
+                arrivals.push_back(each);
+            }
         }
+        std::sort(arrivals.begin(), arrivals.end(), [](const arrival &left, const arrival &right) { return left.at < right.at; });
+        compareWindows(arrivals, std::stod(span.text), fullest);
     }
     return fullest;
 }
 
-std::vector<arrival> findLateArrivals(const check_input &input, const std::string &worker, microseconds after)
+std::vector<arrival> findLateArrivals(const check_input &input, const std::string &worker, microseconds after, const node_starts &starts)
 {
-    const auto told = toldTimes(input.calls, worker, &call_record::statesLeaving);
-    const auto calls = callsById(input.calls);
+    const told_nodes told(input, worker, &call_record::statesLeaving, starts);
     std::vector<arrival> late;
-    for (const arrival &each : input.workers.arrivals) {
-        const auto call = calls.find(each.id);
-        const auto toldAt = call == calls.end() ? told.end() : told.find(call->second->node);
-        if (each.worker == worker && toldAt != told.end() && call->second->sent > toldAt->second + after) {
-            late.push_back(each);
+    for (const statement_span &span : findSpans(input.workers, worker, "leaving")) {
+        for (const arrival &each : input.workers.arrivals) {
+            const call_record *call = told.callOf(each);
+            const bool inSpan = each.worker == worker && each.at >= span.from && each.at < span.until;
+            if (inSpan && call != nullptr && told.isTold(call->node, span, call->sent - after, each.at)) {
+                late.push_back(each);
+            }
         }
     }
     return late;
--- a/tests/standins/worker_service.cpp
+++ b/tests/standins/worker_service.cpp
@@ -38,7 +38,10 @@
     , m_slots(io, options.slots)
     , m_calls(io, options.calls, options.name)
     , m_random(options.seed)
-{ }
+{
+    logLine("states", "none", "rate_limit"); // an earlier process may have stated something
+    logLine("states", "none", "leaving");
+}
 
 asio::awaitable<http_reply> worker_service::answer(const http_request &request, tcp::socket &peer)
 {
