Follow a store that comes back from an older copy: era, then revision

After such a return revisions go back and are given out again. Each reader dropped what had a lower revision than it had seen: a worker that left went on getting requests, and a new configuration was ignored until the counter had passed the old one. Cause: revisions were compared without the era (Store-Era) that they belong to.

store_revision orders statements by era, then revision, in the source, the directory of workers and gossip. A reader that sees a higher era reads all anew and drops answers of the earlier one; the others hear by gossip.

--- a/coordination/include/dandelionstall/coordination/gossip.h
+++ b/coordination/include/dandelionstall/coordination/gossip.h
@@ -76,6 +76,7 @@
     std::optional<config_part> config;                           // set in config_fetch and config_chunk
     std::uint32_t workersDigest = 0;                             // digest of the discovered workers that the sender knows
     std::vector<worker_update> workers;                          // discovered workers that have changed, or the rows of a worker_page
+    std::uint64_t storeEra = 0;                                  // highest era of the platform's store that the sender knows
     std::string workersCursor;                                   // cursor of worker_pull: the id of the last worker already received; empty for the first page
 };
 
--- a/coordination/include/dandelionstall/coordination/gossip_node.h
+++ b/coordination/include/dandelionstall/coordination/gossip_node.h
@@ -36,10 +36,11 @@
 
     offer_result offerFromService(table_kind kind, std::string text, state::time_point now);
     void setVmList(const std::vector<vm_record> &vms, state::time_point now);
-    void markLeavingVms(const std::vector<vm_record> &vms, state::time_point now);                                 // marks leaving VMs from a partial list
-    void offerWorker(const discovered_worker &entry, state::time_point now);                                       // entry read from the service
-    void replaceWorkers(const std::vector<discovered_worker> &entries, std::uint64_t asOf, state::time_point now); // complete list read from the service
-    void offerWorkerRemoval(std::string_view id, std::uint64_t revision, state::time_point now);                   // removal reported by the service
+    void markLeavingVms(const std::vector<vm_record> &vms, state::time_point now);                                  // marks leaving VMs from a partial list
+    void offerWorker(const discovered_worker &entry, state::time_point now);                                        // entry read from the service
+    void replaceWorkers(const std::vector<discovered_worker> &entries, store_revision asOf, state::time_point now); // complete list read from the service
+    void offerWorkerRemoval(std::string_view id, store_revision revision, state::time_point now);                   // removal reported by the service
+    void learnStoreEra(std::uint64_t era);                                                                          // era named by the service
     void recordServiceReadFailure(state::time_point now);   // a call to the platform's service has failed
     void recordServiceRead(state::time_point now);          // a call to the platform's service has succeeded
     bool isServiceReader(state::time_point now) const;      // true when this node reads the service for its data centre now
--- a/coordination/include/dandelionstall/coordination/worker_directory.h
+++ b/coordination/include/dandelionstall/coordination/worker_directory.h
@@ -5,6 +5,11 @@
 // entry wins and is never replaced by a lower one, so the result does not depend on the source of an entry. A removed worker
 // leaves a tombstone, which prevents an older entry from adding the worker again.
 //
+// A store that comes back from an older copy has a higher era (store_revision.h), and what it states then is newer than all before.
+// Three things do not go back with it. A worker that was leaving stays so within its lifetime (startedAtMs). A worker that was removed
+// stays so until the new era has stated it twice in the same lifetime, as running workers write their entries again and again. And
+// entries of ready workers that the copy lacks stay pending removals for a short time, in which these workers announce themselves again.
+//
 // During a disruption of the platform's service, entries can expire although their workers are running. A removal of a
 // ready worker that is received then stays pending. It is applied unless the worker announces itself again within a short
 // time after the service has recovered. The removal of a leaving worker is applied at once.
@@ -23,6 +28,7 @@
 //   [SECTION] Merging
 #pragma once
 
+#include <dandelionstall/coordination/store_revision.h>
 #include <dandelionstall/state/tables.h>
 
 #include <map>
@@ -51,7 +57,7 @@
     std::string version;                      // version of the worker's software
     std::uint64_t startedAtMs = 0;            // wall clock time of the worker at its start; distinguishes two incarnations with one id
     state::time_point coldUntil;              // the worker is expected to be slow until then
-    std::uint64_t revision = 0;               // revision of the entry; a higher one is newer
+    store_revision revision;                  // when the entry was written; a higher one is newer
 };
 
 bool sameContent(const discovered_worker &a, const discovered_worker &b); // compares all fields except revision and coldUntil
@@ -61,32 +67,38 @@
 class worker_directory
 {
 public:
-    bool offer(const discovered_worker &entry, state::time_point now);                                         // true when the content has changed
-    void replaceAll(const std::vector<discovered_worker> &entries, std::uint64_t asOf, state::time_point now); // removes missing entries older than asOf
-    void offerRemoval(std::string_view id, std::uint64_t revision, state::time_point now); // stays pending during a disruption of the service
-    void recordServiceFailure(state::time_point now);                                      // a call to the service has failed
-    void recordServiceRecovery(state::time_point now);                                     // a call to the service has succeeded
-    void tick(state::time_point now);                                                      // applies pending removals that are due; expires old tombstones
+    bool offer(const discovered_worker &entry, state::time_point now);                                          // true when the content has changed
+    void replaceAll(const std::vector<discovered_worker> &entries, store_revision asOf, state::time_point now); // removes missing entries older than asOf
+    void offerRemoval(std::string_view id, store_revision revision, state::time_point now); // stays pending during a disruption of the service
+    void recordServiceFailure(state::time_point now);                                       // a call to the service has failed
+    void recordServiceRecovery(state::time_point now);                                      // a call to the service has succeeded
+    void tick(state::time_point now);                                                       // applies pending removals that are due; expires old tombstones
 
     std::vector<discovered_worker> consumeChanges();                                        // entries whose content has changed since the last call
     std::vector<discovered_worker> pageAfter(std::string_view id, std::size_t limit) const; // entries after that id, ordered by id, including tombstones
     const std::map<std::string, discovered_worker, std::less<>> &entries() const;           // by id, including tombstones
     std::uint32_t digest() const;                                                           // equal for equal content; tombstones are not included
     std::uint64_t version() const;                                                          // grows with every change of content
+    std::uint64_t era() const;                                                              // highest era known
+    void learnEra(std::uint64_t era);                                                       // era named by the store or by another node
     bool isEmpty() const;                                                                   // true when there are neither entries nor tombstones
 
 private:
     struct pending_removal {
-        std::uint64_t revision = 0;
+        store_revision revision;
         state::time_point dueAt;
     };
 
     void apply(const discovered_worker &entry, state::time_point now);
-    void applyRemoval(const std::string &id, std::uint64_t revision, state::time_point now);
+    void applyRemoval(const std::string &id, store_revision revision, state::time_point now);
+    bool isDoubtfulReturn(const discovered_worker &entry, const discovered_worker &known); // records the first statement of a removed worker in a new era
 
     std::map<std::string, discovered_worker, std::less<>> m_entries;
     std::map<std::string, state::time_point, std::less<>> m_removedAt;
     std::map<std::string, pending_removal, std::less<>> m_pendingRemovals;
+    std::map<std::string, store_revision, std::less<>> m_doubtfulReturns; // first statement of a new era about a worker that was removed before
+    store_revision m_listedAsOf;                                          // latest complete list that this node has read
+    std::uint64_t m_era = 0;
     std::vector<discovered_worker> m_changes;
     state::time_point m_disruptedUntil; // removals stay pending before this time
     bool m_serviceDown = false;
--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -91,6 +91,7 @@
     if (m_configDissemination.hasPendingPush()) {
         std::ranges::move(m_configDissemination.push(m_members.samplePeers(ConfigLocalPushes, ConfigRemotePushes)), std::back_inserter(out));
     }
+    m_directory.learnEra(message.storeEra);
     std::ranges::move(m_workerDissemination.receive(message, now), std::back_inserter(out));
     pushWorkers(now, out);
     refreshPools();
@@ -117,6 +118,7 @@
         out.message.readerRound = m_readers.round();
         out.message.serviceReadAge = serviceReadAge;
         out.message.workersDigest = m_directory.digest();
+        out.message.storeEra = m_directory.era();
         if (out.message.kind == gossip_kind::ping || out.message.kind == gossip_kind::ack) {
             attachReports(out);
         }
@@ -160,19 +162,24 @@
     refreshPools();
 }
 
-void gossip_node::replaceWorkers(const std::vector<discovered_worker> &entries, std::uint64_t asOf, state::time_point now)
+void gossip_node::replaceWorkers(const std::vector<discovered_worker> &entries, store_revision asOf, state::time_point now)
 {
     m_directory.replaceAll(entries, asOf, now);
     refreshPools();
     refreshMembers(now);
 }
 
-void gossip_node::offerWorkerRemoval(std::string_view id, std::uint64_t revision, state::time_point now)
+void gossip_node::offerWorkerRemoval(std::string_view id, store_revision revision, state::time_point now)
 {
     m_directory.offerRemoval(id, revision, now);
     refreshPools();
 }
 
+void gossip_node::learnStoreEra(std::uint64_t era)
+{
+    m_directory.learnEra(era);
+}
+
 void gossip_node::recordServiceReadFailure(state::time_point now)
 {
     m_directory.recordServiceFailure(now);
--- a/coordination/src/worker_directory.cpp
+++ b/coordination/src/worker_directory.cpp
@@ -53,8 +53,10 @@
 
 // ---- Updates ----
 
-bool worker_directory::offer(const discovered_worker &entry, state::time_point now)
+bool worker_directory::offer(const discovered_worker &stated, state::time_point now)
 {
+    discovered_worker entry = stated;
+    learnEra(entry.revision.era);
     if (entry.phase == worker_phase::removed) {
         const auto known = m_entries.find(entry.id);
         const bool changed = known == m_entries.end() || (known->second.phase != worker_phase::removed && known->second.revision < entry.revision);
@@ -71,18 +73,44 @@
     }
     const auto known = m_entries.find(entry.id);
     if (known != m_entries.end()) {
-        if (entry.revision <= known->second.revision) {
+        if (entry.revision <= known->second.revision || isDoubtfulReturn(entry, known->second)) {
             return false;
         }
+        const bool newEra = entry.revision.era > known->second.revision.era && entry.startedAtMs == known->second.startedAtMs;
+        if (newEra && known->second.phase == worker_phase::leaving) {
+            entry.phase = worker_phase::leaving; // the copy may be from before the worker began to leave
+        }
         if (sameContent(entry, known->second)) {
             known->second.revision = entry.revision;
             return false;
         }
     }
     apply(entry, now);
+    if (entry.revision.era < m_listedAsOf.era) { // a list of a later era lacked it, or it would be known with that era
+        m_pendingRemovals.try_emplace(entry.id, pending_removal{m_listedAsOf, now + EntryReturnTime});
+    }
     return true;
 }
 
+// A copy of the store may hold an entry that was removed since. A running worker writes its entry again, one that has gone does not.
+bool worker_directory::isDoubtfulReturn(const discovered_worker &entry, const discovered_worker &known)
+{
+    const bool returns = known.phase == worker_phase::removed && entry.revision.era > known.revision.era && entry.startedAtMs <= known.startedAtMs;
+    if (!returns) {
+        m_doubtfulReturns.erase(entry.id);
+        return false;
+    }
+    const auto [first, added] = m_doubtfulReturns.try_emplace(entry.id, entry.revision);
+    if (first->second.era < entry.revision.era) {
+        first->second = entry.revision;
+    }
+    if (entry.revision <= first->second) {
+        return true;
+    }
+    m_doubtfulReturns.erase(first);
+    return false;
+}
+
 void worker_directory::apply(const discovered_worker &entry, state::time_point now)
 {
     const auto known = m_entries.find(entry.id);
@@ -101,7 +129,7 @@
     ++m_version;
 }
 
-void worker_directory::applyRemoval(const std::string &id, std::uint64_t revision, state::time_point now)
+void worker_directory::applyRemoval(const std::string &id, store_revision revision, state::time_point now)
 {
     discovered_worker tombstone;
     const auto known = m_entries.find(id);
@@ -114,8 +142,9 @@
     apply(tombstone, now);
 }
 
-void worker_directory::offerRemoval(std::string_view id, std::uint64_t revision, state::time_point now)
+void worker_directory::offerRemoval(std::string_view id, store_revision revision, state::time_point now)
 {
+    learnEra(revision.era);
     const auto known = m_entries.find(id);
     if (known == m_entries.end() || known->second.revision >= revision) {
         return;
@@ -124,23 +153,32 @@
         known->second.revision = revision;
         return;
     }
-    if (known->second.phase == worker_phase::ready && (m_serviceDown || now < m_disruptedUntil)) {
-        const state::time_point dueAt = m_serviceDown ? state::time_point::max() : m_disruptedUntil;
+    const bool isFromEarlierEra = known->second.revision.era < revision.era; // the copy does not hold it: it may be written again
+    if (known->second.phase == worker_phase::ready && (m_serviceDown || now < m_disruptedUntil || isFromEarlierEra)) {
+        const state::time_point returnsBy = std::max(m_disruptedUntil, isFromEarlierEra ? now + EntryReturnTime : now);
+        const state::time_point dueAt = m_serviceDown ? state::time_point::max() : returnsBy;
         m_pendingRemovals.try_emplace(std::string(id), pending_removal{revision, dueAt});
         return;
     }
     applyRemoval(std::string(id), revision, now);
 }
 
-void worker_directory::replaceAll(const std::vector<discovered_worker> &entries, std::uint64_t asOf, state::time_point now)
+void worker_directory::replaceAll(const std::vector<discovered_worker> &entries, store_revision asOf, state::time_point now)
 {
+    learnEra(asOf.era);
+    m_listedAsOf = std::max(m_listedAsOf, asOf);
     for (const discovered_worker &entry : entries) {
         offer(entry, now);
     }
     std::vector<std::string> missing;
-    for (const auto &[id, known] : m_entries) {
+    for (auto &[id, known] : m_entries) {
         const bool listed = std::any_of(entries.begin(), entries.end(), [&name = id](const discovered_worker &entry) { return entry.id == name; });
-        if (!listed && known.phase != worker_phase::removed && known.revision < asOf) {
+        if (listed || known.revision >= asOf) {
+            continue;
+        }
+        if (known.phase == worker_phase::removed) {
+            known.revision = asOf; // prevents late entries of earlier eras from adding the worker again, here and on other nodes
+        } else {
             missing.push_back(id);
         }
     }
@@ -170,7 +208,7 @@
 
 void worker_directory::tick(state::time_point now)
 {
-    std::vector<std::pair<std::string, std::uint64_t>> due;
+    std::vector<std::pair<std::string, store_revision>> due;
     for (const auto &[id, pending] : m_pendingRemovals) {
         if (pending.dueAt <= now) {
             due.emplace_back(id, pending.revision);
@@ -184,6 +222,7 @@
         const bool isExpired = entry.second + TombstoneRetention <= now;
         if (isExpired) {
             m_entries.erase(entry.first);
+            m_doubtfulReturns.erase(entry.first);
         }
         return isExpired;
     });
@@ -220,6 +259,16 @@
     return m_version;
 }
 
+std::uint64_t worker_directory::era() const
+{
+    return m_era;
+}
+
+void worker_directory::learnEra(std::uint64_t era)
+{
+    m_era = std::max(m_era, era);
+}
+
 bool worker_directory::isEmpty() const
 {
     return m_entries.empty();
--- a/coordination/tests/test_worker_directory.cpp
+++ b/coordination/tests/test_worker_directory.cpp
@@ -18,7 +18,7 @@
 
 const state::time_point Start = state::time_point{} + std::chrono::hours(1);
 
-discovered_worker makeWorker(const std::string &id, std::uint64_t revision, worker_phase phase = worker_phase::ready)
+discovered_worker makeWorker(const std::string &id, std::uint64_t revision, worker_phase phase = worker_phase::ready, std::uint64_t era = 0)
 {
     discovered_worker worker;
     worker.id = id;
@@ -28,7 +28,7 @@
     worker.address = {"10.0.0.1", static_cast<std::uint16_t>(8000 + id.size())};
     worker.slots = 3;
     worker.phase = phase;
-    worker.revision = revision;
+    worker.revision = {era, revision};
     return worker;
 }
 
@@ -87,7 +87,7 @@
     cr_assert(directory.offer(makeWorker("a", 5, worker_phase::leaving), Start));
     cr_assert(not(directory.offer(makeWorker("a", 4), Start)));
     cr_assert(phaseOf(directory, "a") == worker_phase::leaving);
-    directory.offerRemoval("a", 6, Start);
+    directory.offerRemoval("a", {0, 6}, Start);
     cr_assert(not(directory.offer(makeWorker("a", 5, worker_phase::leaving), Start)));
     cr_assert(phaseOf(directory, "a") == worker_phase::removed);
     cr_assert(directory.offer(makeWorker("a", 7), Start)); // the worker has announced itself after the removal
@@ -111,7 +111,7 @@
     worker_directory directory;
     directory.offer(makeWorker("a", 1), Start);
     directory.offer(makeWorker("bb", 9), Start);
-    directory.replaceAll({makeWorker("ccc", 3)}, 5, Start);
+    directory.replaceAll({makeWorker("ccc", 3)}, {0, 5}, Start);
     cr_assert(phaseOf(directory, "a") == worker_phase::removed);
     cr_assert(phaseOf(directory, "bb") == worker_phase::ready); // higher revision than the list
     cr_assert(phaseOf(directory, "ccc") == worker_phase::ready);
@@ -126,8 +126,8 @@
     directory.offer(makeWorker("bb", 2), Start);
     directory.recordServiceFailure(Start);
     directory.recordServiceRecovery(Start + seconds(5));
-    directory.offerRemoval("a", 10, Start + seconds(5));
-    directory.offerRemoval("bb", 11, Start + seconds(5));
+    directory.offerRemoval("a", {0, 10}, Start + seconds(5));
+    directory.offerRemoval("bb", {0, 11}, Start + seconds(5));
     cr_assert(phaseOf(directory, "a") == worker_phase::ready);
     directory.offer(makeWorker("a", 12), Start + seconds(6)); // the worker is running and has announced itself
     directory.tick(Start + seconds(10));
@@ -139,7 +139,7 @@
 {
     worker_directory directory;
     directory.offer(makeWorker("a", 1), Start);
-    directory.offerRemoval("a", 2, Start);
+    directory.offerRemoval("a", {0, 2}, Start);
     cr_assert(phaseOf(directory, "a") == worker_phase::removed);
 }
 
@@ -148,7 +148,7 @@
     worker_directory directory;
     directory.offer(makeWorker("a", 1, worker_phase::leaving), Start);
     directory.recordServiceFailure(Start);
-    directory.offerRemoval("a", 2, Start);
+    directory.offerRemoval("a", {0, 2}, Start);
     cr_assert(phaseOf(directory, "a") == worker_phase::removed);
 }
 
@@ -266,3 +266,160 @@
     paths.recordSuccess(node);
     cr_assert(not(paths.isAvoided(node, Start + milliseconds(1500))));
 }
+
+// ---- A store that comes back from an older copy ----
+
+Test(worker_directory, a_higher_era_is_newer_whatever_the_revisions_are)
+{
+    worker_directory directory;
+    directory.offer(makeWorker("a", 90, worker_phase::ready, 1), Start);
+    cr_assert(directory.offer(makeWorker("a", 7, worker_phase::leaving, 2), Start));
+    cr_assert(not(directory.offer(makeWorker("a", 95, worker_phase::ready, 1), Start))); // late, from a reader that is cut off
+    cr_assert(phaseOf(directory, "a") == worker_phase::leaving);
+    cr_assert(directory.era() == 2);
+    directory.offerRemoval("a", {1, 99}, Start);
+    cr_assert(phaseOf(directory, "a") == worker_phase::leaving);
+    directory.offerRemoval("a", {2, 8}, Start);
+    cr_assert(phaseOf(directory, "a") == worker_phase::removed);
+}
+
+Test(worker_directory, a_leaving_worker_does_not_become_ready_by_an_older_copy)
+{
+    worker_directory directory;
+    directory.offer(makeWorker("a", 90, worker_phase::leaving, 1), Start);
+    directory.replaceAll({makeWorker("a", 5, worker_phase::ready, 2)}, {2, 6}, Start);
+    cr_assert(phaseOf(directory, "a") == worker_phase::leaving);
+    discovered_worker again = makeWorker("a", 9, worker_phase::ready, 2);
+    again.startedAtMs += 1;
+    cr_assert(directory.offer(again, Start)); // a new lifetime
+    cr_assert(phaseOf(directory, "a") == worker_phase::ready);
+}
+
+Test(worker_directory, a_removed_worker_returns_when_the_new_era_states_it_twice)
+{
+    worker_directory directory;
+    directory.offer(makeWorker("a", 80, worker_phase::ready, 1), Start);
+    directory.offerRemoval("a", {1, 90}, Start);
+    for (int i = 0; i < 3; ++i) { // read again and again, but not written again
+        cr_assert(not(directory.offer(makeWorker("a", 5, worker_phase::ready, 2), Start)));
+    }
+    cr_assert(phaseOf(directory, "a") == worker_phase::removed);
+    cr_assert(not(directory.offer(makeWorker("a", 4, worker_phase::ready, 3), Start))); // another copy
+    cr_assert(directory.offer(makeWorker("a", 6, worker_phase::ready, 3), Start));
+    cr_assert(phaseOf(directory, "a") == worker_phase::ready);
+}
+
+Test(worker_directory, workers_that_the_copy_lacks_stay_until_they_could_have_announced_themselves)
+{
+    worker_directory directory;
+    directory.offer(makeWorker("a", 80, worker_phase::ready, 1), Start);
+    directory.offer(makeWorker("bb", 81, worker_phase::ready, 1), Start);
+    directory.offer(makeWorker("ccc", 82, worker_phase::leaving, 1), Start);
+    directory.replaceAll({}, {2, 20}, Start);
+    cr_assert(phaseOf(directory, "a") == worker_phase::ready);
+    cr_assert(phaseOf(directory, "ccc") == worker_phase::removed);
+    directory.offer(makeWorker("a", 22, worker_phase::ready, 2), Start + seconds(1));
+    directory.tick(Start + seconds(2));
+    cr_assert(phaseOf(directory, "bb") == worker_phase::ready);
+    directory.tick(Start + seconds(3));
+    cr_assert(phaseOf(directory, "a") == worker_phase::ready);
+    cr_assert(phaseOf(directory, "bb") == worker_phase::removed);
+}
+
+// The store changes, comes back from copies, and its workers write again; several directories read it or hear from each other, in any
+// order and with late answers. At the end, after each worker has written once more, all hold what the store holds.
+Test(worker_directory, all_nodes_end_with_what_the_store_holds_whatever_it_came_back_from)
+{
+    cr_assert(rc::check("rewinds", [] {
+        constexpr std::size_t Readers = 3;
+        const std::vector<std::string> ids{"a", "bb", "ccc"};
+        std::map<std::string, discovered_worker> store;
+        std::vector<std::pair<std::uint64_t, std::map<std::string, discovered_worker>>> copies; // revision, content
+        std::vector<discovered_worker> sent;                                                    // whatever was stated, to arrive late
+        std::array<worker_directory, Readers> nodes;
+        std::uint64_t era = 1;
+        std::uint64_t revision = 1;
+        state::time_point now = Start;
+        const auto listOf = [&] {
+            std::vector<discovered_worker> list;
+            for (const auto &[id, entry] : store) {
+                list.push_back(entry);
+            }
+            return list;
+        };
+        const auto write = [&](const std::string &id, worker_phase phase) {
+            store[id] = makeWorker(id, ++revision, phase, era);
+            sent.push_back(store[id]);
+        };
+        for (int step = 0; step < 60; ++step) {
+            now += milliseconds(*rc::gen::inRange(0, 400));
+            const std::string id = *rc::gen::elementOf(ids);
+            const std::size_t node = *rc::gen::inRange<std::size_t>(0, Readers);
+            switch (*rc::gen::inRange(0, 8)) {
+            case 0:
+            case 1:
+                write(id, *rc::gen::arbitrary<bool>() ? worker_phase::ready : worker_phase::leaving);
+                break;
+            case 2:
+                store.erase(id);
+                ++revision;
+                break;
+            case 3:
+                copies.emplace_back(revision, store);
+                break;
+            case 4:
+                if (!copies.empty()) {
+                    std::tie(revision, store) = *rc::gen::elementOf(copies);
+                    ++era;
+                    for (auto &[key, entry] : store) {
+                        entry.revision.era = era;
+                    }
+                }
+                break;
+            case 5:
+                nodes[node].replaceAll(listOf(), {era, revision}, now);
+                break;
+            case 6:
+                if (!sent.empty()) {
+                    nodes[node].offer(*rc::gen::elementOf(sent), now);
+                }
+                break;
+            default:
+                for (const discovered_worker &entry : nodes[(node + 1) % Readers].pageAfter("", 100)) {
+                    nodes[node].offer(entry, now);
+                }
+                break;
+            }
+            nodes[node].tick(now);
+        }
+        // Running workers write again and again; the reader reads and the others hear of it, until they agree.
+        for (int round = 0; round < 4; ++round) {
+            for (auto &[id, entry] : store) {
+                entry.revision = {era, ++revision};
+            }
+            for (const worker_directory &node : nodes) {
+                for (const discovered_worker &entry : node.pageAfter("", 100)) {
+                    nodes[0].offer(entry, now);
+                }
+            }
+            nodes[0].replaceAll(listOf(), {era, ++revision}, now);
+            now += seconds(3);
+            for (worker_directory &node : nodes) {
+                node.tick(now);
+                for (const discovered_worker &entry : nodes[0].pageAfter("", 100)) {
+                    node.offer(entry, now);
+                }
+            }
+        }
+        for (const worker_directory &node : nodes) {
+            for (const std::string &id : ids) {
+                const auto stored = store.find(id);
+                const auto known = node.entries().find(id);
+                const bool isKnown = known != node.entries().end() && known->second.phase != worker_phase::removed;
+                RC_ASSERT(isKnown == (stored != store.end()));
+                // Within a lifetime, a worker that a node has seen leaving may stay so although the copy says otherwise.
+                RC_ASSERT(!isKnown || known->second.phase == stored->second.phase || known->second.phase == worker_phase::leaving);
+            }
+        }
+    }));
+}
--- a/programs/dandelionstall/control.cpp
+++ b/programs/dandelionstall/control.cpp
@@ -62,7 +62,7 @@
         m_gossipNode.markLeavingVms(vms, state::clock::now());
         applyUpdates(state::clock::now());
     };
-    events.workerListReceived = [this](const std::vector<coordination::discovered_worker> &all, std::uint64_t asOf) {
+    events.workerListReceived = [this](const std::vector<coordination::discovered_worker> &all, coordination::store_revision asOf) {
         m_workersRead = true;
         m_gossipNode.replaceWorkers(all, asOf, state::clock::now());
         applyUpdates(state::clock::now());
@@ -71,7 +71,7 @@
         m_gossipNode.offerWorker(entry, state::clock::now());
         applyUpdates(state::clock::now());
     };
-    events.workerRemoved = [this](const std::string &id, std::uint64_t revision) {
+    events.workerRemoved = [this](const std::string &id, coordination::store_revision revision) {
         m_gossipNode.offerWorkerRemoval(id, revision, state::clock::now());
         applyUpdates(state::clock::now());
     };
@@ -79,6 +79,10 @@
         m_metrics.incrementCounter("worker_entries_refused");
         logEvent(event::worker_entry_refused, {{"key", key}, {"reason", reason}});
     };
+    events.eraRaised = [this](std::uint64_t era, coordination::store_revision before) {
+        m_gossipNode.learnStoreEra(era);
+        recordStoreEra("store", before);
+    };
     events.readSucceeded = [this] {
         m_gossipNode.recordServiceRead(state::clock::now());
     };
--- a/programs/dandelionstall/control_detail.h
+++ b/programs/dandelionstall/control_detail.h
@@ -46,6 +46,8 @@
     void applyMemberChanges(state::time_point now);
     void applyPathObservations(state::time_point now);
     void applyReports(state::time_point now);
+    void recordStoreEra(const std::string &source, coordination::store_revision before); // logs the era of the store that this node knows, when it has risen
+    void logSettledEra(state::time_point now);                                           // logs what has become of the workers, some time after that
     void updateSelfSuspicion(state::time_point now);
     void updateReaderRole(state::time_point now);
     void recordTableAccepted(coordination::table_kind kind, state::table_revision before);
@@ -69,7 +71,10 @@
     bool m_vmListRead = false;
     bool m_workersRead = false;               // the complete list of workers was read at least once
     std::uint64_t m_loggedWorkersVersion = 0; // version of the worker directory when its changes were last logged
-    bool m_publishDue = false;                // publish a snapshot at the end of the current tick
+    std::uint64_t m_loggedEra = 0;            // era of the store that was logged last
+    state::time_point m_eraLearnedAt;
+    state::time_point m_eraSettlesAt = state::time_point::max(); // when to log what has become of the workers; max() when that has been done
+    bool m_publishDue = false;                                   // publish a snapshot at the end of the current tick
     std::uint64_t m_generation = 0;
     mutable std::mutex m_currentMutex; // guards m_current
     coordination::fleet_snapshot_ptr m_current = std::make_shared<coordination::fleet_snapshot>();
--- a/programs/dandelionstall/control_gossip.cpp
+++ b/programs/dandelionstall/control_gossip.cpp
@@ -19,6 +19,7 @@
 
 namespace {
 
+constexpr std::chrono::seconds EraSettlingTime{5};           // by then, the workers of a new era of the store have written their entries again
 constexpr std::chrono::milliseconds EvaluationInterval{100}; // interval between two evaluations of the pools
 
 event eventOf(coordination::offer_verdict verdict)
@@ -91,6 +92,7 @@
     updateSelfSuspicion(now);
     updateReaderRole(now);
     applyUpdates(now);
+    logSettledEra(now);
     if (m_nextEvaluationAt <= now) {
         m_nextEvaluationAt = now + EvaluationInterval;
         const std::vector<std::string> changed = m_tracker.evaluate(now);
@@ -134,6 +136,7 @@
     }
     const state::time_point now = state::clock::now();
     send(m_gossipNode.receive(*message, now));
+    recordStoreEra(state::formatNodeAddress(message->sender.address), {m_loggedEra, 0});
     applyUpdates(now);
 }
 
@@ -192,7 +195,7 @@
         const auto previousRow = previousRows.find(id);
         if (previousRow == previousRows.end() || previousRow->second != leaving) {
             const auto entry = m_gossipNode.workers().entries().find(id);
-            const std::string revision = entry != m_gossipNode.workers().entries().end() ? fmt::to_string(entry->second.revision) : "0";
+            const std::string revision = entry != m_gossipNode.workers().entries().end() ? fmt::to_string(entry->second.revision.revision) : "0";
             logEvent(event::worker_known, {{"worker", id}, {"phase", leaving ? "leaving" : "ready"}, {"revision", revision}});
         }
     }
@@ -251,6 +254,53 @@
     }
 }
 
+void control::detail::recordStoreEra(const std::string &source, coordination::store_revision before)
+{
+    const std::uint64_t era = m_gossipNode.workers().era();
+    const std::uint64_t logged = std::exchange(m_loggedEra, std::max(m_loggedEra, era));
+    if (era <= logged || logged == 0) { // the first era that a node hears of is no change
+        return;
+    }
+    m_eraLearnedAt = state::clock::now();
+    m_eraSettlesAt = m_eraLearnedAt + EraSettlingTime;
+    m_metrics.incrementCounter("store_eras_learned");
+    logEvent(event::store_era_learned,
+             {{"era", fmt::to_string(era)},
+              {"before", fmt::to_string(logged)},
+              {"source", source},
+              {"revision_before", fmt::to_string(before.revision)},
+              {"workers", fmt::to_string(m_gossipNode.workers().entries().size())}});
+}
+
+void control::detail::logSettledEra(state::time_point now)
+{
+    if (now < m_eraSettlesAt) {
+        return;
+    }
+    m_eraSettlesAt = state::time_point::max();
+    std::size_t replaced = 0;
+    std::size_t dropped = 0;
+    std::size_t kept = 0;
+    std::uint64_t revision = 0;
+    for (const auto &[id, entry] : m_gossipNode.workers().entries()) {
+        const bool isNew = entry.revision.era == m_loggedEra;
+        revision = isNew ? std::max(revision, entry.revision.revision) : revision;
+        if (entry.phase == coordination::worker_phase::removed) {
+            dropped += isNew ? 1 : 0;
+        } else {
+            ++(isNew ? replaced : kept);
+        }
+    }
+    logEvent(event::store_era_settled,
+             {{"era", fmt::to_string(m_loggedEra)},
+              {"revision", fmt::to_string(revision)},
+              {"kept", fmt::to_string(kept)},
+              {"replaced", fmt::to_string(replaced)},
+              {"dropped", fmt::to_string(dropped)},
+              {"config", fmt::to_string(m_gossipNode.store().inForce(table_kind::routes).revision)},
+              {"after_ms", fmt::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - m_eraLearnedAt).count())}});
+}
+
 void control::detail::updateSelfSuspicion(state::time_point now)
 {
     if (m_gossipNode.members().consumePauseDetected()) {
--- a/programs/dandelionstall/key_value_source.cpp
+++ b/programs/dandelionstall/key_value_source.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <optional>
 
 namespace dandelionstall {
 
@@ -87,12 +88,13 @@
 {
     std::uint64_t asOf = 0;
     const absl::StatusOr<std::vector<protocol::store_item>> workers = co_await readRange(m_dialect->workerPrefix(), asOf);
+    const std::uint64_t era = m_era;
     if (!workers.ok()) {
         co_return false;
     }
     std::uint64_t configAsOf = 0;
     const absl::StatusOr<std::vector<protocol::store_item>> config = co_await readRange(m_dialect->configPrefix(), configAsOf);
-    if (!config.ok()) {
+    if (!config.ok() || m_era != era) {
         co_return false;
     }
     m_revision = std::min(asOf, configAsOf);
@@ -110,11 +112,16 @@
 {
     std::vector<protocol::store_item> items;
     std::string after;
+    std::optional<std::uint64_t> era;
     while (true) {
         const auto answer = co_await call(m_dialect->rangeTarget(prefix, after), state::clock::now() + ReadDeadline);
         if (!answer.ok()) {
             co_return answer.status();
         }
+        if (era.value_or(m_era) != m_era) {
+            co_return transport::makeError(transport::transport_error::refused, "the store's era has changed between two pages");
+        }
+        era = m_era;
         absl::StatusOr<protocol::store_page> page = m_dialect->decodePage(answer->body);
         recordOutcome(page.status());
         if (!page.ok()) {
@@ -139,6 +146,8 @@
     if (answer->status == StatusHistoryLost) {
         m_synced = false;
         m_metrics.incrementCounter("platform_history_lost");
+    }
+    if (!m_synced) { // the answer may also be the first one of a new era
         co_return co_await readAll();
     }
     const absl::StatusOr<protocol::store_page> changes = m_dialect->decodeChanges(answer->body);
@@ -157,6 +166,9 @@
 {
     m_metrics.incrementCounter("platform_calls");
     absl::StatusOr<transport::platform_answer> answer = co_await m_client.getAnyStatus(target, deadline);
+    if (answer.ok() && !followEra(*answer)) {
+        answer = transport::makeError(transport::transport_error::refused, fmt::format("the answer to {} is not of the store's era {}", target, m_era));
+    }
     if (answer.ok() && answer->status != StatusOk && answer->status != StatusHistoryLost) {
         answer = transport::makeError(transport::transport_error::refused, fmt::format("the store answered with status {} to {}", answer->status, target));
     }
@@ -169,14 +181,35 @@
     co_return answer;
 }
 
+// [SECTION] Eras
+
+bool key_value_source::followEra(const transport::platform_answer &answer)
+{
+    const absl::StatusOr<std::uint64_t> era = m_dialect->readEra(answer.headers);
+    if (!era.ok() && m_era == 0) {
+        return true; // no era is known that it could belie
+    }
+    if (!era.ok() || *era < m_era) {
+        return false;
+    }
+    if (*era > m_era) {
+        const coordination::store_revision before{m_era, m_revision};
+        m_era = *era;
+        m_synced = false;
+        m_events.eraRaised(m_era, before);
+    }
+    return true;
+}
+
 // [SECTION] Items
 
 void key_value_source::handleConfig(const protocol::store_item &item)
 {
-    if (item.removed || item.revision <= m_configRevision) {
+    const coordination::store_revision revision{m_era, item.revision};
+    if (item.removed || revision <= m_configRevision) {
         return;
     }
-    m_configRevision = item.revision;
+    m_configRevision = revision;
     absl::StatusOr<protocol::store_tables> tables = m_dialect->decodeTables(item);
     if (!tables.ok()) {
         m_events.tableInvalid(table_kind::routes, tables.status());
@@ -195,7 +228,7 @@
             workers.push_back(*std::move(worker));
         }
     }
-    m_events.workerListReceived(std::move(workers), asOf);
+    m_events.workerListReceived(std::move(workers), {m_era, asOf});
 }
 
 void key_value_source::handleChange(const protocol::store_item &item)
@@ -210,7 +243,7 @@
     }
     if (item.removed) {
         m_lastRefusals.erase(item.key);
-        m_events.workerRemoved(item.key.substr(prefix.size()), item.revision);
+        m_events.workerRemoved(item.key.substr(prefix.size()), {m_era, item.revision});
     } else if (auto worker = readWorker(item); worker.ok()) {
         m_events.workerUpdated(*std::move(worker));
     }
@@ -220,6 +253,7 @@
 {
     absl::StatusOr<coordination::discovered_worker> worker = m_dialect->decodeWorker(item, state::clock::now());
     if (worker.ok()) {
+        worker->revision.era = m_era;
         m_lastRefusals.erase(item.key);
         return worker;
     }
--- a/programs/dandelionstall/key_value_source.h
+++ b/programs/dandelionstall/key_value_source.h
@@ -3,7 +3,8 @@
 //
 // All items are read once; afterwards one watch reports all changes. If the store has compacted the history that the watch
 // needs, all items are read again. The call rate is bounded: watches start at a minimum interval even if each returns
-// immediately. An item that cannot be decoded is ignored; it is reported when it first fails and when its reason changes.
+// immediately. When the store comes back from an older copy (a higher era), all items are read again as well, and answers of the
+// earlier era are dropped. An item that cannot be decoded is ignored; it is reported when it first fails and when its reason changes.
 #pragma once
 
 #include <dandelionstall/protocol/keyed_store.h>
@@ -41,6 +42,7 @@
     boost::asio::awaitable<absl::StatusOr<std::vector<protocol::store_item>>> readRange(std::string prefix, std::uint64_t &asOf);
     boost::asio::awaitable<absl::StatusOr<transport::platform_answer>> call(std::string target, state::time_point deadline);
     boost::asio::awaitable<void> pauseUntil(state::time_point until);
+    bool followEra(const transport::platform_answer &answer); // false for an answer of an earlier era, or without one
     void handleConfig(const protocol::store_item &item);
     void handleWorkers(const std::vector<protocol::store_item> &items, std::uint64_t asOf);
     void handleChange(const protocol::store_item &item);
@@ -56,7 +58,8 @@
     pcg32 m_random;
     std::map<std::string, std::string> m_lastRefusals; // key of an item that could not be decoded -> last reported reason
     std::uint64_t m_revision = 0;                      // all changes up to this revision have been applied
-    std::uint64_t m_configRevision = 0;                // revision of the last configuration item that was processed
+    coordination::store_revision m_configRevision;     // revision of the last configuration item that was processed
+    std::uint64_t m_era = 0;                           // era of the store in its answers; 0 when it names none
     std::uint32_t m_failures = 0;                      // consecutive calls without a usable answer
     bool m_isReader = false;                           // this node reads the store on behalf of other nodes
     bool m_needsWorkers = true;                        // this node reads the list of workers from the store
--- a/protocol/src/gossip_codec.cpp
+++ b/protocol/src/gossip_codec.cpp
@@ -133,7 +133,8 @@
     out.set_version(entry.version);
     out.set_started_ms(entry.startedAtMs);
     out.set_cold_left_ms(static_cast<std::uint32_t>(update.coldRemaining.count()));
-    out.set_revision(entry.revision);
+    out.set_revision(entry.revision.revision);
+    out.set_era(entry.revision.era);
 }
 
 absl::StatusOr<coordination::worker_update> readWorker(const wire::DiscoveredWorker &in)
@@ -150,7 +151,7 @@
     entry.phase = static_cast<coordination::worker_phase>(in.phase());
     entry.version = in.version();
     entry.startedAtMs = in.started_ms();
-    entry.revision = in.revision();
+    entry.revision = {in.era(), in.revision()};
     update.coldRemaining = std::chrono::milliseconds(in.cold_left_ms());
     if (!in.has_node() && entry.phase == coordination::worker_phase::removed) {
         return update;
@@ -250,6 +251,7 @@
     }
     out.set_workers_digest(message.workersDigest);
     out.set_workers_cursor(message.workersCursor);
+    out.set_store_era(message.storeEra);
     for (const coordination::worker_update &update : message.workers) {
         writeWorker(update, *out.add_workers());
     }
@@ -274,6 +276,7 @@
     message.serviceReadAge = std::chrono::seconds(in.read_age_s());
     message.workersDigest = in.workers_digest();
     message.workersCursor = in.workers_cursor();
+    message.storeEra = in.store_era();
     for (const absl::Status &status : {readSender(in.sender(), message.sender), readOptionalFields(in, message), readUpdates(in, message)}) {
         if (!status.ok()) {
             return status;
--- a/protocol/tests/test_gossip_codec.cpp
+++ b/protocol/tests/test_gossip_codec.cpp
@@ -25,6 +25,13 @@
     message.subject = state::node_address{"fd00::2", 7401};
     message.updates = {{{"10.1.2.4", 7400}, "sul-poa", 9, 1, member_state::dead, true}, {{"10.1.2.5", 7400}, "", 0, 0, member_state::listed, false}};
     message.config = config_part{table_kind::pools, {1, 2}, {3, 4}, 1100, 5000, std::string("a\0b", 3)};
+    message.storeEra = 3;
+    discovered_worker worker;
+    worker.id = "i-7f3a";
+    worker.node = {"10.1.2.4", 7400};
+    worker.address = {"10.1.2.4", 8080};
+    worker.revision = {3, 412};
+    message.workers = {{worker, std::chrono::milliseconds(0)}};
     return message;
 }
 
@@ -41,6 +48,7 @@
     cr_assert(read->tables == message.tables);
     cr_assert(read->readerRound == 3 && read->serviceReadAge == message.serviceReadAge && read->receiverContactAge == message.receiverContactAge);
     cr_assert(read->subject == message.subject);
+    cr_assert(read->storeEra == 3 && read->workers.size() == 1 && read->workers.front().entry.revision == (store_revision{3, 412}));
     cr_assert(read->updates.size() == 2 && read->updates[0].state == member_state::dead && read->updates[0].leaving);
     cr_assert(read->updates[1].address == message.updates[1].address && read->updates[1].incarnation == 0);
     cr_assert(read->config->kind == table_kind::pools && read->config->base == message.config->base && read->config->target == message.config->target);
@@ -51,9 +59,11 @@
 {
     gossip_message chunk = sample();
     chunk.updates.clear();
+    chunk.workers.clear();
     chunk.config->bytes = std::string(ConfigChunkBytes, 'x');
     cr_assert(encodeGossip(chunk).size() <= MaxDatagramBytes);
     gossip_message page = sample();
+    page.workers.clear();
     page.config.reset();
     page.updates.clear();
     for (std::size_t i = 0; i < MaxMemberPageRows; ++i) {
--- a/tests/integration/support/store_fleet.cpp
+++ b/tests/integration/support/store_fleet.cpp
@@ -125,6 +125,20 @@
     command(m_storeAddress, "/_fault", lines);
 }
 
+void store_fleet::rewindStore(std::chrono::milliseconds age) const
+{
+    command(m_storeAddress, "/_rewind", std::to_string(age.count()));
+}
+
+void store_fleet::heartbeat(int times)
+{
+    for (int i = 0; i < times; ++i) {
+        for (std::size_t index = 0; index < Nodes; ++index) {
+            announce(index, fmt::format("w{}", index));
+        }
+    }
+}
+
 void store_fleet::setWorkerFault(std::size_t index, const std::string &lines) const
 {
     command(fmt::format("{}:{}", nodeIp(index), WorkerPort), "/_fault", lines);
--- a/tests/integration/support/store_fleet.h
+++ b/tests/integration/support/store_fleet.h
@@ -32,6 +32,8 @@
     void removeEntry(const std::string &id) const;
     void configure(std::uint64_t version, const std::string &path); // the idempotent route gets this path
     void setStoreFault(const std::string &lines) const;
+    void rewindStore(std::chrono::milliseconds age) const; // the store comes back from a copy of this age; its era rises
+    void heartbeat(int times);                             // all workers w0 to w3 write their entries again, so that the revisions rise
     void setWorkerFault(std::size_t index, const std::string &lines) const;
 
     // Sends one request with the given id and returns its whole answer, header included.
--- a/tests/standins/keyed_store.cpp
+++ b/tests/standins/keyed_store.cpp
@@ -50,9 +50,27 @@
 void keyed_store::change(const std::string &key, std::string value, bool removed)
 {
     m_items[key] = {std::move(value), ++m_revision, removed};
+    m_past.push_back({state::clock::now(), key, m_items[key]});
     m_changed.cancel();
 }
 
+// Replays the changes that are older than the age, so that revisions are given out again.
+http_reply keyed_store::rewind(std::chrono::milliseconds age)
+{
+    const state::time_point until = state::clock::now() - age;
+    std::erase_if(m_past, [until](const past_change &each) { return each.at > until; });
+    m_items.clear();
+    m_revision = 1;
+    for (const past_change &each : m_past) {
+        m_items[each.key] = each.value;
+        m_revision = each.value.revision;
+    }
+    m_compactedRevision = std::min(m_compactedRevision, m_revision);
+    ++m_era;
+    m_changed.cancel();
+    return makeReply(http::status::ok, "true\n");
+}
+
 asio::awaitable<http_reply> keyed_store::answer(const http_request &request, tcp::socket &peer)
 {
     const std::string target(request.target());
@@ -64,10 +82,21 @@
         change(target.substr(RemovePrefix.size()), {}, true);
         co_return makeReply(http::status::ok, "true\n");
     }
+    if (target == "/_rewind") {
+        co_return rewind(std::chrono::milliseconds(leadingNumber(request.body())));
+    }
     if (target == "/_fault") {
         co_return setFaults(request.body());
     }
-    co_return co_await read(target, peer);
+    const std::uint64_t era = m_era;
+    http_reply reply = co_await read(target, peer);
+    if (m_era != era) {
+        co_return makeDropped(); // the store was away in between
+    }
+    if (m_namesEra) {
+        reply.message.set("Store-Era", std::to_string(m_era));
+    }
+    co_return reply;
 }
 
 asio::awaitable<http_reply> keyed_store::read(std::string target, tcp::socket &peer)
@@ -85,7 +114,8 @@
         co_return makeDropped();
     }
     boost::system::error_code ignored;
-    const bool refused = !m_refusedIp.empty() && peer.remote_endpoint(ignored).address().to_string() == m_refusedIp;
+    const std::string address = peer.remote_endpoint(ignored).address().to_string();
+    const bool refused = ("," + m_refusedIps + ",").find("," + address + ",") != std::string::npos;
     if (refused || m_absent == "error") {
         co_return makeReply(http::status::service_unavailable, "unavailable\n");
     }
@@ -126,7 +156,7 @@
     const std::string prefix = parameterOf(query, "prefix");
     const std::uint64_t after = leadingNumber(parameterOf(query, "after"));
     const std::chrono::milliseconds wait(leadingNumber(parameterOf(query, "waitMs")));
-    if (after < m_compactedRevision) {
+    if (after < m_compactedRevision || after > m_revision) {
         co_return makeReply(http::status::gone, "history dropped\n");
     }
     co_await (awaitChange(prefix, after) || pauseFor(wait) || awaitPeerClosed(peer));
@@ -135,7 +165,8 @@
 
 asio::awaitable<void> keyed_store::awaitChange(std::string prefix, std::uint64_t after)
 {
-    while (!hasChange(prefix, after)) {
+    const std::uint64_t era = m_era;
+    while (m_era == era && !hasChange(prefix, after)) {
         boost::system::error_code ignored;
         co_await m_changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
@@ -170,8 +201,9 @@
         key_values values(text);
         m_absent = values.consume("absent", std::string());
         m_endless = values.consume("endless", std::string());
-        m_refusedIp = values.consume("refuse", std::string());
+        m_refusedIps = values.consume("refuse", std::string());
         m_silent = values.consumeFlag("silent");
+        m_namesEra = values.consume("era", std::string()) != "none";
         if (values.consumeFlag("compact")) {
             m_compactedRevision = m_revision;
         }
--- a/tests/standins/keyed_store.h
+++ b/tests/standins/keyed_store.h
@@ -3,22 +3,28 @@
 //   GET /dandelionstall/kv-range?prefix=P[&after=KEY]                  items, three per page
 //   GET /dandelionstall/kv-watch?prefix=P&after=REVISION&waitMs=N      changes after a revision; blocks until there is one or waitMs has elapsed
 //   PUT /_put/<key>, PUT /_remove/<key>                                test only: changes or removes an item
+//   PUT /_rewind                                                       test only: comes back from a copy as old as the body says, in milliseconds;
+//                                                                      the era rises by one
 //   PUT /_fault                                                        test only: "key=value" lines; an empty body clears all faults
 //
 // Faults:
+//   era=none            answers carry no era; by default Store-Era names it, beginning with 1
 //   absent=error        error: each read gets status 503; close: the connection is closed without an answer
 //   silent=yes          reads are never answered
 //   endless=chunk_head  bytes without end in place of answers, see makeEndless()
-//   refuse=127.0.0.2    reads from this IP address get status 503; others are served
+//   refuse=127.0.0.2    reads from this IP address (or several, with commas between them) get status 503; others are served
 //   compact=yes         drops the history up to now: watches from an older revision get status 410
 #pragma once
 
 #include "http_server.h"
 
+#include <dandelionstall/state/types.h>
+
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace dandelionstall::standins {
 
@@ -36,7 +42,15 @@
         bool removed = false;
     };
 
+    // A change, kept for coming back to the time before it.
+    struct past_change {
+        state::time_point at;
+        std::string key;
+        item value;
+    };
+
     void change(const std::string &key, std::string value, bool removed);
+    http_reply rewind(std::chrono::milliseconds age);
     asio::awaitable<http_reply> read(std::string target, tcp::socket &peer);
     asio::awaitable<http_reply> watch(std::string query, tcp::socket &peer);
     asio::awaitable<void> awaitChange(std::string prefix, std::uint64_t after);
@@ -46,12 +60,15 @@
     http_reply setFaults(const std::string &text);
 
     std::map<std::string, item> m_items; // includes tombstones of removed items
+    std::vector<past_change> m_past;
     std::uint64_t m_revision = 1;
+    std::uint64_t m_era = 1;
+    bool m_namesEra = true;
     std::uint64_t m_compactedRevision = 0; // oldest revision that a watch may start from; earlier history is dropped
     asio::steady_timer m_changed;          // never expires; cancelled at each change to wake watches
     std::string m_absent;
-    std::string m_endless;   // see makeEndless(); empty sends whole answers
-    std::string m_refusedIp; // IP address whose reads get status 503; empty refuses none
+    std::string m_endless;    // see makeEndless(); empty sends whole answers
+    std::string m_refusedIps; // IP addresses whose reads get status 503, with commas between them
     bool m_silent = false;
 };
 
--- a/transport/include/dandelionstall/transport/config_source.h
+++ b/transport/include/dandelionstall/transport/config_source.h
@@ -21,12 +21,15 @@
     std::function<void(coordination::table_kind kind, const absl::Status &reason)> tableInvalid; // a table cannot be read or assembled from its parts
     std::function<void(std::vector<coordination::vm_record> vms)> vmListReceived;                // the whole list of VMs was read
     std::function<void(std::vector<coordination::vm_record> vms)> leavingVmsReceived;            // only the rows of VMs that are leaving were read
-    std::function<void(std::vector<coordination::discovered_worker> all, std::uint64_t asOf)> workerListReceived; // all workers were read, as of a revision
-    std::function<void(coordination::discovered_worker entry)> workerUpdated;  // the entry of one worker was added or has changed
-    std::function<void(std::string id, std::uint64_t revision)> workerRemoved; // the entry of one worker was removed at this revision
-    std::function<void(std::string key, std::string reason)> entryRefused;     // an entry does not describe a usable worker
-    std::function<void()> readSucceeded;                                       // a call to the platform's service succeeded
-    std::function<void()> readFailed;                                          // a call to the platform's service failed
+    std::function<void(std::vector<coordination::discovered_worker> all, coordination::store_revision asOf)>
+        workerListReceived;                                                                   // all workers were read, as of a revision
+    std::function<void(coordination::discovered_worker entry)> workerUpdated;                 // the entry of one worker was added or has changed
+    std::function<void(std::string id, coordination::store_revision revision)> workerRemoved; // the entry of one worker was removed at this revision
+    std::function<void(std::string key, std::string reason)> entryRefused;                    // an entry does not describe a usable worker
+    std::function<void(std::uint64_t era, coordination::store_revision before)>
+        eraRaised;                       // the store names a higher era than before; before: what had been applied
+    std::function<void()> readSucceeded; // a call to the platform's service succeeded
+    std::function<void()> readFailed;    // a call to the platform's service failed
 };
 
 // [SECTION] Source
--- a/transport/include/dandelionstall/transport/events.h
+++ b/transport/include/dandelionstall/transport/events.h
@@ -60,6 +60,8 @@
     watch_failed = 4006,          // warn: a call to the platform's service failed; it is retried with backoff
     watch_recovered = 4007,       // info: calls to the platform's service succeed again
     reader_changed = 4008,        // info: this node has become a reader of the platform's service, or is no longer one
+    store_era_learned = 4009,     // warn: the platform's store has come back from an older copy
+    store_era_settled = 4010,     // info: what has become of the workers some seconds after the store came back
     member_alive = 4020,          // info: a node is alive: it was discovered or has recovered
     member_suspected = 4021,      // info: a node does not answer and is suspected of having failed
     member_dead = 4022,           // warn: a suspected node did not refute the suspicion in time and counts as dead
--- a/transport/include/dandelionstall/transport/platform_client.h
+++ b/transport/include/dandelionstall/transport/platform_client.h
@@ -6,6 +6,7 @@
 //   absl::StatusOr<platform_answer> answer = co_await client.get(target, clock::now() + 5s);
 #pragma once
 
+#include <dandelionstall/protocol/messages.h>
 #include <dandelionstall/state/types.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -17,6 +18,7 @@
 struct platform_answer {
     std::uint32_t status = 0; // HTTP status of the answer
     std::uint64_t index = 0;  // value of X-Consul-Index; 0 when absent
+    protocol::http_headers headers;
     std::string body;
 };
 
--- a/transport/src/events.cpp
+++ b/transport/src/events.cpp
@@ -56,6 +56,8 @@
     event_info{event::watch_failed, log_level::warn, "watch_failed", "a call to the platform's service failed; it is retried with backoff"},
     event_info{event::watch_recovered, log_level::info, "watch_recovered", "calls to the platform's service succeed again"},
     event_info{event::reader_changed, log_level::info, "reader_changed", "this node has become a reader of the platform's service, or is no longer one"},
+    event_info{event::store_era_learned, log_level::warn, "store_era_learned", "the platform's store has come back from an older copy"},
+    event_info{event::store_era_settled, log_level::info, "store_era_settled", "what has become of the workers some seconds after the store came back"},
     event_info{event::member_alive, log_level::info, "member_alive", "a node is alive: it was discovered or has recovered"},
     event_info{event::member_suspected, log_level::info, "member_suspected", "a node does not answer and is suspected of having failed"},
     event_info{event::member_dead, log_level::warn, "member_dead", "a suspected node did not refute the suspicion in time and counts as dead"},
--- a/transport/src/platform_client.cpp
+++ b/transport/src/platform_client.cpp
@@ -30,6 +30,15 @@
     return index;
 }
 
+protocol::http_headers readHeaders(const http::response<http::string_body> &response)
+{
+    protocol::http_headers headers;
+    for (const auto &field : response) {
+        headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    return headers;
+}
+
 absl::Status makeReadError(const boost::system::error_code &error)
 {
     return makeSocketError(error == beast::error::timeout ? transport_error::silent : transport_error::closed, error);
@@ -98,14 +107,14 @@
         co_return makeReadError(headError);
     }
     if (parser.get().result() != http::status::ok) { // the body of any other status is not used
-        co_return platform_answer{parser.get().result_int(), readIndex(parser.get()), {}};
+        co_return platform_answer{parser.get().result_int(), readIndex(parser.get()), readHeaders(parser.get()), {}};
     }
     const auto [readError, read] = co_await http::async_read(stream, buffer, parser, NoThrow);
     if (readError) {
         co_return makeReadError(readError);
     }
     http::response<http::string_body> response = parser.release();
-    co_return platform_answer{response.result_int(), readIndex(response), std::move(response.body())};
+    co_return platform_answer{response.result_int(), readIndex(response), readHeaders(response), std::move(response.body())};
 }
 
 } // namespace dandelionstall::transport
