Serve connections that wait to be accepted when a node stops listening

Callers whose connection stood in the accept queue when a stopping node closed its listening socket got a reset instead of an answer. During the 3 s before that every answer closes its connection, so that each further request opens a new one and the queue is seldom empty under load.

The ingress now accepts all that is waiting before it closes the socket, serves a connection whose accept ended together with the close, and gives these connections one second to send their request.

--- a/programs/dandelionstall/ingress.cpp
+++ b/programs/dandelionstall/ingress.cpp
@@ -22,6 +22,7 @@
 constexpr auto SweepPeriod = std::chrono::seconds(1);
 constexpr auto PoolUseReportPeriod = std::chrono::seconds(1);           // minimum interval between use reports of one pool
 constexpr double AnswerBytesSmoothing = 0.2;                            // weight of a new answer in the moving average of answer sizes
+constexpr std::chrono::milliseconds LastIdleTimeout{1000};              // of connections that were accepted as the ingress stopped listening
 constexpr auto CallerLimitRetryAfter = std::chrono::milliseconds(1000); // Retry-After of callers refused over the connection limit
 
 } // namespace
@@ -72,18 +73,36 @@
 void ingress::acceptLoop()
 {
     m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
-        if (error == asio::error::operation_aborted || !m_acceptor.is_open()) {
-            return;
-        }
         if (!error) {
-            auto connection = std::make_shared<caller_connection>(boost::beast::tcp_stream(std::move(socket)));
-            m_connections.insert(connection);
-            asio::co_spawn(m_io, serve(connection), asio::detached);
+            startConnection(std::move(socket)); // also if stopListening() has closed the acceptor since
+        }
+        if (m_acceptor.is_open()) {
+            acceptLoop();
         }
-        acceptLoop();
     });
 }
 
+void ingress::startConnection(tcp::socket socket)
+{
+    auto connection = std::make_shared<caller_connection>(boost::beast::tcp_stream(std::move(socket)));
+    m_connections.insert(connection);
+    asio::co_spawn(m_io, serve(connection), asio::detached);
+}
+
+// Callers whose connections wait here have sent their requests; close() would reset them.
+void ingress::acceptWaiting()
+{
+    boost::system::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(m_io);
+        m_acceptor.accept(socket, error);
+        if (!error) {
+            startConnection(std::move(socket));
+        }
+    }
+}
+
 void ingress::sweep()
 {
     m_peers.closeIdle(state::clock::now());
@@ -139,6 +158,9 @@
         limits.headerTimeout = tableLimits.headerTimeout.count() > 0 ? tableLimits.headerTimeout : limits.headerTimeout;
         limits.idleTimeout = tableLimits.idleTimeout.count() > 0 ? tableLimits.idleTimeout : limits.idleTimeout;
     }
+    if (!m_acceptor.is_open()) {
+        limits.idleTimeout = std::min(limits.idleTimeout, LastIdleTimeout);
+    }
     return limits;
 }
 
@@ -242,11 +264,12 @@
 
 void ingress::stopListening()
 {
-    boost::system::error_code ignored;
-    m_acceptor.close(ignored);
     for (const auto &connection : m_connections) {
         connection->cancelIdleRead();
     }
+    acceptWaiting();
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
 }
 
 bool ingress::isIdle() const
--- a/programs/dandelionstall/ingress.h
+++ b/programs/dandelionstall/ingress.h
@@ -52,7 +52,7 @@
     absl::Status listen();                                         // binds the callers' address and starts to accept connections
     void applySnapshot(coordination::fleet_snapshot_ptr snapshot); // replaces the configuration and the pool views
     void beginShutdown();                                          // answers carry Connection: close from now on; new connections are still served
-    void stopListening();                                          // stops accepting connections and closes idle ones
+    void stopListening();                                          // accepts what is waiting, stops listening and closes idle connections
     bool isIdle() const;                                           // true when no connection is open
     std::size_t busyConnections() const;                           // number of connections with a request in flight
 
@@ -87,6 +87,8 @@
 
 private:
     void acceptLoop();
+    void acceptWaiting(); // accepts all connections that are established and not yet accepted
+    void startConnection(boost::asio::ip::tcp::socket socket);
     void sweep(); // once per SweepPeriod: closes idle links, expires path backoff, updates gauges
     boost::asio::awaitable<void> serve(std::shared_ptr<caller_connection> connection);
     boost::asio::awaitable<bool> handleRequest(caller_connection &connection, caller_request &request);
--- a/tests/integration/test_promise_graceful_stop.cpp
+++ b/tests/integration/test_promise_graceful_stop.cpp
@@ -5,6 +5,7 @@
 // are aborted.
 #include "expect.h"
 
+#include <boost/asio.hpp>
 #include <criterion/criterion.h>
 
 #include <csignal>
@@ -83,3 +84,38 @@
     expectClean(fleet, evidence);
     expectUseful(evidence.calls, "lookup", 0.95);
 }
+
+// A connection is established before the node accepts it. The node is paused around the time at which it stops listening, so that many
+// are waiting then; each has sent its request.
+Test(graceful_stop, connections_that_wait_to_be_accepted_are_served)
+{
+    using boost::asio::ip::tcp;
+    constexpr std::size_t Connections = 40;
+    constexpr std::chrono::milliseconds PausedAt{2500}; // after SIGTERM; the node stops listening after 3 s
+    constexpr std::chrono::milliseconds PauseTime{1000};
+    fleet fleet(directCallers());
+    fleet.start();
+    const std::string request = "GET /lookup HTTP/1.1\r\nHost: x\r\nX-Test-Cost-Ms: 5\r\n\r\n";
+    child_process &node = fleet.node(1).process;
+    node.signal(SIGTERM);
+    std::this_thread::sleep_for(PausedAt);
+    node.signal(SIGSTOP);
+    boost::asio::io_context io;
+    std::vector<tcp::socket> sockets;
+    for (std::size_t i = 0; i < Connections; ++i) {
+        sockets.emplace_back(io);
+        sockets.back().connect(tcp::endpoint(boost::asio::ip::make_address(fleet.node(1).ip), CallerPort));
+        boost::asio::write(sockets.back(), boost::asio::buffer(request));
+    }
+    std::this_thread::sleep_for(PauseTime);
+    node.signal(SIGCONT);
+    std::size_t served = 0;
+    for (tcp::socket &socket : sockets) {
+        std::string answer;
+        boost::system::error_code ignored;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ignored);
+        served += answer.starts_with("HTTP/1.1 200") ? 1 : 0;
+    }
+    cr_assert_eq(served, Connections, "%zu of %zu requests served", served, Connections);
+    cr_assert(node.awaitExit(StopCap));
+}
