--- a/coordination/src/balancer_least_wait.cpp
+++ b/coordination/src/balancer_least_wait.cpp
@@ -23,9 +23,8 @@
 constexpr seconds NonIdempotentRiskCost{1.0};   // cost of a certainly unhealthy worker for non-idempotent work, as additional wait
 constexpr seconds IdempotentRiskCost{0.1};      // cost of such a worker for idempotent work, which can be retried at another worker
 constexpr seconds RemoteByteCost{4e-6};         // additional wait accepted to avoid transferring one answer byte between data centres
-constexpr double LimitedDrawShare
-    = 0.25; // a worker with a rate limit that has room is drawn at least like one with this share of its slots, so that the end of its limit is noticed
-constexpr double MinWeight = 0.001; // lower bound of a worker's weight, so that a draw is possible when all weights are 0
+constexpr double LimitedDrawShare = 0.25;       // least share of its slots for which a limited worker with room is drawn, so that its limit's end is noticed
+constexpr double MinWeight = 0.001;             // lower bound of a worker's weight, so that a draw is possible when all weights are 0
 
 // Candidates for weighted random draws, with the cumulative sum of their shares (weight times slots).
 class candidate_group
--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -1,4 +1,5 @@
-// Sidecar: listening, configuration of the workers, probes, reports and shutdown. Attempts: sidecar_attempts.cpp, sidecar_execution.cpp.
+// Sidecar: listening, configuration of the workers, probes and shutdown. Attempts: sidecar_attempts.cpp, sidecar_execution.cpp;
+// reports: sidecar_reports.cpp.
 #include "sidecar.h"
 
 #include <dandelionstall/protocol/caller_http.h>
@@ -14,7 +15,6 @@
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
-using coordination::worker_report;
 
 namespace {
 
@@ -334,63 +334,6 @@
     }
 }
 
-// [SECTION] Reports
-
-// Logs one line when the guard starts to withhold work from the worker, and one when it stops.
-void sidecar::logSuspicionChange(served_worker &worker, state::time_point now)
-{
-    const bool suspected = !worker.guard->admits({{}, false, false}, now);
-    if (std::exchange(worker.loggedSuspected, suspected) != suspected) {
-        transport::logEvent(transport::event::worker_doubtful,
-                            {{"worker", worker.settings.id}, {"doubtful", suspected ? "yes" : "no"}, {"risk", std::to_string(worker.guard->risk(now))}});
-    }
-}
-
-worker_report sidecar::makeReport(const served_worker &worker, state::time_point now) const
-{
-    worker_report report;
-    report.worker = worker.settings.id;
-    report.pool = worker.settings.pool;
-    report.node = m_settings.advertiseAddress;
-    // m_incarnation may be lower than the one known to the fleet if the system clock was set back.
-    report.incarnation = m_snapshot ? std::max(m_incarnation, m_snapshot->selfIncarnation) : m_incarnation;
-    report.version = worker.reportVersion;
-    if (worker.admission) {
-        const coordination::admission_load load = worker.admission->load(now);
-        report.slots = worker.slots;
-        report.busy = load.busy;
-        report.queued = load.queued;
-        report.expectedWait = load.expectedWait;
-    }
-    worker.outcomeTracker->fillReport(report, now);
-    report.risk = worker.guard->risk(now);
-    report.leaving = refusesWork(worker);
-    report.workerLeaving = statesLeaving(worker);
-    report.lifetime = worker.lifetime;
-    report.limit = worker.limit.knowledge();
-    if (const coordination::rate_gate *gate = worker.limit.gate()) {
-        report.rateLimit = gate->rate();
-        report.roomAfter = std::chrono::duration_cast<std::chrono::microseconds>(gate->roomAt(now, report.queued) - now);
-        report.expectedWait = std::max(report.expectedWait, report.roomAfter);
-    }
-    return report;
-}
-
-void sidecar::publishReports()
-{
-    const state::time_point now = state::clock::now();
-    std::vector<worker_report> reports;
-    reports.reserve(m_workers.size());
-    for (auto &[id, worker] : m_workers) {
-        logSuspicionChange(worker, now);
-        ++worker.reportVersion;
-        reports.push_back(makeReport(worker, now));
-    }
-    if (!reports.empty()) {
-        m_reportSink(std::move(reports));
-    }
-}
-
 // [SECTION] Shutdown
 
 void sidecar::beginShutdown()
