--- a/tests/integration/support/store_fleet.cpp
+++ b/tests/integration/support/store_fleet.cpp
@@ -69,6 +69,7 @@
 void store_fleet::startWorker(std::size_t index, const std::string &id)
 {
     const std::string address = fmt::format("{}:{}", nodeIp(index), WorkerPort);
+    m_workers[index].kill(); // an earlier one has the address
     m_workers[index] = child_process(programPath("standin_worker"),
                                      {"--listen",
                                       address,
@@ -146,16 +147,17 @@
 
 // [SECTION] Requests
 
-std::string store_fleet::request(std::size_t index, const std::string &method, const std::string &path, const std::string &id) const
+std::string store_fleet::request(std::size_t index, const std::string &method, const std::string &path, const std::string &id, const std::string &version) const
 {
     boost::asio::io_context io;
     tcp::socket socket(io);
     boost::system::error_code error;
     socket.connect(tcp::endpoint(boost::asio::ip::make_address(nodeIp(index)), CallersPort), error);
-    const std::string text = fmt::format("{} {} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {}\r\nX-Request-Id: {}\r\nDeadline-Remaining: "
+    const std::string text = fmt::format("{} {} HTTP/{}\r\nHost: shop.example\r\nAttempt-Id: {}\r\nX-Request-Id: {}\r\nDeadline-Remaining: "
                                          "1500\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
                                          method,
                                          path,
+                                         version,
                                          id,
                                          id);
     boost::asio::write(socket, boost::asio::buffer(text), error);
@@ -173,7 +175,7 @@
 
 std::size_t store_fleet::runsAt(std::size_t index) const
 {
-    const std::string log = m_workers[index].output();
+    const std::string log = workerLog(index);
     std::size_t count = 0;
     for (std::size_t at = log.find("start "); at != std::string::npos; at = log.find("start ", at + 1)) {
         ++count;
@@ -181,6 +183,11 @@
     return count;
 }
 
+std::string store_fleet::workerLog(std::size_t index) const
+{
+    return m_workers[index].output();
+}
+
 std::string store_fleet::linesWith(const std::string &text) const
 {
     std::string found;
--- a/tests/integration/support/store_fleet.h
+++ b/tests/integration/support/store_fleet.h
@@ -37,10 +37,11 @@
     void setWorkerFault(std::size_t index, const std::string &lines) const;
 
     // Sends one request with the given id and returns its whole answer, header included.
-    std::string request(std::size_t index, const std::string &method, const std::string &path, const std::string &id) const;
+    std::string request(std::size_t index, const std::string &method, const std::string &path, const std::string &id, const std::string &version = "1.1") const;
     std::string statusOf(std::size_t index, const std::string &path) const; // of a GET, for example "HTTP/1.1 200"
 
     std::size_t runsAt(std::size_t index) const;          // runs that the worker at this place has started
+    std::string workerLog(std::size_t index) const;       // see run_log.h; of all workers that were at this place
     std::string linesWith(const std::string &text) const; // log lines of all nodes that contain it
     std::string nodeIp(std::size_t index) const;
     std::string callers(std::size_t index) const; // ip:port at which callers reach the node
