Limit what is kept of an answer without a length for callers of HTTP/1.0

Such a caller gets the answer in one piece, so that the node kept it whole whatever its length: one request to a worker that sends a success without end cost 125,780 KB until its deadline. At 4 MiB the node now gives the answer up, closes the stream and refuses with run=ran. endless_bytes::as_the_body_of_a_success_for_a_caller_without_chunked_coding failed before and passes now.

--- a/programs/dandelionstall/request_attempt.cpp
+++ b/programs/dandelionstall/request_attempt.cpp
@@ -24,6 +24,7 @@
 namespace {
 
 constexpr std::size_t MaxBufferedAnswerBytes = 1'048'576;        // answers up to this size are verified before any byte is sent to the caller
+constexpr std::size_t MaxUnchunkedAnswerBytes = 4'194'304;       // answers without a length up to this size reach callers of HTTP/1.0
 constexpr std::size_t BodyFrameBytes = 131'072;                  // maximum payload of one body frame
 constexpr std::size_t MaxFailedAnswerBytes = 65'536;             // a longer answer with an error is not kept
 constexpr auto FailedAnswerTime = std::chrono::milliseconds(50); // time to receive the rest of an answer with an error before the next attempt
@@ -187,6 +188,10 @@
                 co_return *std::move(outcome);
             }
         } else if (event.frame.type == frame_type::body && sent.headArrived) {
+            if (mustStayWhole(sent.answer) && sent.answer.buffered.size() + event.frame.payload.size() > MaxUnchunkedAnswerBytes) {
+                sent.link->session->reset(sent.stream);
+                co_return makeFailureOutcome(retry_reason::none, refusal_reason::unknown_outcome, run_state::ran);
+            }
             if (!co_await handleAnswerBody(sent, event.frame.payload)) {
                 sent.link->session->reset(sent.stream);
                 co_return attempt_outcome{attempt_end::caller_disconnected, {}, {}, -1.0, false};
@@ -263,6 +268,12 @@
     }
 }
 
+// HTTP/1.0 has no chunked coding: without a length, the answer is buffered until it is complete.
+bool request_handler::mustStayWhole(const answer_state &answer) const
+{
+    return !m_request.chunkedAllowed && protocol::findHeader(answer.head.headers, "Content-Length").empty();
+}
+
 asio::awaitable<bool> request_handler::handleAnswerBody(sent_attempt &sent, std::string_view bytes)
 {
     answer_state &answer = sent.answer;
@@ -278,8 +289,8 @@
         co_return true;
     }
     if (!answer.streaming) {
-        if (!m_request.chunkedAllowed && protocol::findHeader(answer.head.headers, "Content-Length").empty()) {
-            answer.buffered.append(bytes); // HTTP/1.0 has no chunked coding: without a length, the answer is buffered until it is complete
+        if (mustStayWhole(answer)) {
+            answer.buffered.append(bytes);
             co_return true;
         }
         answer.streaming = true;
--- a/tests/integration/test_promise_endless_bytes.cpp
+++ b/tests/integration/test_promise_endless_bytes.cpp
@@ -142,6 +142,31 @@
     expectEarlyClose(fleet.endlessBytes(), "error_body");
 }
 
+// A caller of HTTP/1.0 gets an answer without a length only once it is whole, so that the node keeps it until then.
+Test(endless_bytes, as_the_body_of_a_success_for_a_caller_without_chunked_coding)
+{
+    store_fleet fleet;
+    fleet.start();
+    const process_usage before = fleet.node(0).usage();
+    for (std::size_t i = 0; i < Nodes; ++i) {
+        fleet.setWorkerFault(i, "endless=body");
+    }
+    std::string answer;
+    std::atomic<bool> answered{false};
+    std::thread caller([&] {
+        answer = fleet.request(0, "GET", "/read/1", "endless", "1.0");
+        answered = true;
+    });
+    std::size_t most = before.residentBytes;
+    while (not answered) {
+        most = std::max(most, fleet.node(0).usage().residentBytes);
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    caller.join();
+    cr_assert(answer.find(" 50") == 8, "%s", answer.substr(0, 80).c_str());
+    cr_assert_leq(most, before.residentBytes + MemoryGrowth, "%zu KB more", (most - before.residentBytes) / 1024);
+}
+
 Test(endless_bytes, from_the_store)
 {
     for (const char *part : {"head", "head_lines", "chunk_head", "trailer", "interim", "body", "error_body"}) {
