--- a/protocol/src/admin_json.cpp
+++ b/protocol/src/admin_json.cpp
@@ -91,7 +91,9 @@
 json::object reportJson(const worker_view &worker, state::time_point now)
 {
     const coordination::worker_report &report = worker.report;
+    const bool limited = report.limit == coordination::limit_knowledge::limited;
     return {
+        {"rate_limit", limited ? json::value(report.rateLimit) : json::value(nullptr)},
         {"age_ms", toMilliseconds(now - worker.reportReceivedAt)},
         {"busy", report.busy},
         {"queued", report.queued},
@@ -105,6 +107,11 @@
     };
 }
 
+std::string describeLimit(const coordination::worker_report &report)
+{
+    return report.limit == coordination::limit_knowledge::limited ? fmt::format(", states a limit of {} requests a second", report.rateLimit) : "";
+}
+
 std::string describeReport(const coordination::worker_report &report, state::duration age)
 {
     if (report.version == 0) {
@@ -302,7 +309,7 @@
 
 std::string describeWorker(const worker_view &worker, state::time_point now)
 {
-    std::string reportText = describeReport(worker.report, now - worker.reportReceivedAt);
+    const std::string reportText = describeReport(worker.report, now - worker.reportReceivedAt) + describeLimit(worker.report);
     switch (worker.state) {
     case worker_state::unknown:
         return reportText;
--- a/transport/tests/test_admin_server.cpp
+++ b/transport/tests/test_admin_server.cpp
@@ -31,6 +31,8 @@
     view->workers[1].report.version = 1;
     view->workers[1].report.successShare = 0.25;
     view->workers[1].report.samples = 40;
+    view->workers[1].report.limit = coordination::limit_knowledge::limited;
+    view->workers[1].report.rateLimit = 2.5;
     snapshot->poolViews["dressing-order"] = view;
     return snapshot;
 }
@@ -133,6 +135,8 @@
     cr_assert(pool.at("usable") == 1);
     cr_assert(pool.at("members").at(1).at("state") == "ejected");
     cr_assert(pool.at("members").at(1).at("why").as_string().find("25.0 % of 40 recent requests succeeded") != json::string::npos);
+    cr_assert(pool.at("members").at(1).at("why").as_string().find("states a limit of 2.5 requests a second") != json::string::npos);
+    cr_assert(pool.at("members").at(1).at("report").at("rate_limit") == 2.5);
     cr_assert(server.getJson("/v1/members").at("members").at(0).at("data_centre") == "thika");
     cr_assert(server.getJson("/v1/members").at("members").at(0).at("state") == "suspect");
     cr_assert(server.getJson("/v1/config").at("pools").at("in_force").at("revision") == 9);
