--- a/coordination/include/dandelionstall/coordination/told_signals.h
+++ b/coordination/include/dandelionstall/coordination/told_signals.h
@@ -5,8 +5,9 @@
 // its attempts, because the sidecar beside the worker forgets it when it is started again.
 //
 // A limit ends with a newer report of the sidecar that the worker states none, or with the worker's lifetime; a leaving with the
-// lifetime only. Neither ends by time, but for the leaving of a worker that announces no lifetime (leavingUntil() in pool_view.h). Workers that are no longer
-// listed are forgotten after UnlistedRetention, since the entry of a worker may be away for a while without its lifetime having ended.
+// lifetime only. Neither ends by time, but for the leaving of a worker that announces no lifetime (leavingUntil() in pool_view.h).
+// Workers that are no longer listed are forgotten after UnlistedRetention, since the entry of a worker may be away for a while
+// without its lifetime having ended.
 //
 // Usage:
 //   told.recordAnswer({worker, pool, lifetime}, rate, leaving, now);    // the head of an answer that is passed on
--- a/programs/dandelionstall/ingress.cpp
+++ b/programs/dandelionstall/ingress.cpp
@@ -195,6 +195,7 @@
     m_snapshot = std::move(snapshot);
     if (poolsChanged) {
         endEarlierLifetimes(*m_snapshot->pools);
+        std::erase_if(m_inFlight, [](const auto &entry) { return entry.second == 0; }); // workers come and go
     }
     if (m_snapshot->pools != m_fallbackViewsTable) {
         m_fallbackViews.clear();
