--- a/protocol/src/admin_json.cpp
+++ b/protocol/src/admin_json.cpp
@@ -309,7 +309,7 @@
 
 std::string describeWorker(const worker_view &worker, state::time_point now)
 {
-    const std::string reportText = describeReport(worker.report, now - worker.reportReceivedAt) + describeLimit(worker.report);
+    std::string reportText = describeReport(worker.report, now - worker.reportReceivedAt) + describeLimit(worker.report);
     switch (worker.state) {
     case worker_state::unknown:
         return reportText;
--- a/soak/store_plan.cpp
+++ b/soak/store_plan.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <pcg_random.hpp>
+#include <tuple>
 
 namespace dandelionstall::soak {
 
@@ -65,7 +66,10 @@
     for (std::size_t i = 0; i < wanted; ++i) {
         plan.steps.push_back(generateStep(length, nodes, random));
     }
-    std::stable_sort(plan.steps.begin(), plan.steps.end(), [](const store_step &a, const store_step &b) { return a.at < b.at; });
+    const auto orderOf = [](const store_step &step) {
+        return std::tuple(step.at, step.kind, step.target, step.age, step.duration);
+    };
+    std::sort(plan.steps.begin(), plan.steps.end(), [&](const store_step &a, const store_step &b) { return orderOf(a) < orderOf(b); });
     return plan;
 }
 
--- a/soak/store_soak.cpp
+++ b/soak/store_soak.cpp
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr std::size_t Nodes = store_fleet::Nodes;
+constexpr unsigned StatusOk = 200;
 constexpr milliseconds TickTime{50};
 constexpr milliseconds CallPause{15};
 constexpr std::uint32_t BookEvery = 4;        // one request in this many is non-idempotent
@@ -44,6 +45,14 @@
     steady_time since{0};
 };
 
+// Status of an answer "HTTP/1.1 200 ..."; 0 without an answer.
+unsigned statusOf(const std::string &answer)
+{
+    constexpr std::size_t StatusAt = 9;
+    constexpr std::size_t StatusDigits = 3;
+    return answer.size() > StatusAt + StatusDigits ? static_cast<unsigned>(std::stoul(answer.substr(StatusAt, StatusDigits))) : 0;
+}
+
 class store_soak
 {
 public:
@@ -56,8 +65,8 @@
 
 private:
     store_soak_result summarize();
-    void call(std::size_t node);
-    void record(const store_call &call);
+    void callUntilEnded(std::size_t node);
+    void readOnce(std::size_t node, std::uint32_t number); // the path of the newest configuration, or of the one before
     void tick(steady_time now);
     void inject(const store_step &step, steady_time now);
     void writeConfiguration(std::uint64_t version);
@@ -85,32 +94,34 @@
 
 // [SECTION] Callers
 
-void store_soak::call(std::size_t node)
+void store_soak::callUntilEnded(std::size_t node)
 {
     for (std::uint32_t i = 0; !m_ended; ++i) {
-        const node_state &state = m_nodes[node];
-        store_call call;
-        call.node = node;
-        call.incarnation = state.incarnation;
-        const std::uint64_t newest = m_newest;
-        const bool book = i % BookEvery == 1;
-        call.version = i % OldEvery == 3 && newest > 1 ? newest - 1 : newest;
-        call.sent = steadyNow();
-        const std::string answer = book ? m_fleet.request(node, "POST", "/book/1", fmt::format("book-{}-{}", node, i))
-                                        : m_fleet.request(node, "GET", fmt::format("/read{}/1", call.version), fmt::format("read-{}-{}", node, i));
-        call.ended = steadyNow();
-        call.status = answer.size() > 12 ? static_cast<unsigned>(std::stoul(answer.substr(9, 3))) : 0;
-        if (!book && state.ready && call.incarnation == state.incarnation) {
-            record(call);
+        if (i % BookEvery == 1) {
+            m_fleet.request(node, "POST", "/book/1", fmt::format("book-{}-{}", node, i)); // judged by the logs of the workers
+        } else {
+            readOnce(node, i);
         }
         std::this_thread::sleep_for(CallPause);
     }
 }
 
-void store_soak::record(const store_call &call)
+void store_soak::readOnce(std::size_t node, std::uint32_t number)
 {
-    const std::lock_guard lock(m_callsMutex);
-    m_evidence.calls.push_back(call);
+    const node_state &state = m_nodes[node];
+    const std::uint64_t newest = m_newest;
+    store_call call;
+    call.node = node;
+    call.incarnation = state.incarnation;
+    call.version = number % OldEvery == 3 && newest > 1 ? newest - 1 : newest;
+    call.sent = steadyNow();
+    const std::string answer = m_fleet.request(node, "GET", fmt::format("/read{}/1", call.version), fmt::format("read-{}-{}", node, number));
+    call.ended = steadyNow();
+    call.status = statusOf(answer);
+    if (state.ready && call.incarnation == state.incarnation) {
+        const std::lock_guard lock(m_callsMutex);
+        m_evidence.calls.push_back(call);
+    }
 }
 
 // [SECTION] Operator and workers
@@ -271,8 +282,9 @@
     writeConfiguration(FirstVersion);
     std::this_thread::sleep_for(InForceTime);
     std::vector<std::thread> callers;
+    callers.reserve(Nodes);
     for (std::size_t i = 0; i < Nodes; ++i) {
-        callers.emplace_back([this, i] { call(i); });
+        callers.emplace_back([this, i] { callUntilEnded(i); });
     }
     const steady_time begunAt = steadyNow();
     const steady_time endsAt = begunAt + m_plan.length + SettleTime;
@@ -310,8 +322,8 @@
     std::sort(m_evidence.calls.begin(), m_evidence.calls.end(), endsFirst);
     store_soak_result result;
     result.calls = m_evidence.calls.size();
-    result.served
-        = static_cast<std::size_t>(std::count_if(m_evidence.calls.begin(), m_evidence.calls.end(), [](const store_call &each) { return each.status == 200; }));
+    result.served = static_cast<std::size_t>(
+        std::count_if(m_evidence.calls.begin(), m_evidence.calls.end(), [](const store_call &each) { return each.status == StatusOk; }));
     result.rewinds = m_evidence.rewinds.size();
     result.broken = findStoreViolations(m_evidence);
     result.broken.insert(result.broken.end(), m_broken.begin(), m_broken.end());
