--- a/programs/dandelionstall/control.cpp
+++ b/programs/dandelionstall/control.cpp
@@ -84,9 +84,11 @@
         recordStoreEra("store", before);
     };
     events.readSucceeded = [this] {
+        ++m_totals.platformCalls;
         m_gossipNode.recordServiceRead(state::clock::now());
     };
     events.readFailed = [this] {
+        ++m_totals.platformCalls;
         m_gossipNode.recordServiceReadFailure(state::clock::now());
     };
     return events;
@@ -125,6 +127,7 @@
 {
     auto next = std::make_shared<coordination::fleet_snapshot>();
     next->generation = ++m_generation;
+    ++m_totals.published;
     next->routes = m_gossipNode.store().routes();
     next->pools = m_gossipNode.pools();
     next->workersDiscovered = m_workersRead || !m_gossipNode.workers().isEmpty();
--- a/programs/dandelionstall/control_detail.h
+++ b/programs/dandelionstall/control_detail.h
@@ -11,10 +11,20 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <cstdint>
 #include <mutex>
 
 namespace dandelionstall {
 
+// Counts since the start of the node.
+struct control_totals {
+    std::uint64_t gossipSent = 0;      // datagrams
+    std::uint64_t gossipReceived = 0;  // datagrams
+    std::uint64_t reportsReceived = 0; // worker reports in them
+    std::uint64_t platformCalls = 0;   // answered or not
+    std::uint64_t published = 0;       // snapshots
+};
+
 class control::detail
 {
 public:
@@ -50,6 +60,7 @@
     void logSettledEra(state::time_point now);                                           // logs what has become of the workers, some time after that
     void updateSelfSuspicion(state::time_point now);
     void updateReaderRole(state::time_point now);
+    void logTotals(state::time_point now); // once in an interval
     void recordTableAccepted(coordination::table_kind kind, state::table_revision before);
     void recordTableRefusal(coordination::table_kind kind, coordination::offer_verdict verdict, const absl::Status &reason, const std::string &source);
 
@@ -65,6 +76,8 @@
     std::array<std::string, coordination::TableKinds.size()> m_lastRefusals; // reason of the last refused table by table_kind; empty if none was refused
     std::vector<subscriber> m_subscribers;
     state::time_point m_nextEvaluationAt;
+    state::time_point m_nextTotalsAt; // epoch before the first tick
+    control_totals m_totals;
     std::map<std::string, coordination::worker_state> m_loggedStates; // worker id -> state that was logged last
     bool m_isReader = false;
     bool m_selfSuspected = false;
--- a/programs/dandelionstall/control_gossip.cpp
+++ b/programs/dandelionstall/control_gossip.cpp
@@ -21,6 +21,7 @@
 
 constexpr std::chrono::seconds EraSettlingTime{5};           // by then, the workers of a new era of the store have written their entries again
 constexpr std::chrono::milliseconds EvaluationInterval{100}; // interval between two evaluations of the pools
+constexpr std::chrono::seconds TotalsInterval{10};           // interval between two lines with the totals
 
 event eventOf(coordination::offer_verdict verdict)
 {
@@ -104,9 +105,28 @@
     if (std::exchange(m_publishDue, false)) {
         publish();
     }
+    logTotals(now);
     scheduleTick();
 }
 
+void control::detail::logTotals(state::time_point now)
+{
+    if (now < m_nextTotalsAt) {
+        return;
+    }
+    const bool firstTick = std::exchange(m_nextTotalsAt, now + TotalsInterval) == state::time_point{};
+    if (firstTick) {
+        return;
+    }
+    logEvent(event::control_totals,
+             {{"gossip_sent", fmt::to_string(m_totals.gossipSent)},
+              {"gossip_received", fmt::to_string(m_totals.gossipReceived)},
+              {"reports_received", fmt::to_string(m_totals.reportsReceived)},
+              {"platform_calls", fmt::to_string(m_totals.platformCalls)},
+              {"published", fmt::to_string(m_totals.published)},
+              {"live_members", fmt::to_string(m_gossipNode.members().countLive())}});
+}
+
 // Logs one line for each worker whose state as seen by this node has changed.
 void control::detail::logWorkerStateChanges(const std::string &pool, state::time_point now)
 {
@@ -128,6 +148,7 @@
 void control::detail::receive(std::string_view datagram)
 {
     m_metrics.incrementCounter("gossip_received");
+    ++m_totals.gossipReceived;
     const absl::StatusOr<coordination::gossip_message> message = protocol::decodeGossip(datagram);
     if (!message.ok()) {
         m_metrics.incrementCounter("gossip_refused");
@@ -143,6 +164,7 @@
 void control::detail::send(const coordination::gossip_batch &batch)
 {
     for (const coordination::outgoing_gossip &out : batch) {
+        ++m_totals.gossipSent;
         m_metrics.incrementCounter(m_socket.send(out.to, protocol::encodeGossip(out.message)) ? "gossip_sent" : "gossip_send_failed");
     }
 }
@@ -250,6 +272,7 @@
 void control::detail::applyReports(state::time_point now)
 {
     for (const coordination::worker_report &report : m_gossipNode.consumePeerReports()) {
+        ++m_totals.reportsReceived;
         m_tracker.recordReport(report, now);
     }
 }
--- a/transport/include/dandelionstall/transport/events.h
+++ b/transport/include/dandelionstall/transport/events.h
@@ -73,6 +73,7 @@
     worker_known = 4030,          // info: a discovered worker is new, or its phase (ready or leaving) has changed
     worker_gone = 4031,           // info: the entry of a discovered worker was removed
     worker_entry_refused = 4032,  // warn: an entry of the platform does not describe a usable worker
+    control_totals = 4040,        // info: what the control thread has done since the start; one line in ten seconds
 };
 
 enum class log_level { trace, debug, info, warn, error };
--- a/transport/src/events.cpp
+++ b/transport/src/events.cpp
@@ -69,6 +69,7 @@
     event_info{event::worker_known, log_level::info, "worker_known", "a discovered worker is new, or its phase (ready or leaving) has changed"},
     event_info{event::worker_gone, log_level::info, "worker_gone", "the entry of a discovered worker was removed"},
     event_info{event::worker_entry_refused, log_level::warn, "worker_entry_refused", "an entry of the platform does not describe a usable worker"},
+    event_info{event::control_totals, log_level::info, "control_totals", "what the control thread has done since the start; one line in ten seconds"},
 };
 
 struct level_name {
