Make log texts for workers whose state has changed only

Cause: each report that arrived, ten a second from the sidecar of the node alone, made the control thread build the texts of all workers of the pool, to find those whose state had changed. The cost grew with the pool. After a change of the table, known state was copied by comparing each pair of workers. Change: the tracker notes the workers whose state has changed and explains them only; an index by id.

--- a/coordination/include/dandelionstall/coordination/pool_tracker.h
+++ b/coordination/include/dandelionstall/coordination/pool_tracker.h
@@ -20,6 +20,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,7 @@
 
 // State of one worker for the admin API.
 struct worker_explanation {
+    std::string pool;                               // name of the worker's pool
     std::string worker;                             // worker id
     worker_state state = worker_state::unknown;     // state in the current view
     ejection_reason reason = ejection_reason::none; // reason for the ejector's last result
@@ -75,6 +77,7 @@
     std::vector<std::string> evaluate(state::time_point now); // returns the names of the pools whose view has changed
     pool_views views() const;                                 // published views of all tracked pools
     std::vector<worker_explanation> explain(std::string_view pool, state::time_point now) const; // in table order; empty for an untracked pool
+    std::vector<worker_explanation> consumeStateChanges(state::time_point now);                  // workers whose state has changed since the last call
 
 private:
     struct path_record {
@@ -101,6 +104,8 @@
     void applyNodeConditions(tracked_pool &pool) const;
     std::chrono::milliseconds idleEvaluationInterval(const tracked_pool &pool) const;
     bool evaluatePool(tracked_pool &pool, state::time_point now);
+    static worker_explanation explainWorker(const tracked_pool &pool, const worker_view &worker, state::time_point now);
+    void recordStateChanges(const tracked_pool &pool); // of the view since it was last published
 
     std::uint64_t m_seed;
     std::string m_dataCentre;
@@ -110,7 +115,8 @@
     std::map<state::node_address, path_record> m_paths;             // only nodes with a recorded path failure
     std::map<state::node_address, node_condition> m_nodeConditions; // leaving and dead nodes only
     local_health m_localHealth;
-    std::uint64_t m_changeCount = 0; // counts changes of paths, of node conditions and of the local health
+    std::map<std::string, std::set<std::string>, std::less<>> m_stateChanges; // by pool, ids of workers whose state has changed
+    std::uint64_t m_changeCount = 0;                                          // counts changes of paths, of node conditions and of the local health
 };
 
 } // namespace dandelionstall::coordination
--- a/coordination/src/pool_tracker.cpp
+++ b/coordination/src/pool_tracker.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <fmt/format.h>
 
+#include <unordered_map>
+
 namespace dandelionstall::coordination {
 
 namespace {
@@ -18,25 +20,33 @@
 constexpr std::size_t MaxPathFailures = 8;            // maximum number of failures stored per node
 constexpr std::string_view DefaultEjector = "peer_outlier";
 
-const worker_view *findWorker(const pool_view &view, const std::string &id)
+using worker_index = std::unordered_map<std::string_view, const worker_view *>; // by worker id
+
+worker_index indexWorkers(const pool_view &view)
 {
-    const auto found = std::find_if(view.workers.begin(), view.workers.end(), [&id](const worker_view &worker) { return worker.id == id; });
-    return found == view.workers.end() ? nullptr : &*found;
+    worker_index index;
+    index.reserve(view.workers.size());
+    for (const worker_view &worker : view.workers) {
+        index.emplace(worker.id, &worker);
+    }
+    return index;
 }
 
 // Copies the known state of workers that still exist on the same node.
 void copyKnownState(const pool_view &previous, pool_view &updated)
 {
+    const worker_index index = indexWorkers(previous);
     for (worker_view &worker : updated.workers) {
-        const worker_view *known = findWorker(previous, worker.id);
-        if (known == nullptr || known->node != worker.node) {
+        const auto found = index.find(worker.id);
+        if (found == index.end() || found->second->node != worker.node) {
             continue;
         }
-        worker.state = known->state;
-        worker.weight = known->weight;
-        worker.report = known->report;
-        worker.reportReceivedAt = known->reportReceivedAt;
-        worker.incarnation = known->incarnation;
+        const worker_view &known = *found->second;
+        worker.state = known.state;
+        worker.weight = known.weight;
+        worker.report = known.report;
+        worker.reportReceivedAt = known.reportReceivedAt;
+        worker.incarnation = known.incarnation;
     }
 }
 
@@ -107,7 +117,8 @@
         }
         copyKnownState(old.view, pool->view);
         pool->ejectionRecords = std::move(old.ejectionRecords);
-        std::erase_if(pool->ejectionRecords, [pool](const auto &entry) { return findWorker(pool->view, entry.first) == nullptr; });
+        const worker_index present = indexWorkers(pool->view);
+        std::erase_if(pool->ejectionRecords, [&present](const auto &entry) { return !present.contains(entry.first); });
         pool->published = std::make_shared<const pool_view>(pool->view);
     }
     for (const auto &[name, local] : m_localPools) {
@@ -231,13 +242,35 @@
         return result;
     }
     for (const worker_view &worker : found->second.view.workers) {
-        const auto known = found->second.ejectionRecords.find(worker.id);
-        const ejection_record record = known == found->second.ejectionRecords.end() ? ejection_record{} : known->second;
-        result.push_back({worker.id, worker.state, record.reason, worker.weight, record.recentEjections, describe(worker, record, now)});
+        result.push_back(explainWorker(found->second, worker, now));
     }
     return result;
 }
 
+std::vector<worker_explanation> pool_tracker::consumeStateChanges(state::time_point now)
+{
+    std::vector<worker_explanation> result;
+    for (const auto &[name, changed] : std::exchange(m_stateChanges, {})) {
+        const auto pool = m_pools.find(name);
+        if (pool == m_pools.end()) {
+            continue;
+        }
+        for (const worker_view &worker : pool->second.view.workers) {
+            if (changed.contains(worker.id)) {
+                result.push_back(explainWorker(pool->second, worker, now));
+            }
+        }
+    }
+    return result;
+}
+
+worker_explanation pool_tracker::explainWorker(const tracked_pool &pool, const worker_view &worker, state::time_point now)
+{
+    const auto known = pool.ejectionRecords.find(worker.id);
+    const ejection_record record = known == pool.ejectionRecords.end() ? ejection_record{} : known->second;
+    return {pool.view.name, worker.id, worker.state, record.reason, worker.weight, record.recentEjections, describe(worker, record, now)};
+}
+
 pool_tracker::tracked_pool *pool_tracker::track(std::string_view pool, state::time_point expiresAt)
 {
     if (const auto known = m_pools.find(pool); known != m_pools.end()) {
@@ -336,9 +369,21 @@
     if (!pool.changedSincePublished && std::equal(current.begin(), current.end(), published.begin(), published.end(), isSameResult)) {
         return false;
     }
+    recordStateChanges(pool);
     pool.published = std::make_shared<const pool_view>(pool.view);
     pool.changedSincePublished = false;
     return true;
 }
 
+void pool_tracker::recordStateChanges(const tracked_pool &pool)
+{
+    const std::vector<worker_view> &published = pool.published->workers;
+    for (std::size_t i = 0; i < published.size(); ++i) {
+        const worker_view &worker = pool.view.workers[i];
+        if (worker.state != published[i].state) {
+            m_stateChanges[pool.view.name].insert(worker.id);
+        }
+    }
+}
+
 } // namespace dandelionstall::coordination
--- a/coordination/tests/test_pool_tracker.cpp
+++ b/coordination/tests/test_pool_tracker.cpp
@@ -129,3 +129,17 @@
     tracker.evaluate(Start + 100ms);
     cr_assert(stateOf(tracker, 0) != worker_state::ejected);
 }
+
+// The texts for the log are made for the workers whose state has changed, not for each report that arrives.
+Test(pool_tracker, explains_the_workers_whose_state_has_changed)
+{
+    pool_tracker tracker = makeTracker(4);
+    tracker.recordReport(makeReport(1, 1), Start);
+    tracker.evaluate(Start);
+    const std::vector<worker_explanation> changes = tracker.consumeStateChanges(Start);
+    cr_assert(changes.size() == 1);
+    cr_assert(changes[0].worker == "w1" && changes[0].pool == "catalogue" && changes[0].state == worker_state::healthy);
+    tracker.recordReport(makeReport(1, 2), Start + 100ms);
+    cr_assert(tracker.evaluate(Start + 100ms).size() == 1);
+    cr_assert(tracker.consumeStateChanges(Start + 100ms).empty());
+}
--- a/programs/dandelionstall/control_detail.h
+++ b/programs/dandelionstall/control_detail.h
@@ -47,7 +47,7 @@
     // control_gossip.cpp: gossip, and updates from gossip and the platform
     void scheduleTick();
     void tick();
-    void logWorkerStateChanges(const std::string &pool, state::time_point now);
+    void logWorkerStateChanges(state::time_point now);
     void receive(std::string_view datagram);
     void send(const coordination::gossip_batch &batch);
     void applyUpdates(state::time_point now);
@@ -78,7 +78,6 @@
     state::time_point m_nextEvaluationAt;
     state::time_point m_nextTotalsAt; // epoch before the first tick
     control_totals m_totals;
-    std::map<std::string, coordination::worker_state> m_loggedStates; // worker id -> state that was logged last
     bool m_isReader = false;
     bool m_selfSuspected = false;
     bool m_vmListRead = false;
--- a/programs/dandelionstall/control_gossip.cpp
+++ b/programs/dandelionstall/control_gossip.cpp
@@ -96,11 +96,8 @@
     logSettledEra(now);
     if (m_nextEvaluationAt <= now) {
         m_nextEvaluationAt = now + EvaluationInterval;
-        const std::vector<std::string> changed = m_tracker.evaluate(now);
-        m_publishDue = !changed.empty() || m_publishDue;
-        for (const std::string &pool : changed) {
-            logWorkerStateChanges(pool, now);
-        }
+        m_publishDue = !m_tracker.evaluate(now).empty() || m_publishDue;
+        logWorkerStateChanges(now);
     }
     if (std::exchange(m_publishDue, false)) {
         publish();
@@ -128,16 +125,12 @@
 }
 
 // Logs one line for each worker whose state as seen by this node has changed.
-void control::detail::logWorkerStateChanges(const std::string &pool, state::time_point now)
+void control::detail::logWorkerStateChanges(state::time_point now)
 {
-    for (const coordination::worker_explanation &worker : m_tracker.explain(pool, now)) {
-        const auto [logged, added] = m_loggedStates.try_emplace(worker.worker, coordination::worker_state::unknown);
-        if (std::exchange(logged->second, worker.state) == worker.state) {
-            continue;
-        }
+    for (const coordination::worker_explanation &worker : m_tracker.consumeStateChanges(now)) {
         logEvent(event::worker_judged,
                  {{"worker", worker.worker},
-                  {"pool", pool},
+                  {"pool", worker.pool},
                   {"state", std::string(coordination::stateName(worker.state))},
                   {"reason", std::string(coordination::reasonName(worker.reason))},
                   {"weight", fmt::format("{:.2f}", worker.weight)},
@@ -223,7 +216,6 @@
     }
     for (const auto &[id, leaving] : previousRows) {
         if (!currentRows.contains(id)) {
-            m_loggedStates.erase(id);
             logEvent(event::worker_gone, {{"worker", id}});
         }
     }
