A node that is no reader takes the cheap answer when it looks for its peers

Cause: each node reads workers and configuration once after its start, to find its peers; 352 nodes that start together pay 704 full reads for what their peers tell them anyway. Change: only readers ask for the latest answer; the others ask for one that may be some seconds old, which the platform counts as a tenth. Revisions order what they hear, so that nothing goes back, and a node that has just started hears of newer ones with its first gossip.

--- a/programs/dandelionstall/key_value_source.cpp
+++ b/programs/dandelionstall/key_value_source.cpp
@@ -14,6 +14,7 @@
 
 namespace asio = boost::asio;
 using coordination::table_kind;
+using protocol::read_freshness;
 using transport::event;
 using transport::logEvent;
 
@@ -86,14 +87,15 @@
 
 asio::awaitable<bool> key_value_source::readAll()
 {
+    const read_freshness freshness = m_isReader ? read_freshness::latest : read_freshness::recent;
     std::uint64_t asOf = 0;
-    const absl::StatusOr<std::vector<protocol::store_item>> workers = co_await readRange(m_dialect->workerPrefix(), asOf);
+    const absl::StatusOr<std::vector<protocol::store_item>> workers = co_await readRange(m_dialect->workerPrefix(), freshness, asOf);
     const std::uint64_t era = m_era;
     if (!workers.ok()) {
         co_return false;
     }
     std::uint64_t configAsOf = 0;
-    const absl::StatusOr<std::vector<protocol::store_item>> config = co_await readRange(m_dialect->configPrefix(), configAsOf);
+    const absl::StatusOr<std::vector<protocol::store_item>> config = co_await readRange(m_dialect->configPrefix(), freshness, configAsOf);
     if (!config.ok() || m_era != era) {
         co_return false;
     }
@@ -108,13 +110,14 @@
     co_return true;
 }
 
-asio::awaitable<absl::StatusOr<std::vector<protocol::store_item>>> key_value_source::readRange(std::string prefix, std::uint64_t &asOf)
+asio::awaitable<absl::StatusOr<std::vector<protocol::store_item>>>
+key_value_source::readRange(std::string prefix, read_freshness freshness, std::uint64_t &asOf)
 {
     std::vector<protocol::store_item> items;
     std::string after;
     std::optional<std::uint64_t> era;
     while (true) {
-        const auto answer = co_await call(m_dialect->rangeTarget(prefix, after), state::clock::now() + ReadDeadline);
+        const auto answer = co_await call(m_dialect->rangeTarget(prefix, after, freshness), state::clock::now() + ReadDeadline);
         if (!answer.ok()) {
             co_return answer.status();
         }
--- a/programs/dandelionstall/key_value_source.h
+++ b/programs/dandelionstall/key_value_source.h
@@ -1,10 +1,11 @@
 // Reads configuration and discovered workers from a key-value store with revisions. A store_dialect encodes the calls and
 // decodes the answers.
 //
-// All items are read once; afterwards one watch reports all changes. If the store has compacted the history that the watch
-// needs, all items are read again. The call rate is bounded: watches start at a minimum interval even if each returns
-// immediately. When the store comes back from an older copy (a higher era), all items are read again as well, and answers of the
-// earlier era are dropped. An item that cannot be decoded is ignored; it is reported when it first fails and when its reason changes.
+// All items are read once; afterwards one watch reports all changes. A node that is no reader reads them at its start only, to find
+// its peers: it hears from them what has changed since, so that it takes the cheap answer, which may be some seconds old. If the store has compacted the
+// history that the watch needs, all items are read again. The call rate is bounded: watches start at a minimum interval even if each returns immediately. When
+// the store comes back from an older copy (a higher era), all items are read again as well, and answers of the earlier era are dropped. An item that cannot be
+// decoded is ignored; it is reported when it first fails and when its reason changes.
 #pragma once
 
 #include <dandelionstall/protocol/keyed_store.h>
@@ -39,7 +40,8 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> readAll();   // false when a call failed
     boost::asio::awaitable<bool> watchOnce(); // false when a call failed
-    boost::asio::awaitable<absl::StatusOr<std::vector<protocol::store_item>>> readRange(std::string prefix, std::uint64_t &asOf);
+    boost::asio::awaitable<absl::StatusOr<std::vector<protocol::store_item>>>
+    readRange(std::string prefix, protocol::read_freshness freshness, std::uint64_t &asOf);
     boost::asio::awaitable<absl::StatusOr<transport::platform_answer>> call(std::string target, state::time_point deadline);
     boost::asio::awaitable<void> pauseUntil(state::time_point until);
     bool followEra(const transport::platform_answer &answer); // false for an answer of an earlier era, or without one
--- a/protocol/include/dandelionstall/protocol/keyed_store.h
+++ b/protocol/include/dandelionstall/protocol/keyed_store.h
@@ -44,13 +44,19 @@
 
 // [SECTION] Dialect
 
+// How new the answer to a read must be.
+enum class read_freshness {
+    latest, // everything that the store has acknowledged
+    recent, // may be some seconds old; costs the store less
+};
+
 class store_dialect
 {
 public:
     virtual ~store_dialect() = default;
 
     // Request target for the items whose keys start with the prefix and are greater than "after"; an empty "after" excludes no key.
-    virtual std::string rangeTarget(std::string_view prefix, std::string_view after) const = 0;
+    virtual std::string rangeTarget(std::string_view prefix, std::string_view after, read_freshness freshness) const = 0;
     virtual std::string watchTarget(std::uint64_t revision, std::chrono::milliseconds wait) const = 0; // request target for the changes after a revision
     virtual absl::StatusOr<store_page> decodePage(std::string_view body) const = 0;
     virtual absl::StatusOr<store_page> decodeChanges(std::string_view body) const = 0;
