Know the members of a fleet that starts at once within five seconds

Cause: the first copy of the list of members came from peers that knew little more than the node itself, and the next page followed ten seconds later. Until then most of a data centre selected themselves as readers of the platform's store: 58 of 200 nodes in the new test. Change: further copies follow, with increasing knowledge, while members are listed without contact, ten at most; a page asks for the next one at once. While a node joins, listed members count for the choice of readers. Ruled out: more pings, which cost all nodes for ever.

--- a/coordination/include/dandelionstall/coordination/gossip_node.h
+++ b/coordination/include/dandelionstall/coordination/gossip_node.h
@@ -66,7 +66,7 @@
     void refreshPools();
     void refreshMembers(state::time_point now);
     void pushWorkers(state::time_point now, gossip_batch &out);
-    void refreshReader();
+    void refreshReader(state::time_point now);
     void requestTablesFromPeers(state::time_point now, gossip_batch &out);
     void sendRegularReport(state::time_point now, gossip_batch &out);
     void attachReports(outgoing_gossip &out);
@@ -90,10 +90,12 @@
     std::size_t m_nextReportIndex = 0;
     std::uint64_t m_readerVersion = 0; // membership version for which m_isReader was computed, plus 1; 0 when never computed
     std::uint32_t m_readerRound = 0;   // reader round for which m_isReader was computed
+    bool m_readerWhileJoining = false; // m_isReader was computed before m_joinedAt
     bool m_isReader = false;
     bool m_hasPeers = false;
     state::time_point m_peerTransferDeadline;      // no service reads before this time while tables are missing and a peer has named a revision
     state::time_point m_unresponsivePeersDeadline; // no service reads before this time while tables are missing and no peer has named a revision
+    state::time_point m_joinedAt;                  // until then, members without contact count for the choice of readers
     state::time_point m_nextTableRequest;
     state::time_point m_nextRegularReport;
 };
--- a/coordination/include/dandelionstall/coordination/membership.h
+++ b/coordination/include/dandelionstall/coordination/membership.h
@@ -83,6 +83,7 @@
     const member *find(const state::node_address &address) const; // null when the address is unknown
     std::size_t countLive() const;                                // number of members that are alive or suspect and not leaving, including this node
     std::vector<state::node_address> availableNodes(std::string_view dataCentre) const;  // alive and not leaving, including this node, ordered by address
+    std::vector<state::node_address> expectedNodes(std::string_view dataCentre) const;   // the same, and listed members that there was no contact with yet
     std::vector<state::node_address> samplePeers(std::size_t local, std::size_t remote); // random live members of the local and of other data centres
     std::uint64_t version() const;                                                       // grows with every change of a member or of this node
     bool isLeaving() const;                                                              // true after leave() or when the VM list marks this node as leaving
@@ -125,6 +126,8 @@
 
     using members_map = std::map<state::node_address, entry>;
 
+    std::vector<state::node_address> nodesIn(std::string_view dataCentre, bool includeListed) const;
+
     // membership.cpp: member records and messages
     bool merge(const member &update, origin source, state::time_point now);
     bool supersedes(const member &update, const member &known) const;
@@ -155,6 +158,7 @@
     void handleProcessPause(state::time_point now);
     void pushUpdates(state::time_point now, gossip_batch &out);
     void requestMemberPage(state::time_point now, gossip_batch &out);
+    std::uint32_t wantedListCopies() const;
     void rebuildIndex();
     gossip_message makeMessage(gossip_kind kind, std::uint64_t sequence = 0) const;
     void send(const state::node_address &to, gossip_message message, state::time_point now, gossip_batch &out);
@@ -185,8 +189,9 @@
     state::time_point m_nextExpiry;
     state::time_point m_selfSuspectedUntil;
     state::time_point m_lastAnswer;                  // last answer to a ping of this node
-    std::optional<state::node_address> m_pageCursor; // set while the first copy of the member list is being fetched
-    bool m_memberListComplete = false;               // the first copy of the member list is complete
+    std::optional<state::node_address> m_pageCursor; // set while a copy of the member list is being fetched
+    std::uint32_t m_listCopies = 0;                  // whole copies of the member list that have been fetched
+    std::size_t m_listedCount = 0;                   // members in state listed
 };
 
 } // namespace dandelionstall::coordination
--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -12,6 +12,7 @@
 constexpr std::chrono::milliseconds UnresponsivePeersTimeout{1500}; // after the start, time for any peer to answer before the service is read
 constexpr std::chrono::seconds PeerTransferTimeout{8}; // after the start, time for the first tables to arrive from peers before the service is read
 constexpr std::size_t TableRequestPeers = 3;
+constexpr std::chrono::seconds JoinTime{5}; // after the start, time for contact with the members that are running
 
 constexpr std::chrono::seconds RegularReportInterval{1}; // between two regular reports to a random node of the pool
 constexpr std::chrono::seconds ReportPushInterval{1};    // minimum between two pushed changes of one worker; leaving, starting and risk changes are exempt
@@ -58,6 +59,7 @@
     m_hasPeers = !m_members.members().empty();
     m_peerTransferDeadline = now + PeerTransferTimeout;
     m_unresponsivePeersDeadline = now + UnresponsivePeersTimeout;
+    m_joinedAt = now + JoinTime;
     m_readers.start(now);
 }
 
@@ -76,7 +78,7 @@
     requestTablesFromPeers(now, out);
     refreshPools();
     refreshMembers(now);
-    refreshReader();
+    refreshReader(now);
     sendRegularReport(now, out);
     return fillCommonFields(std::move(out), now);
 }
@@ -242,13 +244,18 @@
     return m_isReader && isServiceReadAllowed(now);
 }
 
-void gossip_node::refreshReader()
+// A node that has just started has had no contact with most members. It counts the listed ones as well, or it would select itself
+// until then, as all nodes of a fleet that starts at once would.
+void gossip_node::refreshReader(state::time_point now)
 {
-    if (m_readerVersion == m_members.version() + 1 && m_readerRound == m_readers.round()) {
+    const bool joining = now < m_joinedAt;
+    if (!joining && !m_readerWhileJoining && m_readerVersion == m_members.version() + 1 && m_readerRound == m_readers.round()) {
         return;
     }
     const gossip_sender &self = m_members.self();
-    m_isReader = isReader(self.address, m_members.availableNodes(self.dataCentre), m_readers.round());
+    const std::vector<state::node_address> nodes = joining ? m_members.expectedNodes(self.dataCentre) : m_members.availableNodes(self.dataCentre);
+    m_isReader = isReader(self.address, nodes, m_readers.round());
+    m_readerWhileJoining = joining;
     m_readerVersion = m_members.version() + 1; // plus 1, because 0 means never computed
     m_readerRound = m_readers.round();
 }
--- a/coordination/src/membership.cpp
+++ b/coordination/src/membership.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::chrono::seconds MaxReportedContactAge{10}; // an older contact is not reported to the receiver
 
+constexpr std::chrono::milliseconds ListCopyInterval{500}; // after a whole copy of the list of members, until the next pull
+
 constexpr std::uint32_t BasePiggybackCount = 6; // piggybacks per update, plus the bit width of the number of members
 
 } // namespace
@@ -192,9 +194,11 @@
         break;
     case gossip_kind::member_page:
         if (m_pageCursor) {
-            m_memberListComplete = m_memberListComplete || message.updates.empty();
-            m_pageCursor = message.updates.empty() ? std::nullopt : std::optional(message.updates.back().address);
-            m_nextPage = now;
+            const bool isLast = message.updates.empty();
+            m_pageCursor = isLast ? std::nullopt : std::optional(message.updates.back().address);
+            m_listCopies += isLast ? 1 : 0;
+            m_nextPage = isLast ? now + ListCopyInterval : now;
+            requestMemberPage(now, out);
         }
         break;
     default:
--- a/coordination/src/membership_probe.cpp
+++ b/coordination/src/membership_probe.cpp
@@ -19,6 +19,8 @@
 constexpr std::chrono::seconds AbsentProbeInterval{1};     // between pings to members in state listed or dead
 constexpr std::chrono::milliseconds JoinPageInterval{200}; // between member_pull requests until the first copy of the list is complete
 constexpr std::chrono::seconds PageInterval{10};           // between member_pull requests afterwards
+constexpr std::uint32_t MinListCopies = 3;                 // copies of the list of members after the start
+constexpr std::uint32_t MaxListCopies = 10;                // the same while there are members in state listed
 constexpr std::chrono::minutes ExpiryInterval{1};
 
 constexpr std::uint64_t RingSeed = 0x72696E67;
@@ -80,10 +82,12 @@
     m_ring.clear();
     m_remote.clear();
     m_absent.clear();
+    m_listedCount = 0;
     for (const auto &[address, known] : m_members) {
         const member_state state = known.record.state;
         if (state == member_state::listed || state == member_state::dead) {
             m_absent.push_back(address);
+            m_listedCount += state == member_state::listed ? 1 : 0;
         } else if (known.record.dataCentre == m_self.dataCentre) {
             m_ring.emplace_back(ringPosition(address), address);
         } else {
@@ -353,15 +357,21 @@
     }
 }
 
+std::uint32_t membership::wantedListCopies() const
+{
+    return m_listedCount > 0 ? MaxListCopies : MinListCopies;
+}
+
 // Fetches the whole list of members page by page first, then periodically one page from a random position, which repairs
-// missed updates.
+// missed updates. In a fleet that starts at once, a peer knows little more than this node: further copies follow while there are
+// members that nobody is known to have had contact with.
 void membership::requestMemberPage(state::time_point now, gossip_batch &out)
 {
     if (m_nextPage > now) {
         return;
     }
     const bool hasNoLivePeers = m_ring.empty() && m_remote.empty();
-    m_nextPage = now + (m_memberListComplete ? std::chrono::milliseconds(PageInterval) : JoinPageInterval);
+    m_nextPage = now + (m_pageCursor || m_listCopies < wantedListCopies() ? JoinPageInterval : std::chrono::milliseconds(PageInterval));
     std::optional<state::node_address> peer;
     if (hasNoLivePeers) {
         peer = selectRandom(m_absent);
@@ -372,10 +382,9 @@
         return;
     }
     gossip_message pull = makeMessage(gossip_kind::member_pull);
-    if (m_memberListComplete && !m_members.empty()) {
+    if (!m_pageCursor && m_listCopies >= wantedListCopies() && !m_members.empty()) {
         const auto position = m_random(static_cast<std::uint32_t>(m_members.size()));
         pull.subject = std::next(m_members.begin(), position)->first;
-        m_pageCursor.reset();
     } else {
         pull.subject = m_pageCursor ? *m_pageCursor : state::node_address{"0.0.0.1", 1}; // sorts before every member address
         m_pageCursor = pull.subject;
--- a/coordination/src/membership_views.cpp
+++ b/coordination/src/membership_views.cpp
@@ -39,10 +39,21 @@
 }
 
 std::vector<state::node_address> membership::availableNodes(std::string_view dataCentre) const
+{
+    return nodesIn(dataCentre, false);
+}
+
+std::vector<state::node_address> membership::expectedNodes(std::string_view dataCentre) const
+{
+    return nodesIn(dataCentre, true);
+}
+
+std::vector<state::node_address> membership::nodesIn(std::string_view dataCentre, bool includeListed) const
 {
     std::vector<state::node_address> result;
     for (const auto &[address, known] : m_members) {
-        if (known.record.state == member_state::alive && !known.record.leaving && known.record.dataCentre == dataCentre) {
+        const bool counts = known.record.state == member_state::alive || (includeListed && known.record.state == member_state::listed);
+        if (counts && !known.record.leaving && known.record.dataCentre == dataCentre) {
             result.push_back(address);
         }
     }
--- /dev/null
+++ b/coordination/tests/test_gossip_at_size.cpp
@@ -0,0 +1,63 @@
+// Tests of gossip in fleets of hundreds of nodes that start at once, as after a loss of power. Each node has read the list of VMs.
+#include "gossip_simulation.h"
+
+#include <criterion/criterion.h>
+#include <criterion/new/assert.h>
+
+using namespace dandelionstall;
+using namespace dandelionstall::coordination;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Seed = 20'261'204;
+constexpr std::size_t Nodes = 200;
+constexpr std::size_t DataCentres = 5;
+
+std::string dataCentreOf(std::size_t index)
+{
+    return fmt::format("dc-{}", index % DataCentres);
+}
+
+gossip_simulation startAll()
+{
+    gossip_simulation fleet({}, Seed);
+    std::vector<vm_record> vms;
+    for (std::size_t i = 0; i < Nodes; ++i) {
+        fleet.addNode(dataCentreOf(i));
+        vms.push_back({gossip_simulation::addressOf(i), dataCentreOf(i), false});
+    }
+    for (std::size_t i = 0; i < Nodes; ++i) {
+        fleet.at(i).setVmList(vms, fleet.now());
+    }
+    return fleet;
+}
+
+} // namespace
+
+// A node that knows only itself would read the platform's service like all others.
+Test(gossip_at_size, few_nodes_select_themselves_as_readers_while_a_fleet_starts)
+{
+    gossip_simulation fleet = startAll();
+    std::size_t most = 0;
+    for (int i = 0; i < 40; ++i) {
+        fleet.run(250ms);
+        std::size_t readers = 0;
+        for (std::size_t node = 0; node < Nodes; ++node) {
+            readers += fleet.at(node).isServiceReader(fleet.now()) ? 1 : 0;
+        }
+        most = std::max(most, readers);
+    }
+    cr_assert(most <= 2 * ReadersPerDataCentre * DataCentres, "%zu readers", most);
+}
+
+Test(gossip_at_size, a_fleet_that_starts_at_once_knows_its_members_within_five_seconds)
+{
+    gossip_simulation fleet = startAll();
+    fleet.run(5s);
+    std::size_t known = 0;
+    for (std::size_t node = 0; node < Nodes; ++node) {
+        known += fleet.at(node).members().countLive();
+    }
+    cr_assert(known * 100 >= Nodes * Nodes * 99, "%zu of %zu", known, Nodes * Nodes);
+}
