An ingress uses a subset of a large pool first, and a sidecar tells the ingresses of that subset of its changes

Cause: a sidecar sent each sharp change of its worker to all nodes of the pool. An ingress with 4 requests a second knows less of each worker all the same, as it spreads its requests over all of them. Change: a subset of some 32 workers for each ingress, found by hashing each pair, so that both sides agree without a message (worker_subset.h). Requests go to the subset first, to the whole pool when the subset has no room or a worker has refused. Pools of 32 workers or fewer are their own subset. Ruled out by arithmetic: passing reports on from node to node, since each node then still receives each change.

--- a/coordination/include/dandelionstall/coordination/balancer.h
+++ b/coordination/include/dandelionstall/coordination/balancer.h
@@ -18,6 +18,7 @@
     bool idempotent = false;                 // the route is idempotent and the request has no ticket: it may run more than once, so a failure can be retried
     double acceptedRisk = 0.0;               // highest probability of an unhealthy worker that the request accepts, 0..1; see guarded_item
     bool isRetry = false;                    // a worker has failed an earlier attempt: the best of all workers is chosen, not the best of a few draws
+    bool wholePool = false;                  // a worker has refused or failed an earlier attempt: workers outside the subset of this node are candidates too
     std::size_t answerBytes = 0;             // expected size of the answer in bytes; transfer between data centres adds to the cost of a worker
     bool isLong = false;                     // the request is expected to run much longer than the typical work of the pool
     std::uint64_t random = 0;                // fresh random bits
--- a/coordination/include/dandelionstall/coordination/gossip_node.h
+++ b/coordination/include/dandelionstall/coordination/gossip_node.h
@@ -32,7 +32,8 @@
     gossip_batch tick(state::time_point now);
     gossip_batch receive(const gossip_message &message, state::time_point now);
     gossip_batch leave(state::time_point now);
-    gossip_batch updateLocalReports(const std::vector<worker_report> &reports, state::time_point now); // sends sharp changes to the pool's nodes at once
+    gossip_batch updateLocalReports(const std::vector<worker_report> &reports,
+                                    state::time_point now); // sends sharp changes at once to the pool's nodes that use the worker first; see worker_subset.h
 
     offer_result offerFromService(table_kind kind, std::string text, state::time_point now);
     void setVmList(const std::vector<vm_record> &vms, state::time_point now);
@@ -59,11 +60,12 @@
 private:
     struct local_report {
         worker_report latest;
-        worker_report pushed; // report as last sent to all nodes of the pool
+        worker_report pushed; // report as last sent to all receivers
         state::time_point nextPush;
     };
 
     void refreshPools();
+    void refreshReceivers(const state::pool &pool);
     void refreshMembers(state::time_point now);
     void pushWorkers(state::time_point now, gossip_batch &out);
     void refreshReader(state::time_point now);
@@ -79,8 +81,9 @@
     membership m_members;
     reader_choice m_readers;
     pcg32 m_random;
-    std::map<std::string, local_report, std::less<>> m_localReports;              // by worker id
-    std::map<std::string, std::vector<state::node_address>, std::less<>> m_pools; // other nodes of each pool with a worker on this node
+    std::map<std::string, local_report, std::less<>> m_localReports;                  // by worker id
+    std::map<std::string, std::vector<state::node_address>, std::less<>> m_pools;     // other nodes of each pool with a worker on this node
+    std::map<std::string, std::vector<state::node_address>, std::less<>> m_receivers; // by local worker, other nodes of its pool that use it first
     std::map<state::node_address, std::array<table_hint, TableKinds.size()>> m_tableHints;
     std::vector<worker_report> m_peerReports;
     std::shared_ptr<const state::pool_table> m_storePools;  // pool table in force without the discovered workers
--- a/coordination/include/dandelionstall/coordination/pool_tracker.h
+++ b/coordination/include/dandelionstall/coordination/pool_tracker.h
@@ -64,7 +64,7 @@
 public:
     using pool_views = std::map<std::string, std::shared_ptr<const pool_view>, std::less<>>;
 
-    pool_tracker(std::uint64_t seed, std::string dataCentre); // seed and data centre of this node
+    pool_tracker(std::uint64_t seed, std::string dataCentre, state::node_address self = {}); // seed, data centre and address of this node
 
     void setTable(std::shared_ptr<const state::pool_table> table, state::time_point now); // keeps the state of workers with an unchanged id and node
     void addLocalPool(std::string_view pool);                                             // tracks the pool without expiry
@@ -97,6 +97,7 @@
         state::time_point nextEvaluationAt;         // earliest time of the next evaluation if nothing changes
     };
 
+    void markSubset(const state::pool &pool, pool_view &view) const;
     tracked_pool *track(std::string_view pool, state::time_point expiresAt);
     void untrackExpired(state::time_point now);
     bool hasWorkerAt(const state::node_address &node) const;
@@ -109,6 +110,7 @@
 
     std::uint64_t m_seed;
     std::string m_dataCentre;
+    state::node_address m_self;
     std::shared_ptr<const state::pool_table> m_table;
     std::map<std::string, tracked_pool, std::less<>> m_pools;
     std::map<std::string, bool, std::less<>> m_localPools;
--- a/coordination/include/dandelionstall/coordination/pool_view.h
+++ b/coordination/include/dandelionstall/coordination/pool_view.h
@@ -78,6 +78,7 @@
     worker_state state = worker_state::unknown; // decides whether the worker gets work; see isUsable()
     double weight = 1.0;                        // share of the normal amount of work that it gets, 0..1
     std::uint32_t slots = 1;                    // concurrent requests allowed
+    bool inSubset = true;                       // this node uses it first; see worker_subset.h
     bool announcedLeaving = false;              // the worker has announced that it accepts no new work
     state::time_point coldUntil;                // the worker has announced that it is slow until this time point
     std::uint64_t lifetime = 0;                 // start of the worker as announced; see worker_report::lifetime
@@ -103,6 +104,6 @@
 std::uint32_t countSharingNodes(const pool_view &pool);  // nodes with a worker that takes work here or, if unreachable, may take it elsewhere
 std::string_view stateName(worker_state state);          // name of the enumerator, e.g. "healthy"
 bool isNewer(const worker_report &candidate, const worker_report &current); // compares the incarnation, then the version
-pool_view makePoolView(const state::pool &pool);                            // initial view: all workers are in the state unknown
+pool_view makePoolView(const state::pool &pool);                            // initial view: all workers are in the state unknown and in the subset
 
 } // namespace dandelionstall::coordination
--- a/coordination/src/balancer_least_wait.cpp
+++ b/coordination/src/balancer_least_wait.cpp
@@ -24,6 +24,7 @@
 constexpr seconds IdempotentRiskCost{0.1};      // cost of such a worker for idempotent work, which can be retried at another worker
 constexpr seconds RemoteByteCost{4e-6};         // additional wait accepted to avoid transferring one answer byte between data centres
 constexpr double LimitedDrawShare = 0.25;       // least share of its slots for which a limited worker with room is drawn, so that its limit's end is noticed
+constexpr seconds SpillWait{0.1};               // expected wait at the best worker of the subset above which the whole pool is considered as well
 constexpr double MinWeight = 0.001;             // lower bound of a worker's weight, so that a draw is possible when all weights are 0
 
 // Candidates for weighted random draws, with the cumulative sum of their shares (weight times slots).
@@ -50,11 +51,6 @@
         return m_indices.empty();
     }
 
-    const std::vector<std::size_t> &indices() const
-    {
-        return m_indices;
-    }
-
     std::size_t draw(pcg32 &random) const
     {
         const double target = std::uniform_real_distribution<double>(0.0, m_sums.back())(random);
@@ -82,9 +78,9 @@
         m_averageWait = view.workers.empty() ? seconds{0} : sum / static_cast<double>(view.workers.size());
     }
 
-    // An old report says little about the present load: the older a report is, the less its expected wait counts and the
-    // more the average wait of the pool.
-    seconds operator()(std::size_t index) const
+    // Expected wait for a slot. An old report says little about the present load: the older a report is, the less its expected wait
+    // counts and the more the average wait of the pool.
+    seconds queue(std::size_t index) const
     {
         const worker_view &worker = m_view.workers[index];
         const seconds latency = latencyOf(worker);
@@ -92,11 +88,16 @@
         const double reportWeight = worker.report.version == 0 ? 0.0 : HalfWeightLatencies * latency / (HalfWeightLatencies * latency + age);
         const std::uint32_t inFlight = index < m_request.inFlight.size() ? m_request.inFlight[index] : 0;
         const seconds inFlightWait = latency * inFlight / std::max<std::uint32_t>(worker.slots, 1);
+        return seconds(worker.report.expectedWait) * reportWeight + m_averageWait * (1.0 - reportWeight) + inFlightWait * InFlightFactor;
+    }
+
+    seconds operator()(std::size_t index) const
+    {
+        const worker_view &worker = m_view.workers[index];
         const seconds remoteCost = RemoteRoundTrip + RemoteByteCost * static_cast<double>(m_request.answerBytes);
         const seconds distanceCost = worker.dataCentre == m_request.dataCentre ? seconds{0} : remoteCost;
         const seconds riskCost = currentRisk(worker, m_request.now) * (m_request.idempotent ? IdempotentRiskCost : NonIdempotentRiskCost);
-        return riskCost + seconds(worker.report.expectedWait) * reportWeight + m_averageWait * (1.0 - reportWeight) + inFlightWait * InFlightFactor
-               + distanceCost;
+        return riskCost + queue(index) + distanceCost;
     }
 
 private:
@@ -129,25 +130,33 @@
             return anyUsable ? NoWorker : pickEjected(view, request);
         }
         removeRisky(view, request, candidates);
-        candidate_group all;
-        candidate_group local;
-        all.reserve(candidates.size());
         for (const std::size_t i : candidates) {
-            const worker_view &worker = view.workers[i];
-            const bool isLocal = worker.dataCentre == request.dataCentre;
-            if (worker.id == request.preferredWorker && isLocal) {
+            if (view.workers[i].id == request.preferredWorker && view.workers[i].dataCentre == request.dataCentre) {
                 return i;
             }
-            all.add(i, worker);
-            if (isLocal) {
-                local.add(i, worker);
-            }
         }
         const wait_estimate waitOf(view, request);
-        return pickShortest(request, all, local, waitOf);
+        pcg32 random(request.random);
+        const std::vector<std::size_t> subset = subsetOf(view, request, candidates);
+        const std::size_t best = pickShortest(view, request, subset, waitOf, random);
+        const bool fits = best != NoWorker && waitOf.queue(best) <= SpillWait;
+        if (fits || subset.size() == candidates.size()) {
+            return best;
+        }
+        const std::size_t other = pickShortest(view, request, candidates, waitOf, random);
+        return best == NoWorker || waitOf(other) < waitOf(best) ? other : best;
     }
 
 private:
+    static std::vector<std::size_t> subsetOf(const pool_view &view, const pick_request &request, const std::vector<std::size_t> &candidates)
+    {
+        std::vector<std::size_t> subset = candidates;
+        if (!request.wholePool) {
+            std::erase_if(subset, [&view](std::size_t i) { return !view.workers[i].inSubset; });
+        }
+        return subset;
+    }
+
     // Removes the candidates whose risk is above the limit of the request, unless all of them are above it.
     static void removeRisky(const pool_view &view, const pick_request &request, std::vector<std::size_t> &candidates)
     {
@@ -160,26 +169,35 @@
         }
     }
 
-    static std::size_t pickShortest(const pick_request &request, const candidate_group &all, const candidate_group &local, const wait_estimate &waitOf)
+    // Returns the best of a few drawn candidates, for a retry the best of all. NoWorker without candidates.
+    static std::size_t
+    pickShortest(const pool_view &view, const pick_request &request, const std::vector<std::size_t> &candidates, const wait_estimate &waitOf, pcg32 &random)
     {
-        pcg32 random(request.random);
         std::size_t best = NoWorker;
+        const auto consider = [&](std::size_t index) {
+            best = best == NoWorker || waitOf(index) < waitOf(best) ? index : best;
+        };
         if (request.isRetry) {
-            for (const std::size_t index : all.indices()) {
-                best = best == NoWorker || waitOf(index) < waitOf(best) ? index : best;
-            }
+            std::for_each(candidates.begin(), candidates.end(), consider);
             return best;
         }
-        const auto consider = [&](const candidate_group &group, std::size_t draws) {
-            for (std::size_t i = 0; i < draws; ++i) {
-                const std::size_t index = group.draw(random);
-                best = best == NoWorker || waitOf(index) < waitOf(best) ? index : best;
+        candidate_group all;
+        candidate_group local;
+        all.reserve(candidates.size());
+        for (const std::size_t i : candidates) {
+            const worker_view &worker = view.workers[i];
+            all.add(i, worker);
+            if (worker.dataCentre == request.dataCentre) {
+                local.add(i, worker);
             }
-        };
-        if (!local.isEmpty()) {
-            consider(local, LocalDraws);
         }
-        consider(all, local.isEmpty() ? PoolDraws : PoolDrawsBesideLocal);
+        for (std::size_t i = 0; i < LocalDraws && !local.isEmpty(); ++i) {
+            consider(local.draw(random));
+        }
+        const std::size_t poolDraws = local.isEmpty() ? PoolDraws : PoolDrawsBesideLocal;
+        for (std::size_t i = 0; i < poolDraws && !all.isEmpty(); ++i) {
+            consider(all.draw(random));
+        }
         return best;
     }
 
--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -1,8 +1,11 @@
 #include <dandelionstall/coordination/gossip_node.h>
 
+#include <dandelionstall/coordination/worker_subset.h>
+
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <set>
 
 namespace dandelionstall::coordination {
 
@@ -276,6 +279,7 @@
         = std::any_of(m_storePools->pools.begin(), m_storePools->pools.end(), [](const state::pool &pool) { return pool.hasDiscoveredWorkers; });
     m_mergedPools = hasDiscoveredWorkers ? std::make_shared<const state::pool_table>(mergeDiscoveredWorkers(*m_storePools, m_directory)) : m_storePools;
     m_pools.clear();
+    m_receivers.clear();
     std::vector<state::node_address> poolPeers;
     for (const state::pool &pool : m_mergedPools->pools) {
         const auto isLocalWorker = [this](const state::pool_worker &worker) {
@@ -291,11 +295,30 @@
         std::sort(nodes.begin(), nodes.end());
         nodes.erase(std::unique(nodes.begin(), nodes.end()), nodes.end());
         std::erase(nodes, m_members.self().address);
+        refreshReceivers(pool);
         poolPeers.insert(poolPeers.end(), nodes.begin(), nodes.end());
     }
     m_members.setPoolPeers(std::move(poolPeers));
 }
 
+// Finds the nodes of the pool that use each local worker first.
+void gossip_node::refreshReceivers(const state::pool &pool)
+{
+    const pool_extent extent(pool);
+    for (const state::pool_worker &local : pool.workers) {
+        if (local.node != m_members.self().address) {
+            continue;
+        }
+        std::set<state::node_address> nodes;
+        for (const state::pool_worker &other : pool.workers) {
+            if (other.node != local.node && extent.isInSubset({other.node, other.dataCentre}, local.id, local.dataCentre)) {
+                nodes.insert(other.node);
+            }
+        }
+        m_receivers[local.id].assign(nodes.begin(), nodes.end());
+    }
+}
+
 gossip_batch gossip_node::updateLocalReports(const std::vector<worker_report> &reports, state::time_point now)
 {
     gossip_batch out;
@@ -303,13 +326,13 @@
         local_report &local = m_localReports[report.worker];
         local.latest = report;
         const bool due = hasStateChange(local.pushed, report) || local.nextPush <= now;
-        const auto pool = m_pools.find(report.pool);
-        if (pool == m_pools.end() || !due || !isSharpChange(local.pushed, report)) {
+        const auto receivers = m_receivers.find(report.worker);
+        if (receivers == m_receivers.end() || !due || !isSharpChange(local.pushed, report)) {
             continue;
         }
         local.pushed = report;
         local.nextPush = now + ReportPushInterval;
-        for (const state::node_address &node : pool->second) {
+        for (const state::node_address &node : receivers->second) {
             gossip_message message;
             message.reports.push_back(report);
             out.push_back({node, std::move(message)});
@@ -325,14 +348,14 @@
     }
     m_nextRegularReport = now + RegularReportInterval;
     const worker_report &report = std::next(m_localReports.begin(), static_cast<std::ptrdiff_t>(m_nextReportIndex++ % m_localReports.size()))->second.latest;
-    const auto pool = m_pools.find(report.pool);
-    if (pool == m_pools.end() || pool->second.empty()) {
+    const auto receivers = m_receivers.find(report.worker);
+    if (receivers == m_receivers.end() || receivers->second.empty()) {
         return;
     }
     for (std::size_t i = 0; i < RegularReportReceivers; ++i) {
         gossip_message message;
         message.reports.push_back(report);
-        out.push_back({pool->second[m_random(static_cast<std::uint32_t>(pool->second.size()))], std::move(message)});
+        out.push_back({receivers->second[m_random(static_cast<std::uint32_t>(receivers->second.size()))], std::move(message)});
     }
 }
 
--- a/coordination/src/pool_tracker.cpp
+++ b/coordination/src/pool_tracker.cpp
@@ -1,5 +1,7 @@
 #include <dandelionstall/coordination/pool_tracker.h>
 
+#include <dandelionstall/coordination/worker_subset.h>
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -100,9 +102,10 @@
 
 } // namespace
 
-pool_tracker::pool_tracker(std::uint64_t seed, std::string dataCentre)
+pool_tracker::pool_tracker(std::uint64_t seed, std::string dataCentre, state::node_address self)
     : m_seed(seed)
     , m_dataCentre(std::move(dataCentre))
+    , m_self(std::move(self))
 { }
 
 void pool_tracker::setTable(std::shared_ptr<const state::pool_table> table, state::time_point now)
@@ -283,12 +286,21 @@
     }
     tracked_pool &tracked = m_pools[std::string(pool)];
     tracked.view = makePoolView(*row);
+    markSubset(*row, tracked.view);
     tracked.ejectionPolicy = makePolicy(row->ejector);
     tracked.expiresAt = expiresAt;
     tracked.published = std::make_shared<const pool_view>(tracked.view);
     return &tracked;
 }
 
+void pool_tracker::markSubset(const state::pool &pool, pool_view &view) const
+{
+    const pool_extent extent(pool);
+    for (worker_view &worker : view.workers) {
+        worker.inSubset = extent.isInSubset({m_self, m_dataCentre}, worker.id, worker.dataCentre);
+    }
+}
+
 void pool_tracker::untrackExpired(state::time_point now)
 {
     if (std::erase_if(m_pools, [now](const auto &entry) { return entry.second.expiresAt <= now; }) > 0) {
--- a/coordination/tests/test_gossip_at_size.cpp
+++ b/coordination/tests/test_gossip_at_size.cpp
@@ -1,6 +1,8 @@
 // Tests of gossip in fleets of hundreds of nodes that start at once, as after a loss of power. Each node has read the list of VMs.
 #include "gossip_simulation.h"
 
+#include <dandelionstall/coordination/worker_subset.h>
+
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 
@@ -33,8 +35,35 @@
     return fleet;
 }
 
+// Returns the messages that one sharp change of a worker causes in a pool of that many workers, one on each node.
+std::size_t messagesOfChange(std::size_t workers)
+{
+    gossip_simulation fleet({}, Seed);
+    std::string pools = "[table]\nrevision = 1\n[pool.p]\nslots = 3\n";
+    for (std::size_t i = 0; i < workers; ++i) {
+        fleet.addNode(dataCentreOf(i));
+        pools += fmt::format("worker.w{} = {} {}\n", i, state::formatNodeAddress(gossip_simulation::addressOf(i)), dataCentreOf(i));
+    }
+    gossip_node &node = fleet.at(0);
+    node.offerFromService(table_kind::pools, pools, fleet.now());
+    worker_report report;
+    report.worker = "w0";
+    report.pool = "p";
+    report.node = gossip_simulation::addressOf(0);
+    report.version = 1;
+    report.leaving = true;
+    return node.updateLocalReports({report}, fleet.now()).size();
+}
+
 } // namespace
 
+Test(gossip_at_size, the_messages_of_a_sharp_change_do_not_grow_with_the_pool)
+{
+    cr_assert(messagesOfChange(21) == 20);
+    cr_assert(messagesOfChange(284) <= 2 * SubsetWorkers);
+    cr_assert(messagesOfChange(1000) <= 2 * SubsetWorkers);
+}
+
 // A node that knows only itself would read the platform's service like all others.
 Test(gossip_at_size, few_nodes_select_themselves_as_readers_while_a_fleet_starts)
 {
--- a/programs/dandelionstall/control.cpp
+++ b/programs/dandelionstall/control.cpp
@@ -37,7 +37,7 @@
     , m_metrics(metrics)
     , m_gossipNode({settings.advertiseAddress, settings.dataCentre, selfIncarnation},
                    selfIncarnation ^ std::hash<std::string>{}(state::formatNodeAddress(settings.advertiseAddress)))
-    , m_tracker(selfIncarnation, settings.dataCentre)
+    , m_tracker(selfIncarnation, settings.dataCentre, settings.advertiseAddress)
     , m_socket(io, settings.listenAddress)
     , m_configSource(makeSource(io, m_settings, metrics, sourceEvents(), selfIncarnation))
     , m_tickTimer(io)
--- a/programs/dandelionstall/request_handler.cpp
+++ b/programs/dandelionstall/request_handler.cpp
@@ -198,6 +198,7 @@
     pick.random = m_ingress.random();
     pick.answerBytes = m_ingress.expectedAnswerBytes(m_route->name);
     pick.isRetry = m_arrivals > 0;
+    pick.wholePool = !m_triedWorkers.empty();
     pick.acceptedRisk = acceptedRisk();
     pick.idempotent = m_route->idempotent && m_ticket.empty();
     pick.now = state::clock::now();
