--- a/coordination/include/dandelionstall/coordination/gossip_node.h
+++ b/coordination/include/dandelionstall/coordination/gossip_node.h
@@ -96,6 +96,7 @@
     bool m_readerWhileJoining = false; // m_isReader was computed before m_joinedAt
     bool m_isReader = false;
     bool m_hasPeers = false;
+    bool m_listRead = false;                       // the VMs or the workers have been listed at least once, by the service or by peers
     state::time_point m_peerTransferDeadline;      // no service reads before this time while tables are missing and a peer has named a revision
     state::time_point m_unresponsivePeersDeadline; // no service reads before this time while tables are missing and no peer has named a revision
     state::time_point m_joinedAt;                  // until then, members without contact count for the choice of readers
--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -169,6 +169,7 @@
 
 void gossip_node::replaceWorkers(const std::vector<discovered_worker> &entries, store_revision asOf, state::time_point now)
 {
+    m_listRead = true;
     m_directory.replaceAll(entries, asOf, now);
     refreshPools();
     refreshMembers(now);
@@ -221,6 +222,7 @@
 
 void gossip_node::setVmList(const std::vector<vm_record> &vms, state::time_point now)
 {
+    m_listRead = true;
     m_members.setVmList(vms, now);
     m_hasPeers = m_hasPeers || !m_members.members().empty();
 }
@@ -239,7 +241,8 @@
 bool gossip_node::isServiceReadAllowed(state::time_point now) const
 {
     const bool complete = m_store.newestKnown(table_kind::routes).revision != 0 && m_store.newestKnown(table_kind::pools).revision != 0;
-    return complete || !m_hasPeers || now >= (m_configDissemination.receivedPeerRevision() ? m_peerTransferDeadline : m_unresponsivePeersDeadline);
+    const bool isAlone = m_listRead && !m_hasPeers;
+    return complete || isAlone || now >= (m_configDissemination.receivedPeerRevision() ? m_peerTransferDeadline : m_unresponsivePeersDeadline);
 }
 
 bool gossip_node::isServiceReader(state::time_point now) const
--- a/coordination/tests/test_gossip_at_size.cpp
+++ b/coordination/tests/test_gossip_at_size.cpp
@@ -64,6 +64,18 @@
     cr_assert(messagesOfChange(1000) <= 2 * SubsetWorkers);
 }
 
+Test(gossip_at_size, a_node_that_has_read_no_list_yet_does_not_take_itself_for_the_only_one)
+{
+    const state::time_point start{1000s};
+    gossip_node node({gossip_simulation::addressOf(0), "dc-0", 1}, Seed);
+    node.start({}, start);
+    node.tick(start);
+    cr_assert(not(node.isServiceReader(start)));
+    node.setVmList({{gossip_simulation::addressOf(0), "dc-0", false}}, start + 50ms);
+    node.tick(start + 50ms);
+    cr_assert(node.isServiceReader(start + 50ms), "the list names no other node");
+}
+
 // A node that knows only itself would read the platform's service like all others.
 Test(gossip_at_size, few_nodes_select_themselves_as_readers_while_a_fleet_starts)
 {
