Rebuild the index of members once a tick, and find the readers again only when members have changed

Cause: each page of members made the index stale, and the request for the next page rebuilt it: 160 pages of 352 members at a start. While a node joined, it ranked the members of its data centre with each tick. Change: samples are drawn from the index of the last tick; listed members that are new change the version of the list.

--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -255,7 +255,7 @@
 void gossip_node::refreshReader(state::time_point now)
 {
     const bool joining = now < m_joinedAt;
-    if (!joining && !m_readerWhileJoining && m_readerVersion == m_members.version() + 1 && m_readerRound == m_readers.round()) {
+    if (joining == m_readerWhileJoining && m_readerVersion == m_members.version() + 1 && m_readerRound == m_readers.round()) {
         return;
     }
     const gossip_sender &self = m_members.self();
--- a/coordination/src/membership.cpp
+++ b/coordination/src/membership.cpp
@@ -48,6 +48,7 @@
     }
     if (update.incarnation == 0) {
         m_indexStale = m_indexStale || added;
+        m_version += added ? 1 : 0;
         return added;
     }
     const bool newIncarnation = update.incarnation > before.incarnation;
--- a/coordination/src/membership_probe.cpp
+++ b/coordination/src/membership_probe.cpp
@@ -150,7 +150,7 @@
 
 std::vector<state::node_address> membership::samplePeers(std::size_t local, std::size_t remote)
 {
-    if (m_indexStale) {
+    if (m_indexStale && m_ring.empty() && m_remote.empty()) {
         rebuildIndex();
     }
     std::vector<state::node_address> result;
