Repair what a node missed of the workers by buckets, and pass news on to two nodes

Cause: a message whose digest of the workers differed made a node pull all of the sender's entries, eight in a message: 88 messages in a fleet of 352, for one entry that was on its way. Each node passed each change on to five others the moment it heard of it. Change: a pull names the digests of 64 buckets, and the answer holds the entries of those that differ; it waits 200 ms after the last news. News of a peer are passed on to two nodes, with the next tick, so that changes that come together travel together. A node that knows no buckets gets and gives whole pages, as before.

--- a/coordination/include/dandelionstall/coordination/gossip.h
+++ b/coordination/include/dandelionstall/coordination/gossip.h
@@ -77,6 +77,7 @@
     std::uint32_t workersDigest = 0;                             // digest of the discovered workers that the sender knows
     std::vector<worker_update> workers;                          // discovered workers that have changed, or the rows of a worker_page
     std::uint64_t storeEra = 0;                                  // highest era of the platform's store that the sender knows
+    std::optional<bucket_digests> workersBuckets;                // of the sender of a worker_pull: the answer holds the entries of other buckets only
     std::string workersCursor;                                   // cursor of worker_pull: the id of the last worker already received; empty for the first page
 };
 
--- a/coordination/include/dandelionstall/coordination/worker_directory.h
+++ b/coordination/include/dandelionstall/coordination/worker_directory.h
@@ -31,6 +31,7 @@
 #include <dandelionstall/coordination/store_revision.h>
 #include <dandelionstall/state/tables.h>
 
+#include <array>
 #include <map>
 #include <optional>
 #include <string>
@@ -64,6 +65,10 @@
 
 // [SECTION] Directory
 
+// Digests of the entries by the hash of their id. They tell which entries of two nodes may differ.
+inline constexpr std::size_t DigestBuckets = 64;
+using bucket_digests = std::array<std::uint32_t, DigestBuckets>;
+
 class worker_directory
 {
 public:
@@ -76,12 +81,15 @@
 
     std::vector<discovered_worker> consumeChanges();                                        // entries whose content has changed since the last call
     std::vector<discovered_worker> pageAfter(std::string_view id, std::size_t limit) const; // entries after that id, ordered by id, including tombstones
-    const std::map<std::string, discovered_worker, std::less<>> &entries() const;           // by id, including tombstones
-    std::uint32_t digest() const;                                                           // equal for equal content; tombstones are not included
-    std::uint64_t version() const;                                                          // grows with every change of content
-    std::uint64_t era() const;                                                              // highest era known
-    void learnEra(std::uint64_t era);                                                       // era named by the store or by another node
-    bool isEmpty() const;                                                                   // true when there are neither entries nor tombstones
+    std::vector<discovered_worker>
+    differingAfter(std::string_view id, std::size_t limit, const bucket_digests &other) const; // of them, those in buckets whose digest differs
+    const std::map<std::string, discovered_worker, std::less<>> &entries() const;              // by id, including tombstones
+    std::uint32_t digest() const;                                                              // equal for equal content; tombstones are not included
+    const bucket_digests &bucketDigests() const;                                               // the same for the entries of each bucket
+    std::uint64_t version() const;                                                             // grows with every change of content
+    std::uint64_t era() const;                                                                 // highest era known
+    void learnEra(std::uint64_t era);                                                          // era named by the store or by another node
+    bool isEmpty() const;                                                                      // true when there are neither entries nor tombstones
 
 private:
     struct pending_removal {
@@ -103,6 +111,7 @@
     state::time_point m_disruptedUntil; // removals stay pending before this time
     bool m_serviceDown = false;
     std::uint32_t m_digest = 0;
+    bucket_digests m_bucketDigests{};
     std::uint64_t m_version = 0;
 };
 
--- a/coordination/include/dandelionstall/coordination/worker_dissemination.h
+++ b/coordination/include/dandelionstall/coordination/worker_dissemination.h
@@ -1,13 +1,14 @@
 // Disseminates the entries of discovered workers between nodes. Pure; used from one thread.
 //
-// A node pushes new or changed entries to a few other nodes at once, which push them on. Every message carries a digest of
-// all entries of its sender. A node with another digest pulls the sender's entries page by page, so a node that misses a
-// push catches up after the next message that it receives.
+// A node pushes what it has read from the service to a few other nodes; each node that hears news passes it on to two. Every
+// message carries a digest of all entries of its sender. A node with another digest, which has had no news for a while, pulls
+// the sender's entries of the buckets that differ, so a node that misses a push catches up. The messages for one change grow with
+// the number of nodes, not with the number of workers.
 //
 // Usage:
 //   worker_dissemination dissemination(directory);
-//   dissemination.collectChanges();
-//   if (dissemination.hasPendingPush()) send(dissemination.push(peers, now));
+//   dissemination.collectChanges(change_source::service, now);
+//   send(dissemination.push(change_source::service, peers, now));
 //   send(dissemination.receive(message, now));  // any message
 #pragma once
 
@@ -16,24 +17,31 @@
 
 namespace dandelionstall::coordination {
 
+// Where changes of the directory come from.
+enum class change_source {
+    service, // read by this node from the service, or applied by itself
+    peer,    // heard from another node
+};
+
 class worker_dissemination
 {
 public:
     explicit worker_dissemination(worker_directory &directory);
 
-    gossip_batch receive(const gossip_message &message, state::time_point now);
-    gossip_batch push(const std::vector<state::node_address> &peers, state::time_point now); // sends the collected changes to the peers
-    bool hasPendingPush() const;                                                             // true when changes were collected since the last push()
-    void collectChanges(); // consumes the changes of the directory; call before hasPendingPush()
+    gossip_batch receive(const gossip_message &message, state::time_point now); // collects the changes that the message brings
+    gossip_batch push(change_source source, const std::vector<state::node_address> &peers, state::time_point now); // sends the collected changes
+    bool hasPendingPush(change_source source) const;                  // true when changes were collected since the last push()
+    void collectChanges(change_source source, state::time_point now); // consumes the changes of the directory
 
 private:
     void requestPage(const state::node_address &from, std::string cursor, gossip_batch &out) const;
     void servePage(const gossip_message &message, state::time_point now, gossip_batch &out) const;
 
     worker_directory &m_directory;
-    std::vector<discovered_worker> m_pendingPush;
-    std::string m_cursor;         // last id of the latest page; an interrupted pull continues from it
-    state::time_point m_nextPull; // earliest start of the next pull, which leaves a running pull time to finish
+    std::array<std::vector<discovered_worker>, 2> m_pendingPush; // by change_source
+    state::time_point m_lastNewsAt;                              // last change of the directory
+    std::string m_cursor;                                        // last id of the latest page; an interrupted pull continues from it
+    state::time_point m_nextPull;                                // earliest start of the next pull, which leaves a running pull time to finish
 };
 
 } // namespace dandelionstall::coordination
--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t ReportsPerMessage = 1;
 constexpr std::size_t ConfigLocalPushes = 3;
 constexpr std::size_t ConfigRemotePushes = 2;
+constexpr std::size_t WorkerLocalRelays = 1;  // nodes of the data centre to which a change of a worker is passed on
+constexpr std::size_t WorkerRemoteRelays = 1; // nodes of other data centres
 
 constexpr double SuspectedRisk = 0.5; // crossing this risk in either direction counts as a sharp change
 constexpr double SharpSuccessChange = 0.15;
@@ -98,7 +100,6 @@
     }
     m_directory.learnEra(message.storeEra);
     std::ranges::move(m_workerDissemination.receive(message, now), std::back_inserter(out));
-    pushWorkers(now, out);
     refreshPools();
     if (message.sender.dataCentre == m_members.self().dataCentre) {
         m_readers.recordPeerState(message.readerRound, message.serviceReadAge, now);
@@ -193,9 +194,14 @@
 
 void gossip_node::pushWorkers(state::time_point now, gossip_batch &out)
 {
-    m_workerDissemination.collectChanges();
-    if (m_workerDissemination.hasPendingPush()) {
-        std::ranges::move(m_workerDissemination.push(m_members.samplePeers(ConfigLocalPushes, ConfigRemotePushes), now), std::back_inserter(out));
+    m_workerDissemination.collectChanges(change_source::service, now);
+    if (m_workerDissemination.hasPendingPush(change_source::service)) {
+        const std::vector<state::node_address> peers = m_members.samplePeers(ConfigLocalPushes, ConfigRemotePushes);
+        std::ranges::move(m_workerDissemination.push(change_source::service, peers, now), std::back_inserter(out));
+    }
+    if (m_workerDissemination.hasPendingPush(change_source::peer)) {
+        const std::vector<state::node_address> peers = m_members.samplePeers(WorkerLocalRelays, WorkerRemoteRelays);
+        std::ranges::move(m_workerDissemination.push(change_source::peer, peers, now), std::back_inserter(out));
     }
 }
 
--- a/coordination/src/worker_directory.cpp
+++ b/coordination/src/worker_directory.cpp
@@ -23,6 +23,11 @@
     return static_cast<std::uint32_t>(hash) + entry.slots * 3U + static_cast<std::uint32_t>(entry.phase);
 }
 
+std::size_t bucketOf(std::string_view id)
+{
+    return XXH3_64bits(id.data(), id.size()) % DigestBuckets;
+}
+
 // Returns true when a started after b. Of two workers at one address, only the one started last can still be running.
 bool startedLater(const discovered_worker &a, const discovered_worker &b)
 {
@@ -114,10 +119,9 @@
 void worker_directory::apply(const discovered_worker &entry, state::time_point now)
 {
     const auto known = m_entries.find(entry.id);
-    if (known != m_entries.end()) {
-        m_digest ^= digestOf(known->second);
-    }
-    m_digest ^= digestOf(entry);
+    const std::uint32_t change = digestOf(entry) ^ (known != m_entries.end() ? digestOf(known->second) : 0U);
+    m_digest ^= change;
+    m_bucketDigests.at(bucketOf(entry.id)) ^= change;
     m_entries[entry.id] = entry;
     if (entry.phase == worker_phase::removed) {
         m_removedAt[entry.id] = now;
@@ -244,6 +248,18 @@
     return page;
 }
 
+std::vector<discovered_worker> worker_directory::differingAfter(std::string_view id, std::size_t limit, const bucket_digests &other) const
+{
+    std::vector<discovered_worker> page;
+    for (auto entry = m_entries.upper_bound(id); entry != m_entries.end() && page.size() < limit; ++entry) {
+        const std::size_t bucket = bucketOf(entry->first);
+        if (m_bucketDigests.at(bucket) != other.at(bucket)) {
+            page.push_back(entry->second);
+        }
+    }
+    return page;
+}
+
 const std::map<std::string, discovered_worker, std::less<>> &worker_directory::entries() const
 {
     return m_entries;
@@ -254,6 +270,11 @@
     return m_digest;
 }
 
+const bucket_digests &worker_directory::bucketDigests() const
+{
+    return m_bucketDigests;
+}
+
 std::uint64_t worker_directory::version() const
 {
     return m_version;
--- a/coordination/src/worker_dissemination.cpp
+++ b/coordination/src/worker_dissemination.cpp
@@ -1,13 +1,16 @@
 #include <dandelionstall/coordination/worker_dissemination.h>
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace dandelionstall::coordination {
 
 namespace {
 
 constexpr std::chrono::milliseconds PullInterval{250};
-constexpr std::size_t RowsPerMessage = 8; // rows in a message, so that it stays below MaxDatagramBytes
+constexpr std::chrono::milliseconds SettlingTime{200}; // after news, time for the pushes that bring the same news to all nodes
+constexpr std::size_t RowsPerMessage = 8;              // rows in a message, so that it stays below MaxDatagramBytes
 
 worker_update makeUpdate(const discovered_worker &entry, state::time_point now)
 {
@@ -21,30 +24,32 @@
     : m_directory(directory)
 { }
 
-void worker_dissemination::collectChanges()
+void worker_dissemination::collectChanges(change_source source, state::time_point now)
 {
     std::vector<discovered_worker> changes = m_directory.consumeChanges();
-    m_pendingPush.insert(m_pendingPush.end(), std::make_move_iterator(changes.begin()), std::make_move_iterator(changes.end()));
+    m_lastNewsAt = changes.empty() ? m_lastNewsAt : now;
+    std::vector<discovered_worker> &pending = m_pendingPush.at(static_cast<std::size_t>(source));
+    std::move(changes.begin(), changes.end(), std::back_inserter(pending));
 }
 
-bool worker_dissemination::hasPendingPush() const
+bool worker_dissemination::hasPendingPush(change_source source) const
 {
-    return !m_pendingPush.empty();
+    return !m_pendingPush.at(static_cast<std::size_t>(source)).empty();
 }
 
-gossip_batch worker_dissemination::push(const std::vector<state::node_address> &peers, state::time_point now)
+gossip_batch worker_dissemination::push(change_source source, const std::vector<state::node_address> &peers, state::time_point now)
 {
+    const std::vector<discovered_worker> pending = std::exchange(m_pendingPush.at(static_cast<std::size_t>(source)), {});
     gossip_batch out;
-    for (std::size_t first = 0; first < m_pendingPush.size(); first += RowsPerMessage) {
+    for (std::size_t first = 0; first < pending.size(); first += RowsPerMessage) {
         gossip_message message;
-        for (std::size_t i = first; i < std::min(first + RowsPerMessage, m_pendingPush.size()); ++i) {
-            message.workers.push_back(makeUpdate(m_pendingPush[i], now));
+        for (std::size_t i = first; i < std::min(first + RowsPerMessage, pending.size()); ++i) {
+            message.workers.push_back(makeUpdate(pending[i], now));
         }
         for (const state::node_address &peer : peers) {
             out.push_back({peer, message});
         }
     }
-    m_pendingPush.clear();
     return out;
 }
 
@@ -56,6 +61,7 @@
         entry.coldUntil = update.coldRemaining.count() > 0 ? now + update.coldRemaining : state::time_point{};
         m_directory.offer(entry, now);
     }
+    collectChanges(change_source::peer, now);
     if (message.kind == gossip_kind::worker_pull) {
         servePage(message, now, out);
     } else if (message.kind == gossip_kind::worker_page) {
@@ -64,7 +70,7 @@
         if (hasMore) {
             requestPage(message.sender.address, m_cursor, out);
         }
-    } else if (message.workersDigest != m_directory.digest() && m_nextPull <= now) {
+    } else if (message.workersDigest != m_directory.digest() && m_nextPull <= now && m_lastNewsAt + SettlingTime <= now) {
         m_nextPull = now + PullInterval;
         requestPage(message.sender.address, m_cursor, out);
     }
@@ -76,6 +82,7 @@
     gossip_message message;
     message.kind = gossip_kind::worker_pull;
     message.workersCursor = std::move(cursor);
+    message.workersBuckets = m_directory.bucketDigests();
     out.push_back({from, std::move(message)});
 }
 
@@ -83,7 +90,10 @@
 {
     gossip_message page;
     page.kind = gossip_kind::worker_page;
-    for (const discovered_worker &entry : m_directory.pageAfter(message.workersCursor, RowsPerMessage)) {
+    const std::vector<discovered_worker> rows = message.workersBuckets
+                                                    ? m_directory.differingAfter(message.workersCursor, RowsPerMessage, *message.workersBuckets)
+                                                    : m_directory.pageAfter(message.workersCursor, RowsPerMessage);
+    for (const discovered_worker &entry : rows) {
         page.workers.push_back(makeUpdate(entry, now));
     }
     out.push_back({message.sender.address, std::move(page)});
--- a/coordination/tests/test_gossip_at_size.cpp
+++ b/coordination/tests/test_gossip_at_size.cpp
@@ -102,3 +102,40 @@
     }
     cr_assert(known * 100 >= Nodes * Nodes * 99, "%zu of %zu", known, Nodes * Nodes);
 }
+
+// Each change of a worker is news for all nodes, but the messages for it must not grow with the number of workers.
+Test(gossip_at_size, a_change_of_one_worker_costs_each_node_a_few_messages)
+{
+    gossip_simulation fleet = startAll();
+    const auto entryOf = [](std::size_t index, std::uint64_t revision, worker_phase phase) {
+        discovered_worker entry;
+        entry.id = fmt::format("i-{:05}", index);
+        entry.pool = "p";
+        entry.dataCentre = dataCentreOf(index);
+        entry.node = gossip_simulation::addressOf(index);
+        entry.address = {entry.node.ip, 8000};
+        entry.slots = 4;
+        entry.phase = phase;
+        entry.revision.revision = revision;
+        return entry;
+    };
+    for (std::size_t node = 0; node < Nodes; ++node) {
+        for (std::size_t i = 0; i < Nodes; ++i) {
+            fleet.at(node).offerWorker(entryOf(i, i + 1, worker_phase::ready), fleet.now());
+        }
+    }
+    fleet.run(10s);
+    std::size_t messages = 0;
+    fleet.onSend = [&](std::size_t, const outgoing_gossip &out) {
+        const bool isAboutWorkers
+            = !out.message.workers.empty() || out.message.kind == gossip_kind::worker_pull || out.message.kind == gossip_kind::worker_page;
+        messages += isAboutWorkers ? 1 : 0;
+    };
+    fleet.at(7).offerWorker(entryOf(3, Nodes + 1, worker_phase::leaving), fleet.now());
+    const auto allKnow = [&] {
+        return fleet.allRunning([&](std::size_t node) { return fleet.at(node).workers().entries().at("i-00003").phase == worker_phase::leaving; });
+    };
+    cr_assert(fleet.runUntil(allKnow, 1500ms));
+    fleet.run(2s);
+    cr_assert(messages <= 4 * Nodes, "%zu messages", messages);
+}
--- a/coordination/tests/test_worker_directory.cpp
+++ b/coordination/tests/test_worker_directory.cpp
@@ -217,8 +217,10 @@
         for (int round = 0; round < 200; ++round) {
             now += milliseconds(50);
             for (std::size_t i = 0; i < Nodes; ++i) {
-                disseminations[i].collectChanges();
-                sendBatch(i, disseminations[i].push({addresses[draw(Nodes)], addresses[draw(Nodes)]}, now));
+                disseminations[i].collectChanges(change_source::service, now);
+                for (const change_source source : {change_source::service, change_source::peer}) {
+                    sendBatch(i, disseminations[i].push(source, {addresses[draw(Nodes)], addresses[draw(Nodes)]}, now));
+                }
                 sendBatch(i, {{addresses[draw(Nodes)], gossip_message{}}}); // regular pings, which carry the digest
             }
             for (auto &[from, out] : std::exchange(inFlight, {})) {
--- a/protocol/src/gossip_codec.cpp
+++ b/protocol/src/gossip_codec.cpp
@@ -7,6 +7,7 @@
 
 #include <arpa/inet.h>
 
+#include <algorithm>
 #include <array>
 #include <limits>
 
@@ -214,6 +215,13 @@
         }
         out.subject = *std::move(subject);
     }
+    if (in.workers_buckets_size() > 0) {
+        coordination::bucket_digests &buckets = out.workersBuckets.emplace();
+        if (static_cast<std::size_t>(in.workers_buckets_size()) != buckets.size()) {
+            return malformed("gossip message with an unknown number of digests of workers");
+        }
+        std::copy(in.workers_buckets().begin(), in.workers_buckets().end(), buckets.begin());
+    }
     if (in.has_config()) {
         absl::StatusOr<coordination::config_part> part = readConfig(in.config());
         if (!part.ok()) {
@@ -252,6 +260,9 @@
     out.set_workers_digest(message.workersDigest);
     out.set_workers_cursor(message.workersCursor);
     out.set_store_era(message.storeEra);
+    if (message.workersBuckets) {
+        out.mutable_workers_buckets()->Add(message.workersBuckets->begin(), message.workersBuckets->end());
+    }
     for (const coordination::worker_update &update : message.workers) {
         writeWorker(update, *out.add_workers());
     }
--- a/protocol/tests/test_gossip_codec.cpp
+++ b/protocol/tests/test_gossip_codec.cpp
@@ -26,6 +26,7 @@
     message.updates = {{{"10.1.2.4", 7400}, "sul-poa", 9, 1, member_state::dead, true}, {{"10.1.2.5", 7400}, "", 0, 0, member_state::listed, false}};
     message.config = config_part{table_kind::pools, {1, 2}, {3, 4}, 1100, 5000, std::string("a\0b", 3)};
     message.storeEra = 3;
+    message.workersBuckets.emplace().fill(77);
     discovered_worker worker;
     worker.id = "i-7f3a";
     worker.node = {"10.1.2.4", 7400};
@@ -48,6 +49,7 @@
     cr_assert(read->tables == message.tables);
     cr_assert(read->readerRound == 3 && read->serviceReadAge == message.serviceReadAge && read->receiverContactAge == message.receiverContactAge);
     cr_assert(read->subject == message.subject);
+    cr_assert(read->workersBuckets == message.workersBuckets);
     cr_assert(read->storeEra == 3 && read->workers.size() == 1 && read->workers.front().entry.revision == (store_revision{3, 412}));
     cr_assert(read->updates.size() == 2 && read->updates[0].state == member_state::dead && read->updates[0].leaving);
     cr_assert(read->updates[1].address == message.updates[1].address && read->updates[1].incarnation == 0);
