Hash each field of a worker's entry into the digest, so that changes do not cancel each other

Cause: slots and phase were added to the hash of an entry. The digests of entries are combined by XOR, so that two workers that began to leave changed the digest by the same low bits in most cases, and a node that had missed both took its digest for that of the others: it pulled neither, and a worker got requests until the next change. Change: slots and phase go through the hash. The digest is compared between nodes: nodes of both builds in one fleet repair more often than needed until all run the same build.

--- a/coordination/src/worker_directory.cpp
+++ b/coordination/src/worker_directory.cpp
@@ -11,6 +11,8 @@
 constexpr std::chrono::milliseconds EntryReturnTime{2500}; // after the recovery of the service, time for running workers to announce themselves again
 constexpr std::chrono::minutes TombstoneRetention{10};     // a tombstone is removed after this time
 
+// The digests of all entries are combined by XOR. Each field goes through the hash, so that the differences that two changes make
+// do not cancel each other.
 std::uint32_t digestOf(const discovered_worker &entry)
 {
     if (entry.phase == worker_phase::removed) {
@@ -20,7 +22,8 @@
     for (const std::string &text : {entry.pool, state::formatNodeAddress(entry.address), entry.version}) {
         hash = XXH3_64bits_withSeed(text.data(), text.size(), hash);
     }
-    return static_cast<std::uint32_t>(hash) + entry.slots * 3U + static_cast<std::uint32_t>(entry.phase);
+    const std::array<std::uint32_t, 2> numbers{entry.slots, static_cast<std::uint32_t>(entry.phase)};
+    return static_cast<std::uint32_t>(XXH3_64bits_withSeed(numbers.data(), sizeof(numbers), hash));
 }
 
 std::size_t bucketOf(std::string_view id)
--- a/coordination/tests/test_worker_directory.cpp
+++ b/coordination/tests/test_worker_directory.cpp
@@ -8,6 +8,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <set>
 
 using namespace dandelionstall;
 using namespace dandelionstall::coordination;
@@ -49,6 +50,24 @@
 
 } // namespace
 
+// ---- Digests ----
+
+// A node that has missed two changes would else seem to know what the others know.
+Test(worker_directory, the_differences_that_two_changes_make_in_the_digest_do_not_cancel_each_other)
+{
+    constexpr std::uint64_t Workers = 100;
+    worker_directory directory;
+    std::set<std::uint32_t> differences;
+    for (std::uint64_t i = 0; i < Workers; ++i) {
+        const std::string id = "i-" + std::to_string(i);
+        directory.offer(makeWorker(id, 1), Start);
+        const std::uint32_t before = directory.digest();
+        directory.offer(makeWorker(id, 2, worker_phase::leaving), Start);
+        differences.insert(before ^ directory.digest());
+    }
+    cr_assert(differences.size() == Workers, "%zu different ones", differences.size());
+}
+
 // ---- Order of entries ----
 
 Test(worker_directory, reaches_the_same_content_in_any_order_of_entries)
