Repair missed changes of workers also while news follows news, and pass news on to three nodes

Cause: since a node pulled what it had missed only when it had had no news for 200 ms, and passed news on to two nodes, which reach some four fifths of the nodes. In the test, four of five nodes that lacked a change had sent no pull. Change: a pull is due at the latest 300 ms after the first differing digest. It starts at the first entry, since with digests of buckets the entries that an interrupted pull has brought are not sent again. News is passed on to three nodes.

--- a/coordination/include/dandelionstall/coordination/worker_dissemination.h
+++ b/coordination/include/dandelionstall/coordination/worker_dissemination.h
@@ -1,8 +1,8 @@
 // Disseminates the entries of discovered workers between nodes. Pure; used from one thread.
 //
 // A node pushes what it has read from the service to a few other nodes; each node that hears news passes it on to two. Every
-// message carries a digest of all entries of its sender. A node with another digest, which has had no news for a while, pulls
-// the sender's entries of the buckets that differ, so a node that misses a push catches up. The messages for one change grow with
+// message carries a digest of all entries of its sender. A node with another digest, which has had no news for a while or has
+// seen other digests for some time, pulls the sender's entries of the buckets that differ, so a node that misses a push catches up. The messages for one change grow with
 // the number of nodes, not with the number of workers.
 //
 // Usage:
@@ -34,13 +34,14 @@
     void collectChanges(change_source source, state::time_point now); // consumes the changes of the directory
 
 private:
+    bool isPullDue(std::uint32_t otherDigest, state::time_point now);
     void requestPage(const state::node_address &from, std::string cursor, gossip_batch &out) const;
     void servePage(const gossip_message &message, state::time_point now, gossip_batch &out) const;
 
     worker_directory &m_directory;
     std::array<std::vector<discovered_worker>, 2> m_pendingPush; // by change_source
     state::time_point m_lastNewsAt;                              // last change of the directory
-    std::string m_cursor;                                        // last id of the latest page; an interrupted pull continues from it
+    std::optional<state::time_point> m_repairAt;                 // set while the digests of other nodes differ: a pull is due by then
     state::time_point m_nextPull;                                // earliest start of the next pull, which leaves a running pull time to finish
 };
 
--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t ReportsPerMessage = 1;
 constexpr std::size_t ConfigLocalPushes = 3;
 constexpr std::size_t ConfigRemotePushes = 2;
-constexpr std::size_t WorkerLocalRelays = 1;  // nodes of the data centre to which a change of a worker is passed on
+constexpr std::size_t WorkerLocalRelays = 2;  // nodes of the data centre to which a change of a worker is passed on
 constexpr std::size_t WorkerRemoteRelays = 1; // nodes of other data centres
 
 constexpr double SuspectedRisk = 0.5; // crossing this risk in either direction counts as a sharp change
--- a/coordination/src/worker_dissemination.cpp
+++ b/coordination/src/worker_dissemination.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::chrono::milliseconds PullInterval{250};
 constexpr std::chrono::milliseconds SettlingTime{200}; // after news, time for the pushes that bring the same news to all nodes
+constexpr std::chrono::milliseconds RepairTime{300};   // after the first differing digest, time until a pull while news follows news
 constexpr std::size_t RowsPerMessage = 8;              // rows in a message, so that it stays below MaxDatagramBytes
 
 worker_update makeUpdate(const discovered_worker &entry, state::time_point now)
@@ -65,18 +66,32 @@
     if (message.kind == gossip_kind::worker_pull) {
         servePage(message, now, out);
     } else if (message.kind == gossip_kind::worker_page) {
-        const bool hasMore = message.workers.size() == RowsPerMessage;
-        m_cursor = hasMore ? message.workers.back().entry.id : std::string();
-        if (hasMore) {
-            requestPage(message.sender.address, m_cursor, out);
+        if (message.workers.size() == RowsPerMessage) {
+            requestPage(message.sender.address, message.workers.back().entry.id, out);
         }
-    } else if (message.workersDigest != m_directory.digest() && m_nextPull <= now && m_lastNewsAt + SettlingTime <= now) {
+    } else if (isPullDue(message.workersDigest, now)) {
         m_nextPull = now + PullInterval;
-        requestPage(message.sender.address, m_cursor, out);
+        m_repairAt.reset();
+        requestPage(message.sender.address, {}, out); // entries that an interrupted pull has brought do not differ any more
     }
     return out;
 }
 
+// A difference right after news is mostly news on its way. While news follows news, a missed change looks the same: it is pulled
+// after RepairTime.
+bool worker_dissemination::isPullDue(std::uint32_t otherDigest, state::time_point now)
+{
+    if (otherDigest == m_directory.digest()) {
+        m_repairAt.reset();
+        return false;
+    }
+    if (!m_repairAt) {
+        m_repairAt = now + RepairTime;
+    }
+    const bool settled = m_lastNewsAt + SettlingTime <= now;
+    return m_nextPull <= now && (settled || *m_repairAt <= now);
+}
+
 void worker_dissemination::requestPage(const state::node_address &from, std::string cursor, gossip_batch &out) const
 {
     gossip_message message;
--- a/coordination/tests/test_gossip_at_size.cpp
+++ b/coordination/tests/test_gossip_at_size.cpp
@@ -46,15 +46,46 @@
     }
     gossip_node &node = fleet.at(0);
     node.offerFromService(table_kind::pools, pools, fleet.now());
-    worker_report report;
-    report.worker = "w0";
-    report.pool = "p";
-    report.node = gossip_simulation::addressOf(0);
-    report.version = 1;
+    worker_report report{.worker = std::string("w0"), .pool = std::string("p"), .node = gossip_simulation::addressOf(0), .version = 1};
     report.leaving = true;
     return node.updateLocalReports({report}, fleet.now()).size();
 }
 
+discovered_worker entryOf(std::size_t index, std::uint64_t revision, worker_phase phase)
+{
+    discovered_worker entry;
+    entry.id = fmt::format("i-{:05}", index);
+    entry.pool = std::string("p");
+    entry.dataCentre = dataCentreOf(index);
+    entry.node = gossip_simulation::addressOf(index);
+    entry.address = {entry.node.ip, 8000};
+    entry.slots = 4;
+    entry.phase = phase;
+    entry.revision.revision = revision;
+    return entry;
+}
+
+// Makes all nodes know one worker on each of them, and lets the fleet run for a while.
+void settleWithWorkers(gossip_simulation &fleet)
+{
+    for (std::size_t node = 0; node < Nodes; ++node) {
+        for (std::size_t i = 0; i < Nodes; ++i) {
+            fleet.at(node).offerWorker(entryOf(i, i + 1, worker_phase::ready), fleet.now());
+        }
+    }
+    fleet.run(10s);
+}
+
+std::size_t countKnowingLeaving(gossip_simulation &fleet, std::size_t index)
+{
+    const std::string id = entryOf(index, 0, worker_phase::leaving).id;
+    std::size_t count = 0;
+    for (std::size_t node = 0; node < Nodes; ++node) {
+        count += fleet.at(node).workers().entries().at(id).phase == worker_phase::leaving ? 1 : 0;
+    }
+    return count;
+}
+
 } // namespace
 
 Test(gossip_at_size, the_messages_of_a_sharp_change_do_not_grow_with_the_pool)
@@ -107,24 +138,7 @@
 Test(gossip_at_size, a_change_of_one_worker_costs_each_node_a_few_messages)
 {
     gossip_simulation fleet = startAll();
-    const auto entryOf = [](std::size_t index, std::uint64_t revision, worker_phase phase) {
-        discovered_worker entry;
-        entry.id = fmt::format("i-{:05}", index);
-        entry.pool = "p";
-        entry.dataCentre = dataCentreOf(index);
-        entry.node = gossip_simulation::addressOf(index);
-        entry.address = {entry.node.ip, 8000};
-        entry.slots = 4;
-        entry.phase = phase;
-        entry.revision.revision = revision;
-        return entry;
-    };
-    for (std::size_t node = 0; node < Nodes; ++node) {
-        for (std::size_t i = 0; i < Nodes; ++i) {
-            fleet.at(node).offerWorker(entryOf(i, i + 1, worker_phase::ready), fleet.now());
-        }
-    }
-    fleet.run(10s);
+    settleWithWorkers(fleet);
     std::size_t messages = 0;
     fleet.onSend = [&](std::size_t, const outgoing_gossip &out) {
         const bool isAboutWorkers
@@ -132,10 +146,24 @@
         messages += isAboutWorkers ? 1 : 0;
     };
     fleet.at(7).offerWorker(entryOf(3, Nodes + 1, worker_phase::leaving), fleet.now());
-    const auto allKnow = [&] {
-        return fleet.allRunning([&](std::size_t node) { return fleet.at(node).workers().entries().at("i-00003").phase == worker_phase::leaving; });
-    };
-    cr_assert(fleet.runUntil(allKnow, 1500ms));
+    cr_assert(fleet.runUntil([&] { return countKnowingLeaving(fleet, 3) == Nodes; }, 1500ms));
     fleet.run(2s);
     cr_assert(messages <= 4 * Nodes, "%zu messages", messages);
 }
+
+// Workers that are replaced one after the other, as in a release: there is always news on its way.
+Test(gossip_at_size, all_nodes_know_a_change_within_a_second_and_a_half_while_others_follow)
+{
+    constexpr std::size_t Changes = 60;
+    constexpr std::size_t ChangesKnownLater = 15; // 1.5 s at one change in 100 ms
+    gossip_simulation fleet = startAll();
+    settleWithWorkers(fleet);
+    for (std::size_t change = 0; change < Changes; ++change) {
+        fleet.at(7).offerWorker(entryOf(change, Nodes + change + 1, worker_phase::leaving), fleet.now());
+        fleet.run(100ms);
+        if (change >= ChangesKnownLater) {
+            const std::size_t knowing = countKnowingLeaving(fleet, change - ChangesKnownLater);
+            cr_assert(knowing == Nodes, "%zu of %zu nodes know change %zu after 1.6 s", knowing, Nodes, change - ChangesKnownLater);
+        }
+    }
+}
