Tell the node of a worker of its changes directly

Cause: the node that reads the service pushed a change to five drawn nodes. Change: a reader also sends each change that it has read to the worker's own node, one message for each change. Test: gossip_at_size::the_node_of_a_worker_knows_of_a_change_at_once (within 100 ms, two readers) fails without it.

--- a/coordination/include/dandelionstall/coordination/worker_dissemination.h
+++ b/coordination/include/dandelionstall/coordination/worker_dissemination.h
@@ -1,6 +1,7 @@
 // Disseminates the entries of discovered workers between nodes. Pure; used from one thread.
 //
-// A node pushes what it has read from the service to a few other nodes; each node that hears news passes it on to two. Every
+// A node pushes what it has read from the service to a few other nodes, and each change to the worker's own node, which refuses work
+// for a worker that leaves, whatever the other nodes know; each node that hears news passes it on to a few. Every
 // message carries a digest of all entries of its sender. A node with another digest, which has had no news for a while or has
 // seen other digests for some time, pulls the sender's entries of the buckets that differ, so a node that misses a push catches up. The messages for one change grow with
 // the number of nodes, not with the number of workers.
@@ -34,6 +35,7 @@
     void collectChanges(change_source source, state::time_point now); // consumes the changes of the directory
 
 private:
+    static void pushToOwnNodes(const std::vector<discovered_worker> &changes, state::time_point now, gossip_batch &out);
     bool isPullDue(std::uint32_t otherDigest, state::time_point now);
     void requestPage(const state::node_address &from, std::string cursor, gossip_batch &out) const;
     void servePage(const gossip_message &message, state::time_point now, gossip_batch &out) const;
--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -198,6 +198,7 @@
     if (m_workerDissemination.hasPendingPush(change_source::service)) {
         const std::vector<state::node_address> peers = m_members.samplePeers(ConfigLocalPushes, ConfigRemotePushes);
         std::ranges::move(m_workerDissemination.push(change_source::service, peers, now), std::back_inserter(out));
+        std::erase_if(out, [this](const outgoing_gossip &message) { return message.to == m_members.self().address; });
     }
     if (m_workerDissemination.hasPendingPush(change_source::peer)) {
         const std::vector<state::node_address> peers = m_members.samplePeers(WorkerLocalRelays, WorkerRemoteRelays);
--- a/coordination/src/worker_dissemination.cpp
+++ b/coordination/src/worker_dissemination.cpp
@@ -51,9 +51,23 @@
             out.push_back({peer, message});
         }
     }
+    if (source == change_source::service) {
+        pushToOwnNodes(pending, now, out);
+    }
     return out;
 }
 
+void worker_dissemination::pushToOwnNodes(const std::vector<discovered_worker> &changes, state::time_point now, gossip_batch &out)
+{
+    for (const discovered_worker &entry : changes) {
+        if (entry.node.port != 0) { // the tombstone of an unknown worker has no addresses
+            gossip_message message;
+            message.workers.push_back(makeUpdate(entry, now));
+            out.push_back({entry.node, std::move(message)});
+        }
+    }
+}
+
 gossip_batch worker_dissemination::receive(const gossip_message &message, state::time_point now)
 {
     gossip_batch out;
--- a/coordination/tests/test_gossip_at_size.cpp
+++ b/coordination/tests/test_gossip_at_size.cpp
@@ -167,3 +167,19 @@
         }
     }
 }
+
+// The sidecar beside a worker refuses new work for it as soon as it knows that the worker leaves.
+Test(gossip_at_size, the_node_of_a_worker_knows_of_a_change_at_once)
+{
+    constexpr auto AtOnce = 2 * TickInterval;
+    gossip_simulation fleet = startAll();
+    settleWithWorkers(fleet);
+    for (std::size_t index = 10; index < 20; ++index) {
+        for (const std::size_t reader : {7U, 32U}) { // two nodes of each data centre read the service
+            fleet.at(reader).offerWorker(entryOf(index, Nodes + index, worker_phase::leaving), fleet.now());
+        }
+        fleet.run(AtOnce);
+        const discovered_worker &known = fleet.at(index).workers().entries().at(entryOf(index, 0, worker_phase::leaving).id);
+        cr_assert(known.phase == worker_phase::leaving, "node %zu", index);
+    }
+}
