Find a series of the metrics by its name without a walk through the registry

Cause: each increment by name built the text of the family and registered it again; the registry compares the name with all families. In a profile of nodes at 106 VMs this was 3.7 % of the samples that were in the program's own functions. Change: series without labels are kept by name.

--- a/transport/src/metrics.cpp
+++ b/transport/src/metrics.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
+#include <mutex>
 #include <vector>
 
 namespace dandelionstall::transport {
@@ -53,6 +55,24 @@
     return prometheus::BuildCounter().Name("dandelionstall_" + name).Help(help).Register(registry);
 }
 
+// Series without labels by name. The registry looks through all its families for each name, too slowly for every datagram.
+template<typename series>
+class series_cache
+{
+public:
+    template<typename maker>
+    series &get(std::string_view name, const maker &make)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto known = m_series.find(name);
+        return known != m_series.end() ? *known->second : *m_series.emplace(name, &make()).first->second;
+    }
+
+private:
+    std::mutex m_mutex; // guards m_series
+    std::map<std::string, series *, std::less<>> m_series;
+};
+
 using time_histograms = std::array<prometheus::Histogram *, WorkClasses.size()>; // indexed by work_class
 
 time_histograms addTimes(prometheus::Registry &registry, const std::string &name, const std::string &help)
@@ -78,6 +98,8 @@
                                          addTimes(registry, "worker_seconds", "Time of an attempt at the worker.")};
     std::vector<prometheus::Counter *> refusalCounters = addReasons<refusal_reason>(refusals);
     std::vector<prometheus::Counter *> retryCounters = addReasons<retry_reason>(retries);
+    series_cache<prometheus::Counter> counters;
+    series_cache<prometheus::Gauge> gauges;
 };
 
 metrics::metrics()
@@ -103,7 +125,10 @@
 
 void metrics::incrementCounter(std::string_view name)
 {
-    addCounters(m_detail->registry, fmt::format("{}_total", name), "See docs/METRICS.md.").Add({}).Increment();
+    const auto add = [&]() -> prometheus::Counter & {
+        return addCounters(m_detail->registry, fmt::format("{}_total", name), "See docs/METRICS.md.").Add({});
+    };
+    m_detail->counters.get(name, add).Increment();
 }
 
 void metrics::observe(measured_time kind, work_class workClass, std::chrono::microseconds time)
@@ -113,7 +138,10 @@
 
 void metrics::setGauge(std::string_view name, double value)
 {
-    prometheus::BuildGauge().Name(fmt::format("dandelionstall_{}", name)).Help("See docs/METRICS.md.").Register(m_detail->registry).Add({}).Set(value);
+    const auto add = [&]() -> prometheus::Gauge & {
+        return prometheus::BuildGauge().Name(fmt::format("dandelionstall_{}", name)).Help("See docs/METRICS.md.").Register(m_detail->registry).Add({});
+    };
+    m_detail->gauges.get(name, add).Set(value);
 }
 
 std::string metrics::expose() const
