Merge changes of workers into the pool table together

A change after a quiet time is merged with the next tick, a new table at once. The lines of changed workers come from the two tables, not from copies of their ids.

--- a/bench/bench_pool_size.cpp
+++ b/bench/bench_pool_size.cpp
@@ -1,8 +1,10 @@
 // Measures what one pool costs a node as the pool grows: evaluating and publishing its view after a few reports, the texts for
-// its log lines, and the choice of a worker for one attempt. It only prints results and checks no limits.
+// its log lines, the choice of a worker for one attempt, and a change of one discovered worker. It only prints results and checks
+// no limits.
 //
 // Usage: bench_pool_size
 #include <dandelionstall/coordination/balancer.h>
+#include <dandelionstall/coordination/gossip_node.h>
 #include <dandelionstall/coordination/pool_tracker.h>
 
 #include <fmt/format.h>
@@ -21,11 +23,13 @@
 constexpr int Evaluations = 300;
 constexpr std::size_t ReportsPerEvaluation = 3;
 constexpr int Choices = 3000;
+constexpr int Changes = 200;
 
 struct row {
     std::size_t workers = 0;
     double evaluationUs = 0.0; // recording ReportsPerEvaluation reports, evaluating, publishing and explaining changed states
     double choiceUs = 0.0;     // choosing the worker of one attempt
+    double changeUs = 0.0;     // hearing that one worker starts or stops leaving, up to the new views of its pool
 };
 
 state::pool makePool(std::size_t workers)
@@ -104,13 +108,61 @@
     return result;
 }
 
+discovered_worker makeEntry(const state::pool &pool, std::size_t index, std::uint64_t revision, worker_phase phase)
+{
+    const state::pool_worker &worker = pool.workers[index];
+    discovered_worker entry;
+    entry.id = worker.id;
+    entry.pool = pool.name;
+    entry.dataCentre = worker.dataCentre;
+    entry.node = worker.node;
+    entry.address = {worker.node.ip, 8000};
+    entry.slots = pool.slots;
+    entry.phase = phase;
+    entry.revision.revision = revision;
+    return entry;
+}
+
+double measureChange(std::size_t workers)
+{
+    const state::pool pool = makePool(workers);
+    state::time_point now{std::chrono::hours(1)};
+    gossip_node node({pool.workers.front().node, "dc-0", 1}, Seed);
+    node.start({}, now);
+    node.offerFromService(table_kind::pools, fmt::format("[table]\nrevision = 1\n[pool.{}]\nslots = 4\ndiscovered = yes\n", pool.name), now);
+    std::vector<discovered_worker> entries;
+    for (std::size_t i = 0; i < workers; ++i) {
+        entries.push_back(makeEntry(pool, i, i + 1, worker_phase::ready));
+    }
+    node.replaceWorkers(entries, {0, workers}, now);
+    node.tick(now);
+    pool_tracker tracker(Seed, "dc-0");
+    tracker.setTable(node.pools(), now);
+    tracker.addLocalPool(pool.name);
+    std::uint64_t revision = workers;
+    const auto begin = state::clock::now();
+    for (int i = 0; i < Changes; ++i) {
+        const worker_phase phase = i % 2 == 0 ? worker_phase::leaving : worker_phase::ready;
+        now += TickInterval;
+        node.offerWorker(makeEntry(pool, static_cast<std::size_t>(i / 2) % workers, ++revision, phase), now);
+        node.tick(now);
+        tracker.setTable(node.pools(), now);
+    }
+    return microsecondsPer(begin, Changes);
+}
+
 } // namespace
 
 int main()
 {
     for (const std::size_t workers : {21U, 64U, 284U, 1000U}) {
-        const row entry = measure(workers);
-        std::cout << fmt::format("{:>5} workers: {:8.1f} us an evaluation, {:6.1f} us a choice\n", entry.workers, entry.evaluationUs, entry.choiceUs);
+        row entry = measure(workers);
+        entry.changeUs = measureChange(workers);
+        std::cout << fmt::format("{:>5} workers: {:8.1f} us an evaluation, {:6.1f} us a choice, {:8.1f} us a change of one worker\n",
+                                 entry.workers,
+                                 entry.evaluationUs,
+                                 entry.choiceUs,
+                                 entry.changeUs);
     }
     return 0;
 }
--- a/coordination/include/dandelionstall/coordination/gossip_node.h
+++ b/coordination/include/dandelionstall/coordination/gossip_node.h
@@ -64,6 +64,8 @@
         state::time_point nextPush;
     };
 
+    void applyWorkerChanges(state::time_point now);
+    void followTable();
     void refreshPools();
     void refreshReceivers(const state::pool &pool);
     void refreshMembers(state::time_point now);
@@ -101,6 +103,7 @@
     state::time_point m_unresponsivePeersDeadline; // no service reads before this time while tables are missing and no peer has named a revision
     state::time_point m_joinedAt;                  // until then, members without contact count for the choice of readers
     state::time_point m_nextTableRequest;
+    state::time_point m_nextMerge; // changed workers are not merged into the pool table before this time
     state::time_point m_nextRegularReport;
 };
 
--- a/coordination/include/dandelionstall/coordination/pool_view.h
+++ b/coordination/include/dandelionstall/coordination/pool_view.h
@@ -54,6 +54,10 @@
     bool workerLeaving = false;                       // the worker itself states that it is leaving
 };
 
+// Whether other nodes choose or avoid the worker differently after the change, so that they need it before the next regular report.
+bool hasStateChange(const worker_report &before, const worker_report &after); // leaving, starting, limited, or its risk has crossed one half
+bool isSharpChange(const worker_report &before, const worker_report &after);  // the same, or its success, slowness or longest overdue time has changed much
+
 // Until when a worker counts as leaving after it has stated so: for its lifetime. Without an announced lifetime (0) it is tried
 // again after UnnamedLifetime, as nothing else would tell that it has been started anew.
 inline constexpr std::chrono::seconds UnnamedLifetime{30};
--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -3,7 +3,6 @@
 #include <dandelionstall/coordination/worker_subset.h>
 
 #include <algorithm>
-#include <cmath>
 #include <iterator>
 #include <set>
 
@@ -26,29 +25,13 @@
 constexpr std::size_t WorkerLocalRelays = 2;  // nodes of the data centre to which a change of a worker is passed on
 constexpr std::size_t WorkerRemoteRelays = 1; // nodes of other data centres
 
-constexpr double SuspectedRisk = 0.5; // crossing this risk in either direction counts as a sharp change
-constexpr double SharpSuccessChange = 0.15;
-constexpr double SharpSlownessRatio = 1.3;
+// Between two merges of changed workers into the pool table: merging takes time that grows with the number of workers.
+constexpr std::chrono::microseconds MergeIntervalPerWorker{500};
+constexpr std::chrono::milliseconds MaxMergeInterval{500};
 
 constexpr std::uint64_t DisseminationSalt = 0x73707264;
 constexpr std::uint64_t ReportSalt = 0x72657074;
 
-bool hasStateChange(const worker_report &before, const worker_report &after)
-{
-    const bool riskCrossed = (before.risk >= SuspectedRisk) != (after.risk >= SuspectedRisk);
-    const bool limitChanged = (before.limit == limit_knowledge::limited) != (after.limit == limit_knowledge::limited);
-    return before.leaving != after.leaving || before.starting != after.starting || riskCrossed || limitChanged;
-}
-
-// Returns true for changes that other nodes of the pool need before the next regular report.
-bool isSharpChange(const worker_report &before, const worker_report &after)
-{
-    const double ratio = (after.slowness + 1e-3) / (before.slowness + 1e-3);
-    const bool overdueGrows = after.longestOverdue > before.longestOverdue * 2 && after.longestOverdue > std::chrono::milliseconds(200);
-    return hasStateChange(before, after) || std::abs(before.successShare - after.successShare) >= SharpSuccessChange || ratio >= SharpSlownessRatio
-           || ratio <= 1.0 / SharpSlownessRatio || overdueGrows;
-}
-
 } // namespace
 
 gossip_node::gossip_node(const self_identity &identity, std::uint64_t seed)
@@ -81,8 +64,7 @@
     m_directory.tick(now);
     pushWorkers(now, out);
     requestTablesFromPeers(now, out);
-    refreshPools();
-    refreshMembers(now);
+    applyWorkerChanges(now);
     refreshReader(now);
     sendRegularReport(now, out);
     return fillCommonFields(std::move(out), now);
@@ -100,7 +82,7 @@
     }
     m_directory.learnEra(message.storeEra);
     std::ranges::move(m_workerDissemination.receive(message, now), std::back_inserter(out));
-    refreshPools();
+    followTable();
     if (message.sender.dataCentre == m_members.self().dataCentre) {
         m_readers.recordPeerState(message.readerRound, message.serviceReadAge, now);
     }
@@ -156,7 +138,7 @@
 offer_result gossip_node::offerFromService(table_kind kind, std::string text, state::time_point now)
 {
     offer_result result = m_configDissemination.offer(kind, std::move(text), "service", now);
-    refreshPools();
+    followTable();
     return result;
 }
 
@@ -165,7 +147,6 @@
 void gossip_node::offerWorker(const discovered_worker &entry, state::time_point now)
 {
     m_directory.offer(entry, now);
-    refreshPools();
 }
 
 void gossip_node::replaceWorkers(const std::vector<discovered_worker> &entries, store_revision asOf, state::time_point now)
@@ -179,7 +160,6 @@
 void gossip_node::offerWorkerRemoval(std::string_view id, store_revision revision, state::time_point now)
 {
     m_directory.offerRemoval(id, revision, now);
-    refreshPools();
 }
 
 void gossip_node::learnStoreEra(std::uint64_t era)
@@ -206,6 +186,27 @@
     }
 }
 
+// Merges the changes of the workers that have come since the last merge.
+void gossip_node::applyWorkerChanges(state::time_point now)
+{
+    const bool applied = m_mergedDirectoryVersion == m_directory.version() && m_memberListDirectoryVersion == m_directory.version();
+    if (applied || m_nextMerge > now) {
+        return;
+    }
+    const auto workers = static_cast<std::chrono::microseconds::rep>(m_directory.entries().size());
+    m_nextMerge = now + std::min<state::duration>(MergeIntervalPerWorker * workers, MaxMergeInterval);
+    refreshPools();
+    refreshMembers(now);
+}
+
+// Routes that the same table brings may name its pools: a new table is merged at once.
+void gossip_node::followTable()
+{
+    if (m_storePools != m_store.pools()) {
+        refreshPools();
+    }
+}
+
 // Adds the nodes of discovered workers to the members, whether there was contact with them or not.
 void gossip_node::refreshMembers(state::time_point now)
 {
--- a/coordination/src/pool_view.cpp
+++ b/coordination/src/pool_view.cpp
@@ -1,6 +1,7 @@
 #include <dandelionstall/coordination/pool_view.h>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace dandelionstall::coordination {
@@ -8,9 +9,28 @@
 namespace {
 
 constexpr std::chrono::microseconds DefaultRunTime{100'000}; // of a worker that has not reported any
+constexpr double SuspectedRisk = 0.5;
+constexpr double SharpSuccessChange = 0.15;
+constexpr double SharpSlownessRatio = 1.3;
+constexpr std::chrono::milliseconds SharpOverdue{200};
 
 } // namespace
 
+bool hasStateChange(const worker_report &before, const worker_report &after)
+{
+    const bool riskCrossed = (before.risk >= SuspectedRisk) != (after.risk >= SuspectedRisk);
+    const bool limitChanged = (before.limit == limit_knowledge::limited) != (after.limit == limit_knowledge::limited);
+    return before.leaving != after.leaving || before.starting != after.starting || riskCrossed || limitChanged;
+}
+
+bool isSharpChange(const worker_report &before, const worker_report &after)
+{
+    const double ratio = (after.slowness + 1e-3) / (before.slowness + 1e-3);
+    const bool overdueGrows = after.longestOverdue > before.longestOverdue * 2 && after.longestOverdue > SharpOverdue;
+    return hasStateChange(before, after) || std::abs(before.successShare - after.successShare) >= SharpSuccessChange || ratio >= SharpSlownessRatio
+           || ratio <= 1.0 / SharpSlownessRatio || overdueGrows;
+}
+
 state::time_point leavingUntil(std::uint64_t lifetime, state::time_point statedAt)
 {
     return lifetime == 0 ? statedAt + UnnamedLifetime : state::time_point::max();
--- a/coordination/tests/test_gossip_at_size.cpp
+++ b/coordination/tests/test_gossip_at_size.cpp
@@ -183,3 +183,33 @@
         cr_assert(known.phase == worker_phase::leaving, "node %zu", index);
     }
 }
+
+// A merge takes time for each worker: while workers are replaced one after the other, the time for all merges must not grow with the pool.
+Test(gossip_at_size, changes_of_workers_that_follow_each_other_are_merged_together)
+{
+    constexpr std::size_t Changes = 100;
+    constexpr auto Span = Changes * TickInterval;
+    state::time_point now{1000s};
+    gossip_node node({gossip_simulation::addressOf(0), "dc-0", 1}, Seed);
+    node.start({}, now);
+    node.offerFromService(table_kind::pools, "[table]\nrevision = 1\n[pool.p]\nslots = 4\ndiscovered = yes\n", now);
+    std::vector<discovered_worker> workers;
+    for (std::size_t i = 0; i < Nodes; ++i) {
+        workers.push_back(entryOf(i, i + 1, worker_phase::ready));
+    }
+    node.replaceWorkers(workers, {0, Nodes}, now);
+    std::shared_ptr<const state::pool_table> known = node.pools();
+    std::size_t merges = 0;
+    for (std::size_t i = 0; i < Changes; ++i) {
+        now += TickInterval;
+        node.offerWorker(entryOf(i, Nodes + i + 1, worker_phase::leaving), now);
+        node.tick(now);
+        merges += std::exchange(known, node.pools()) != node.pools() ? 1 : 0;
+    }
+    cr_assert(merges <= Span / 100ms, "%zu merges of %zu changes", merges, Changes);
+    now += 1s;
+    node.tick(now);
+    node.offerWorker(entryOf(0, 2 * Nodes, worker_phase::ready), now + 1s);
+    node.tick(now + 1s);
+    cr_assert(not(node.pools()->pools.front().workers.front().leaving), "a change after a quiet time is merged with the next tick");
+}
--- a/programs/dandelionstall/control_detail.h
+++ b/programs/dandelionstall/control_detail.h
@@ -82,7 +82,6 @@
     bool m_selfSuspected = false;
     bool m_vmListRead = false;
     bool m_workersRead = false;               // the complete list of workers was read at least once
-    std::uint64_t m_loggedWorkersVersion = 0; // version of the worker directory when its changes were last logged
     std::uint64_t m_loggedEra = 0;            // era of the store that was logged last
     state::time_point m_eraLearnedAt;
     state::time_point m_eraSettlesAt = state::time_point::max(); // when to log what has become of the workers; max() when that has been done
--- a/programs/dandelionstall/control_gossip.cpp
+++ b/programs/dandelionstall/control_gossip.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio.hpp>
 #include <fmt/format.h>
 
+#include <unordered_map>
+
 namespace dandelionstall {
 
 using coordination::member;
@@ -50,14 +52,17 @@
     return changed.leaving ? event::member_leaving : event::member_alive;
 }
 
-// Returns the discovered workers of a table: worker id -> whether the worker is leaving.
-std::map<std::string, bool> discoveredWorkerRows(const state::pool_table &table)
+// Returns the discovered workers of a table by id.
+std::unordered_map<std::string_view, const state::pool_worker *> discoveredWorkers(const state::pool_table *table)
 {
-    std::map<std::string, bool> rows;
-    for (const state::pool &pool : table.pools) {
+    std::unordered_map<std::string_view, const state::pool_worker *> rows;
+    if (table == nullptr) {
+        return rows;
+    }
+    for (const state::pool &pool : table->pools) {
         for (const state::pool_worker &worker : pool.workers) {
             if (pool.hasDiscoveredWorkers) {
-                rows.emplace(worker.id, worker.leaving);
+                rows.emplace(worker.id, &worker);
             }
         }
     }
@@ -192,7 +197,9 @@
     if (routesChanged || poolsChanged) {
         recordTableAccepted(table_kind::routes, before->routes ? before->routes->revision : 0);
         recordTableAccepted(table_kind::pools, before->pools ? before->pools->revision : 0);
-        logWorkerChanges(before->pools.get());
+        if (poolsChanged) {
+            logWorkerChanges(before->pools.get());
+        }
         publish();
     }
 }
@@ -200,23 +207,19 @@
 // Logs one line for each discovered worker that appears, disappears or starts or stops leaving.
 void control::detail::logWorkerChanges(const state::pool_table *before)
 {
-    if (m_loggedWorkersVersion == m_gossipNode.workers().version()) {
-        return;
-    }
-    m_loggedWorkersVersion = m_gossipNode.workers().version();
-    const std::map<std::string, bool> previousRows = before != nullptr ? discoveredWorkerRows(*before) : std::map<std::string, bool>{};
-    const std::map<std::string, bool> currentRows = discoveredWorkerRows(*m_gossipNode.pools());
-    for (const auto &[id, leaving] : currentRows) {
+    const auto previousRows = discoveredWorkers(before);
+    const auto currentRows = discoveredWorkers(m_gossipNode.pools().get());
+    for (const auto &[id, row] : currentRows) {
         const auto previousRow = previousRows.find(id);
-        if (previousRow == previousRows.end() || previousRow->second != leaving) {
+        if (previousRow == previousRows.end() || previousRow->second->leaving != row->leaving) {
             const auto entry = m_gossipNode.workers().entries().find(id);
             const std::string revision = entry != m_gossipNode.workers().entries().end() ? fmt::to_string(entry->second.revision.revision) : "0";
-            logEvent(event::worker_known, {{"worker", id}, {"phase", leaving ? "leaving" : "ready"}, {"revision", revision}});
+            logEvent(event::worker_known, {{"worker", row->id}, {"phase", row->leaving ? "leaving" : "ready"}, {"revision", revision}});
         }
     }
-    for (const auto &[id, leaving] : previousRows) {
+    for (const auto &[id, row] : previousRows) {
         if (!currentRows.contains(id)) {
-            logEvent(event::worker_gone, {{"worker", id}});
+            logEvent(event::worker_gone, {{"worker", row->id}});
         }
     }
 }
