Bound the evaluations of a large pool

Cause: the report of the own worker, ten a second, made each node evaluate and publish its pool ten times a second, whatever its size; one ejected worker or one path that had once failed did the same, as each ping then counted as a change. Change: without a sharp change (isSharpChange(), a node's condition, a path that fails or recovers) a pool is evaluated at most once in 1 ms for each of its workers. Paths without a fault are forgotten. Test: pool_tracker::evaluates_a_large_pool_less_often_for_changes_of_load (100 times in 10 s at 284 workers before, at most 36 now), evaluates_a_sharp_change_in_a_large_pool_at_once.

--- a/coordination/include/dandelionstall/coordination/pool_tracker.h
+++ b/coordination/include/dandelionstall/coordination/pool_tracker.h
@@ -1,6 +1,9 @@
 // Tracks the pools that one node needs: merges worker reports, observations of network paths and membership into pool
 // views. Does no I/O and reads no clock: the caller passes the time to each call. Used from the control thread.
 //
+// Changes that decide who gets work are evaluated with the next evaluate(), changes of load in a large pool after some time that
+// grows with the pool: this bounds the processor time of the evaluations. See isSharpChange().
+//
 // Only the pools of the node's local workers and pools with recent use are tracked; for all others use makePoolView().
 //
 // Usage:
@@ -93,6 +96,8 @@
         std::shared_ptr<const pool_view> published; // copy of the view that views() returns
         state::time_point expiresAt;                // when tracking ends; time_point::max() for local pools
         bool changedSincePublished = true;          // the view has changed since it was published
+        bool sharpChange = true;                    // the next evaluation is due at once; see isSharpChange()
+        state::time_point nextLoadEvaluationAt;     // earliest time of the next evaluation after changes of load only
         std::uint64_t evaluatedChanges = 0;         // value of m_changeCount at the last evaluation
         state::time_point nextEvaluationAt;         // earliest time of the next evaluation if nothing changes
     };
@@ -100,6 +105,7 @@
     void markSubset(const state::pool &pool, pool_view &view) const;
     tracked_pool *track(std::string_view pool, state::time_point expiresAt);
     void untrackExpired(state::time_point now);
+    static bool isFaultless(const path_record &path);
     bool hasWorkerAt(const state::node_address &node) const;
     ejection_input makeEjectionInput(const tracked_pool &pool, state::time_point now) const;
     void applyNodeConditions(tracked_pool &pool) const;
@@ -114,7 +120,7 @@
     std::shared_ptr<const state::pool_table> m_table;
     std::map<std::string, tracked_pool, std::less<>> m_pools;
     std::map<std::string, bool, std::less<>> m_localPools;
-    std::map<state::node_address, path_record> m_paths;             // only nodes with a recorded path failure
+    std::map<state::node_address, path_record> m_paths;             // only paths with a fault
     std::map<state::node_address, node_condition> m_nodeConditions; // leaving and dead nodes only
     local_health m_localHealth;
     std::map<std::string, std::set<std::string>, std::less<>> m_stateChanges; // by pool, ids of workers whose state has changed
--- a/coordination/src/pool_tracker.cpp
+++ b/coordination/src/pool_tracker.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds PauseSuspicionMs{1500};        // no ejections for this long after a process pause, so that fresh reports of all nodes can arrive
 constexpr milliseconds IdleIntervalMs{500};           // time between two evaluations of a pool without updates, ejected workers or workers on probation
 constexpr milliseconds IdleIntervalPerPoolMs{14};     // minimum idle interval per tracked pool, except for local pools; limits the evaluations per second
+constexpr milliseconds LoadIntervalPerWorkerMs{1}; // minimum time per worker between two evaluations without a sharp change
 constexpr milliseconds PathWindowMs{3000};            // path failures older than this are ignored
 constexpr milliseconds PathFailureGapMs{100};         // failures less than this after the last counted one are not counted
 constexpr std::size_t MaxPathFailures = 8;            // maximum number of failures stored per node
@@ -152,6 +153,7 @@
     if (worker == workers.end() || !isNewer(report, worker->report)) {
         return false;
     }
+    pool->second.sharpChange = pool->second.sharpChange || worker->report.version == 0 || isSharpChange(worker->report, report);
     worker->report = report;
     worker->reportReceivedAt = now;
     worker->incarnation = report.incarnation;
@@ -167,30 +169,34 @@
     if (known == m_paths.end() && (good || !hasWorkerAt(node))) {
         return;
     }
-    ++m_changeCount;
     path_record &path = known == m_paths.end() ? m_paths[node] : known->second;
+    bool changed = false;
     switch (event) {
     case path_event::attempt_succeeded:
-        path.inboundUp = true;
-        path.outboundUp = true;
-        path.failures.clear();
+        changed = !isFaultless(path);
+        path = {};
         break;
     case path_event::attempt_failed:
+        changed = true;
         recordFailure(path.failures, now);
         break;
     case path_event::inbound_down:
-        path.inboundUp = false;
+        changed = std::exchange(path.inboundUp, false);
         break;
     case path_event::inbound_up:
-        path.inboundUp = true;
+        changed = !std::exchange(path.inboundUp, true);
         break;
     case path_event::outbound_up:
-        path.outboundUp = true;
+        changed = !std::exchange(path.outboundUp, true);
         break;
     case path_event::outbound_down:
-        path.outboundUp = false;
+        changed = std::exchange(path.outboundUp, false);
         break;
     }
+    m_changeCount += changed ? 1 : 0;
+    if (isFaultless(path)) {
+        m_paths.erase(node);
+    }
 }
 
 void pool_tracker::recordNodeCondition(const state::node_address &node, node_condition condition, state::time_point)
@@ -308,6 +314,11 @@
     }
 }
 
+bool pool_tracker::isFaultless(const path_record &path)
+{
+    return path.inboundUp && path.outboundUp && path.failures.empty();
+}
+
 bool pool_tracker::hasWorkerAt(const state::node_address &node) const
 {
     const auto isAt = [&node](const worker_view &worker) {
@@ -365,14 +376,17 @@
 
 bool pool_tracker::evaluatePool(tracked_pool &pool, state::time_point now)
 {
-    if (!pool.changedSincePublished && pool.evaluatedChanges == m_changeCount && now < pool.nextEvaluationAt) {
+    const bool atOnce = pool.sharpChange || pool.evaluatedChanges != m_changeCount;
+    if (!atOnce && now < (pool.changedSincePublished ? pool.nextLoadEvaluationAt : pool.nextEvaluationAt)) {
         return false;
     }
     pool.evaluatedChanges = m_changeCount;
+    pool.sharpChange = false;
+    pool.nextLoadEvaluationAt = now + LoadIntervalPerWorkerMs * static_cast<milliseconds::rep>(pool.view.workers.size());
     applyNodeConditions(pool);
     pool.ejectionRecords = pool.ejectionPolicy->evaluate(makeEjectionInput(pool, now), pool.ejectionRecords);
     applyEjectionRecords(pool.ejectionRecords, pool.view);
-    pool.nextEvaluationAt = hasUnresolvedEjection(pool.ejectionRecords) ? now : now + idleEvaluationInterval(pool);
+    pool.nextEvaluationAt = hasUnresolvedEjection(pool.ejectionRecords) ? pool.nextLoadEvaluationAt : now + idleEvaluationInterval(pool);
     const auto isSameResult = [](const worker_view &a, const worker_view &b) {
         return a.state == b.state && a.weight == b.weight;
     };
--- a/coordination/tests/test_pool_tracker.cpp
+++ b/coordination/tests/test_pool_tracker.cpp
@@ -55,6 +55,25 @@
     return tracker;
 }
 
+// Returns how often a pool was published in ten seconds in which one report with another load arrives every 100 ms.
+std::size_t countPublications(int workers)
+{
+    pool_tracker tracker = makeTracker(workers);
+    for (int i = 0; i < workers; ++i) {
+        tracker.recordReport(makeReport(i, 1), Start);
+    }
+    tracker.evaluate(Start);
+    std::size_t count = 0;
+    for (int i = 1; i <= 100; ++i) {
+        const state::time_point now = Start + i * 100ms;
+        worker_report report = makeReport(i % workers, static_cast<std::uint64_t>(i) + 1);
+        report.busy = static_cast<std::uint32_t>(i % 3);
+        tracker.recordReport(report, now);
+        count += tracker.evaluate(now).size();
+    }
+    return count;
+}
+
 } // namespace
 
 Test(pool_tracker, accepts_only_newer_reports)
@@ -143,3 +162,31 @@
     cr_assert(tracker.evaluate(Start + 100ms).size() == 1);
     cr_assert(tracker.consumeStateChanges(Start + 100ms).empty());
 }
+
+// An evaluation takes time for each worker: the time for all of them must not grow with the pool.
+Test(pool_tracker, evaluates_a_large_pool_less_often_for_changes_of_load)
+{
+    cr_assert(countPublications(21) == 100);
+    cr_assert(countPublications(284) <= 10'000 / 284 + 1);
+    cr_assert(countPublications(1000) <= 10'000 / 1000 + 1);
+}
+
+Test(pool_tracker, evaluates_a_sharp_change_in_a_large_pool_at_once)
+{
+    constexpr int Workers = 284;
+    pool_tracker tracker = makeTracker(Workers);
+    for (int i = 0; i < Workers; ++i) {
+        tracker.recordReport(makeReport(i, 1), Start);
+    }
+    tracker.evaluate(Start);
+    tracker.recordReport(makeReport(3, 2), Start + 100ms);
+    cr_assert(tracker.evaluate(Start + 100ms).empty(), "a change of load");
+    worker_report leaving = makeReport(4, 2);
+    leaving.leaving = true;
+    tracker.recordReport(leaving, Start + 200ms);
+    cr_assert(tracker.evaluate(Start + 200ms).size() == 1);
+    cr_assert(stateOf(tracker, 4) == worker_state::leaving);
+    tracker.recordNodeCondition(nodeOf(5), node_condition::dead, Start + 300ms);
+    cr_assert(tracker.evaluate(Start + 300ms).size() == 1);
+    cr_assert(stateOf(tracker, 5) == worker_state::unreachable);
+}
