--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar.h
@@ -73,7 +73,9 @@
     bool loggedSuspected = false;                                         // suspicion that was logged last
     state::time_point lastProbeAt;                                        // when the latest probe was sent
     std::uint32_t runningProbes = 0;                                      // number of probes in flight
-    std::uint64_t reportVersion = 0;                                      // incremented with every published report
+    std::uint64_t reportVersion = 0;                                      // incremented each time a report may be published
+    coordination::worker_report lastReport;                               // as last sent to the control thread
+    state::time_point nextLoadReportAt;                                   // when the next report goes to the control thread without a sharp change
 };
 
 // [SECTION] Sidecar
--- a/programs/dandelionstall/sidecar_reports.cpp
+++ b/programs/dandelionstall/sidecar_reports.cpp
@@ -10,6 +10,12 @@
 
 using coordination::worker_report;
 
+namespace {
+
+constexpr std::chrono::milliseconds LoadReportInterval{300}; // between two reports to the control thread without a sharp change
+
+} // namespace
+
 // Logs one line when the guard starts to withhold work from the worker, and one when it stops.
 void sidecar::logSuspicionChange(served_worker &worker, state::time_point now)
 {
@@ -58,7 +64,12 @@
     for (auto &[id, worker] : m_workers) {
         logSuspicionChange(worker, now);
         ++worker.reportVersion;
-        reports.push_back(makeReport(worker, now));
+        worker_report report = makeReport(worker, now);
+        if (now >= worker.nextLoadReportAt || coordination::isSharpChange(worker.lastReport, report)) {
+            worker.nextLoadReportAt = now + LoadReportInterval;
+            worker.lastReport = report;
+            reports.push_back(std::move(report));
+        }
     }
     if (!reports.empty()) {
         m_reportSink(std::move(reports));
