Gather log lines for 300 ms before they are written

Cause: under load each node wrote up to ten batches a second, each with two wake-ups of the writer's thread. Change: up to three. A process that is killed loses the lines of its last 300 ms (100 ms before); a graceful stop writes all.

--- a/transport/src/log_queue.cpp
+++ b/transport/src/log_queue.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds GatherTime{100};   // lines that arrive within this time are written together
+constexpr std::chrono::milliseconds GatherTime{300};   // lines that arrive within this time are written together
 constexpr std::chrono::milliseconds CloseTimeout{300}; // longest time that the destructor waits for the last lines to be written
 constexpr std::uint32_t ImportantLineFactor = 2;       // important lines are accepted up to this multiple of maxLinesPerSecond
 
