Do less while a fleet starts: no evaluation for members found alive, one line for the first list

Cause: in the ten seconds before traffic each node found 350 members and 284 workers one by one.

Change: only a change of a node's condition counts; first reports are not sharp changes; event workers_listed (4033) in place of one worker_known for each worker of the first list; members and healthy workers found in the first 10 s are counted in control_totals, not logged.

--- a/coordination/include/dandelionstall/coordination/worker_dissemination.h
+++ b/coordination/include/dandelionstall/coordination/worker_dissemination.h
@@ -1,10 +1,10 @@
 // Disseminates the entries of discovered workers between nodes. Pure; used from one thread.
 //
-// A node pushes what it has read from the service to a few other nodes, and each change to the worker's own node, which refuses work
-// for a worker that leaves, whatever the other nodes know; each node that hears news passes it on to a few. Every
-// message carries a digest of all entries of its sender. A node with another digest, which has had no news for a while or has
-// seen other digests for some time, pulls the sender's entries of the buckets that differ, so a node that misses a push catches up. The messages for one change grow with
-// the number of nodes, not with the number of workers.
+// A node pushes what it has read from the service to a few other nodes, and each change to the worker's own node, which refuses
+// work for a worker that leaves, whatever the other nodes know. Each node that hears news passes it on to a few. Every message
+// carries a digest of all entries of its sender. A node with another digest, which has had no news for a while or has seen other
+// digests for some time, pulls the sender's entries of the buckets that differ, so a node that misses a push catches up. The
+// messages for one change grow with the number of nodes, not with the number of workers.
 //
 // Usage:
 //   worker_dissemination dissemination(directory);
--- a/coordination/src/pool_tracker.cpp
+++ b/coordination/src/pool_tracker.cpp
@@ -17,7 +17,7 @@
 constexpr milliseconds PauseSuspicionMs{1500};        // no ejections for this long after a process pause, so that fresh reports of all nodes can arrive
 constexpr milliseconds IdleIntervalMs{500};           // time between two evaluations of a pool without updates, ejected workers or workers on probation
 constexpr milliseconds IdleIntervalPerPoolMs{14};     // minimum idle interval per tracked pool, except for local pools; limits the evaluations per second
-constexpr milliseconds LoadIntervalPerWorkerMs{1}; // minimum time per worker between two evaluations without a sharp change
+constexpr milliseconds LoadIntervalPerWorkerMs{1};    // minimum time per worker between two evaluations without a sharp change
 constexpr milliseconds PathWindowMs{3000};            // path failures older than this are ignored
 constexpr milliseconds PathFailureGapMs{100};         // failures less than this after the last counted one are not counted
 constexpr std::size_t MaxPathFailures = 8;            // maximum number of failures stored per node
@@ -153,7 +153,7 @@
     if (worker == workers.end() || !isNewer(report, worker->report)) {
         return false;
     }
-    pool->second.sharpChange = pool->second.sharpChange || worker->report.version == 0 || isSharpChange(worker->report, report);
+    pool->second.sharpChange = pool->second.sharpChange || isSharpChange(worker->report, report);
     worker->report = report;
     worker->reportReceivedAt = now;
     worker->incarnation = report.incarnation;
@@ -201,12 +201,13 @@
 
 void pool_tracker::recordNodeCondition(const state::node_address &node, node_condition condition, state::time_point)
 {
-    ++m_changeCount;
     if (condition == node_condition::live) {
-        m_nodeConditions.erase(node);
-    } else {
-        m_nodeConditions[node] = condition;
+        m_changeCount += m_nodeConditions.erase(node);
+        return;
     }
+    const auto [known, added] = m_nodeConditions.try_emplace(node, condition);
+    m_changeCount += added || known->second != condition ? 1 : 0;
+    known->second = condition;
 }
 
 void pool_tracker::recordPause(state::time_point now)
--- a/programs/dandelionstall/control.cpp
+++ b/programs/dandelionstall/control.cpp
@@ -19,6 +19,8 @@
 
 namespace {
 
+constexpr std::chrono::seconds FirstContactsTime{10}; // after the start, time in which a node finds the members that are running
+
 std::unique_ptr<transport::config_source>
 makeSource(asio::io_context &io, const state::settings &settings, transport::metrics &metrics, transport::source_events events, std::uint64_t seed)
 {
@@ -112,6 +114,7 @@
         logEvent(event::listen_failed, {{"reason", std::string(state::messageOf(opened))}});
     }
     m_gossipNode.start(m_settings.seeds, state::clock::now());
+    m_firstContactsUntil = state::clock::now() + FirstContactsTime;
     for (const state::local_worker &worker : m_settings.workers) {
         m_tracker.addLocalPool(worker.pool);
     }
--- a/programs/dandelionstall/control_detail.h
+++ b/programs/dandelionstall/control_detail.h
@@ -76,13 +76,14 @@
     std::array<std::string, coordination::TableKinds.size()> m_lastRefusals; // reason of the last refused table by table_kind; empty if none was refused
     std::vector<subscriber> m_subscribers;
     state::time_point m_nextEvaluationAt;
-    state::time_point m_nextTotalsAt; // epoch before the first tick
+    state::time_point m_firstContactsUntil; // members and healthy workers that are found before are not logged one by one; the totals count the members
+    state::time_point m_nextTotalsAt;       // epoch before the first tick
     control_totals m_totals;
     bool m_isReader = false;
     bool m_selfSuspected = false;
     bool m_vmListRead = false;
-    bool m_workersRead = false;               // the complete list of workers was read at least once
-    std::uint64_t m_loggedEra = 0;            // era of the store that was logged last
+    bool m_workersRead = false;    // the complete list of workers was read at least once
+    std::uint64_t m_loggedEra = 0; // era of the store that was logged last
     state::time_point m_eraLearnedAt;
     state::time_point m_eraSettlesAt = state::time_point::max(); // when to log what has become of the workers; max() when that has been done
     bool m_publishDue = false;                                   // publish a snapshot at the end of the current tick
--- a/programs/dandelionstall/control_gossip.cpp
+++ b/programs/dandelionstall/control_gossip.cpp
@@ -133,6 +133,9 @@
 void control::detail::logWorkerStateChanges(state::time_point now)
 {
     for (const coordination::worker_explanation &worker : m_tracker.consumeStateChanges(now)) {
+        if (worker.state == coordination::worker_state::healthy && now < m_firstContactsUntil) {
+            continue; // its first report
+        }
         logEvent(event::worker_judged,
                  {{"worker", worker.worker},
                   {"pool", worker.pool},
@@ -204,11 +207,15 @@
     }
 }
 
-// Logs one line for each discovered worker that appears, disappears or starts or stops leaving.
+// Logs one line for each discovered worker that appears, disappears or starts or stops leaving; for the first list, one in all.
 void control::detail::logWorkerChanges(const state::pool_table *before)
 {
     const auto previousRows = discoveredWorkers(before);
     const auto currentRows = discoveredWorkers(m_gossipNode.pools().get());
+    if (previousRows.empty() && !currentRows.empty()) {
+        logEvent(event::workers_listed, {{"workers", fmt::to_string(currentRows.size())}});
+        return;
+    }
     for (const auto &[id, row] : currentRows) {
         const auto previousRow = previousRows.find(id);
         if (previousRow == previousRows.end() || previousRow->second->leaving != row->leaving) {
@@ -249,8 +256,10 @@
 {
     for (const member &changed : m_gossipNode.members().consumeChanges()) {
         m_tracker.recordNodeCondition(changed.address, conditionOf(changed), now);
-        logEvent(eventOf(changed), {{"member", state::formatNodeAddress(changed.address)}, {"incarnation", fmt::to_string(changed.incarnation)}});
-        m_publishDue = true;
+        const event what = eventOf(changed);
+        if (what != event::member_alive || now >= m_firstContactsUntil) {
+            logEvent(what, {{"member", state::formatNodeAddress(changed.address)}, {"incarnation", fmt::to_string(changed.incarnation)}});
+        }
     }
 }
 
--- a/transport/include/dandelionstall/transport/events.h
+++ b/transport/include/dandelionstall/transport/events.h
@@ -62,7 +62,7 @@
     reader_changed = 4008,        // info: this node has become a reader of the platform's service, or is no longer one
     store_era_learned = 4009,     // warn: the platform's store has come back from an older copy
     store_era_settled = 4010,     // info: what has become of the workers some seconds after the store came back
-    member_alive = 4020,          // info: a node is alive: it was discovered or has recovered
+    member_alive = 4020,          // info: a node was discovered later than 10 s after the start of this one, or has recovered
     member_suspected = 4021,      // info: a node does not answer and is suspected of having failed
     member_dead = 4022,           // warn: a suspected node did not refute the suspicion in time and counts as dead
     member_leaving = 4023,        // info: a node is leaving and accepts no new work
@@ -73,6 +73,7 @@
     worker_known = 4030,          // info: a discovered worker is new, or its phase (ready or leaving) has changed
     worker_gone = 4031,           // info: the entry of a discovered worker was removed
     worker_entry_refused = 4032,  // warn: an entry of the platform does not describe a usable worker
+    workers_listed = 4033,        // info: the first list of discovered workers is known; later changes are logged one by one
     control_totals = 4040,        // info: what the control thread has done since the start; one line in ten seconds
 };
 
--- a/transport/src/events.cpp
+++ b/transport/src/events.cpp
@@ -58,7 +58,7 @@
     event_info{event::reader_changed, log_level::info, "reader_changed", "this node has become a reader of the platform's service, or is no longer one"},
     event_info{event::store_era_learned, log_level::warn, "store_era_learned", "the platform's store has come back from an older copy"},
     event_info{event::store_era_settled, log_level::info, "store_era_settled", "what has become of the workers some seconds after the store came back"},
-    event_info{event::member_alive, log_level::info, "member_alive", "a node is alive: it was discovered or has recovered"},
+    event_info{event::member_alive, log_level::info, "member_alive", "a node was discovered later than 10 s after the start of this one, or has recovered"},
     event_info{event::member_suspected, log_level::info, "member_suspected", "a node does not answer and is suspected of having failed"},
     event_info{event::member_dead, log_level::warn, "member_dead", "a suspected node did not refute the suspicion in time and counts as dead"},
     event_info{event::member_leaving, log_level::info, "member_leaving", "a node is leaving and accepts no new work"},
@@ -69,6 +69,7 @@
     event_info{event::worker_known, log_level::info, "worker_known", "a discovered worker is new, or its phase (ready or leaving) has changed"},
     event_info{event::worker_gone, log_level::info, "worker_gone", "the entry of a discovered worker was removed"},
     event_info{event::worker_entry_refused, log_level::warn, "worker_entry_refused", "an entry of the platform does not describe a usable worker"},
+    event_info{event::workers_listed, log_level::info, "workers_listed", "the first list of discovered workers is known; later changes are logged one by one"},
     event_info{event::control_totals, log_level::info, "control_totals", "what the control thread has done since the start; one line in ten seconds"},
 };
 
