Let a fleet that starts for the first time use its extra repeats when its callers come

Cause: a sidecar used its part of retry_extra only a window and 1 s after it had begun to serve its worker, since it knows nothing of earlier repeats. Change: setting first_start (the platform's bootstrap). Workers that are served from the first 5 s on use their parts after 6 s, when the fleet knows its workers; later workers and restarted nodes wait as before. The bound is argued in repeat_budget.h. Test: retry_allowance::the_extra_can_be_used_soon_after_the_first_start_of_a_fleet.

--- a/coordination/include/dandelionstall/coordination/repeat_budget.h
+++ b/coordination/include/dandelionstall/coordination/repeat_budget.h
@@ -11,7 +11,9 @@
 //   - Extra repeats. A part is the extra divided by the largest number of workers that the pool had in the last window. A worker
 //     uses its part only after it has been known for a window. So all workers that use their parts within one window were in the
 //     pool together at its beginning, and each of them divides by at least their number.
-//   - A sidecar that starts again knows nothing of earlier repeats, and gets no part of the extra for one window either.
+//   - A sidecar that starts again knows nothing of earlier repeats, and gets no part of the extra for one window either. In a fleet
+//     that is started for the first time there are no earlier repeats: those who serve a worker from then on use their parts as
+//     soon as they know the others. A worker that is added later waits for a window, so that the parts add up to the extra.
 // The pool can get more repeats than its allowance in two cases only. Workers that the others no longer know, because they are cut
 // off from them for longer than a window, still use their parts: at most once the extra more, in all. And the calls of repeated
 // runs that began before a sidecar was started are not recognised: at most the slots of its workers times the calls of a run.
@@ -30,10 +32,16 @@
     repeat_counts counts; // figures behind the decision
 };
 
+// Whether repeats may have reached the worker before its sidecar has begun to count.
+enum class earlier_repeats {
+    possible, // the fleet was running
+    none,     // the sidecar has served the worker since the first start of the fleet
+};
+
 class repeat_budget
 {
 public:
-    explicit repeat_budget(state::time_point startedAt); // startedAt: time since which this sidecar has served the worker
+    explicit repeat_budget(state::time_point startedAt, earlier_repeats earlier = earlier_repeats::possible); // startedAt: since when it is served
 
     void recordWorkers(std::uint32_t poolWorkers, state::time_point now);                                   // number of workers in the pool, on each change
     void recordRequest(const state::retry_allowance &allowance, state::time_point now);                     // a request was first sent to this worker
@@ -55,6 +63,7 @@
     bool isWithin(const state::retry_allowance &allowance, double extra) const;
 
     state::time_point m_startedAt;
+    earlier_repeats m_earlier;
     std::chrono::milliseconds m_window{0};   // window that the buckets divide; 0 before the first use
     std::int64_t m_lastBucket = 0;           // number of the last bucket since the epoch of the clock
     std::array<bucket, Buckets> m_buckets{}; // in order of time
--- a/coordination/src/repeat_budget.cpp
+++ b/coordination/src/repeat_budget.cpp
@@ -8,6 +8,7 @@
 
 constexpr double AllowanceShare = 0.9; // part of an allowance that is used; the rest covers the time from the sending of a request to its arrival
 constexpr std::chrono::milliseconds SettlingTime{1000}; // time for a change of a pool's workers to reach all nodes
+constexpr std::chrono::seconds FirstStartTime{6};       // time in which a fleet that starts at once knows its workers
 
 // Weights of the windows whose requests may count, with the sum 1. Most weight is on the window itself, so that the budget follows
 // a rising load; the rest admits repeats at once when failures begin under a steady load.
@@ -17,8 +18,9 @@
 
 } // namespace
 
-repeat_budget::repeat_budget(state::time_point startedAt)
+repeat_budget::repeat_budget(state::time_point startedAt, earlier_repeats earlier)
     : m_startedAt(startedAt)
+    , m_earlier(earlier)
 { }
 
 void repeat_budget::recordWorkers(std::uint32_t poolWorkers, state::time_point now)
@@ -70,6 +72,7 @@
     if (window != m_window) {
         // The counts of other windows do not fit these buckets, so this worker counts as one that is served anew.
         m_startedAt = m_window.count() == 0 ? m_startedAt : now;
+        m_earlier = m_window.count() == 0 ? m_earlier : earlier_repeats::possible;
         m_window = window;
         m_lastBucket = current;
         m_buckets.fill({});
@@ -83,7 +86,8 @@
 
 double repeat_budget::extraPart(const state::retry_allowance &allowance, state::time_point now)
 {
-    if (now < m_startedAt + allowance.window + SettlingTime) {
+    const state::duration wait = m_earlier == earlier_repeats::none ? FirstStartTime : state::duration(allowance.window + SettlingTime);
+    if (now < m_startedAt + wait) {
         return 0.0;
     }
     const std::uint32_t workers = m_poolWorkers.since(now - allowance.window - SettlingTime);
--- a/coordination/tests/test_repeat_budget.cpp
+++ b/coordination/tests/test_repeat_budget.cpp
@@ -332,3 +332,30 @@
     workers.forgetBefore(Start + 12s);
     cr_assert(eq(u32, workers.since(Start + 12s), 4));
 }
+
+// A fleet starts for the first time, and its callers come some seconds later, when unhealthy workers are still unknown.
+Test(retry_allowance, the_extra_can_be_used_soon_after_the_first_start_of_a_fleet)
+{
+    constexpr std::uint32_t Workers = 20;
+    const auto repeatsOf = [](earlier_repeats earlier) {
+        std::size_t repeats = 0;
+        for (std::uint32_t i = 0; i < Workers; ++i) {
+            repeat_budget budget(Start, earlier);
+            budget.recordWorkers(Workers, Start);
+            while (budget.count(repeat_kind::retry, Allowance, Start + 8s).admitted) {
+                ++repeats;
+            }
+            while (budget.count(repeat_kind::retry, Allowance, Start + 17s).admitted) {
+                ++repeats;
+            }
+        }
+        return repeats;
+    };
+    cr_assert(repeatsOf(earlier_repeats::possible) <= Allowance.extraPerWindow);
+    const std::size_t repeats = repeatsOf(earlier_repeats::none);
+    cr_assert(repeats <= Allowance.extraPerWindow, "%zu repeats in one window", repeats);
+    cr_assert(repeats >= Allowance.extraPerWindow / 2, "%zu repeats", repeats);
+    repeat_budget early(Start, earlier_repeats::none);
+    early.recordWorkers(Workers, Start);
+    cr_assert(not(early.count(repeat_kind::retry, Allowance, Start + 3s).admitted), "the workers may not all be known yet");
+}
--- a/programs/dandelionstall/node.cpp
+++ b/programs/dandelionstall/node.cpp
@@ -87,6 +87,7 @@
              {{"listen", state::formatNodeAddress(m_settings.listenAddress)},
               {"callers", state::formatNodeAddress(m_settings.callersAddress)},
               {"data_centre", m_settings.dataCentre},
+              {"first_start", m_settings.firstStart ? "yes" : "no"},
               {"incarnation", std::to_string(m_incarnation)}});
     return absl::OkStatus();
 }
--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -20,6 +20,7 @@
 
 constexpr auto TickPeriod = std::chrono::milliseconds(100);
 constexpr auto PauseTolerance = std::chrono::milliseconds(500); // a tick later than this indicates a process pause
+constexpr auto FirstWorkersTime = std::chrono::seconds(5);      // after the first start of the fleet, time in which its workers announce themselves
 constexpr auto ProbePeriod = std::chrono::milliseconds(250);
 constexpr auto ExpiryPeriod = std::chrono::milliseconds(1000); // interval between removals of expired attempt records
 constexpr auto ProbeTimeout = std::chrono::milliseconds(1000);
@@ -83,7 +84,10 @@
     served_worker &entry = m_workers[worker.id];
     entry.settings = worker;
     entry.outcomeTracker = coordination::makeWorkerOutcomeTracker();
-    entry.repeatBudget = std::make_unique<coordination::repeat_budget>(state::clock::now());
+    const state::time_point now = state::clock::now();
+    const bool sinceFirstStart = m_settings.firstStart && now < m_startedAt + FirstWorkersTime;
+    entry.repeatBudget
+        = std::make_unique<coordination::repeat_budget>(now, sinceFirstStart ? coordination::earlier_repeats::none : coordination::earlier_repeats::possible);
     entry.client = std::make_unique<transport::worker_client>(worker.address, m_settings.headers);
     entry.guardName = "off";
     entry.guard = *coordination::makeFailureGuard(entry.guardName);
--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar.h
@@ -172,6 +172,7 @@
     report_sink m_reportSink;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_tickTimer;
+    state::time_point m_startedAt = state::clock::now();
     state::time_point m_nextTickAt;
     state::time_point m_nextProbeAt;
     state::time_point m_nextExpiryAt;
--- a/state/include/dandelionstall/state/settings.h
+++ b/state/include/dandelionstall/state/settings.h
@@ -51,6 +51,7 @@
     std::string readyPath = "/ready";       // path of the readiness endpoint
     std::string localPool;                  // pool of the service on this VM; sent to workers as the origin of its requests
     std::uint32_t ingressThreads = 1;       // number of threads that serve callers, 1..16
+    bool firstStart = false;                // the whole fleet is started for the first time: no node has served any worker before
     std::chrono::milliseconds stopGrace{0}; // longest duration of a graceful stop; 0 waits until all requests have ended
 
     // [platform]
--- a/state/src/settings.cpp
+++ b/state/src/settings.cpp
@@ -54,6 +54,7 @@
     reader.readName("own_pool", target.localPool);
     reader.readDuration("stop_grace", target.stopGrace, milliseconds(0), MaxCallerTimeout);
     reader.readCount("ingress_threads", target.ingressThreads, 1, MaxIngressThreads);
+    reader.readFlag("first_start", target.firstStart);
     if (!reader.readAddress("advertise", target.advertiseAddress)) {
         target.advertiseAddress = target.listenAddress;
     }
