--- a/protocol/tests/test_gossip_codec.cpp
+++ b/protocol/tests/test_gossip_codec.cpp
@@ -6,6 +6,8 @@
 #include <fmt/format.h>
 #include <rapidcheck.h>
 
+#include <limits>
+
 using namespace dandelionstall;
 using namespace dandelionstall::coordination;
 using namespace dandelionstall::protocol;
@@ -62,16 +64,25 @@
     gossip_message chunk = sample();
     chunk.updates.clear();
     chunk.workers.clear();
+    chunk.workersBuckets.reset(); // carried by a worker_pull only
     chunk.config->bytes = std::string(ConfigChunkBytes, 'x');
     cr_assert(encodeGossip(chunk).size() <= MaxDatagramBytes);
     gossip_message page = sample();
     page.workers.clear();
     page.config.reset();
+    page.workersBuckets.reset();
     page.updates.clear();
     for (std::size_t i = 0; i < MaxMemberPageRows; ++i) {
         page.updates.push_back({{fmt::format("10.1.2.{}", i + 1), 7400}, "sul-curitiba", 1'796'329'876'543, 1, member_state::alive, true});
     }
     cr_assert(encodeGossip(page).size() <= MaxDatagramBytes);
+    gossip_message pull = sample();
+    pull.config.reset();
+    pull.updates.clear();
+    pull.workers.clear();
+    pull.workersBuckets->fill(std::numeric_limits<std::uint32_t>::max());
+    pull.workersCursor = std::string(64, 'i');
+    cr_assert(encodeGossip(pull).size() <= MaxDatagramBytes);
 }
 
 Test(gossip_codec, decodes_or_refuses_any_bytes)
