--- a/bench/bench_pool_size.cpp
+++ b/bench/bench_pool_size.cpp
@@ -131,6 +131,7 @@
     node.start({}, now);
     node.offerFromService(table_kind::pools, fmt::format("[table]\nrevision = 1\n[pool.{}]\nslots = 4\ndiscovered = yes\n", pool.name), now);
     std::vector<discovered_worker> entries;
+    entries.reserve(workers);
     for (std::size_t i = 0; i < workers; ++i) {
         entries.push_back(makeEntry(pool, i, i + 1, worker_phase::ready));
     }
