--- a/coordination/include/dandelionstall/coordination/worker_dissemination.h
+++ b/coordination/include/dandelionstall/coordination/worker_dissemination.h
@@ -16,6 +16,8 @@
 #include <dandelionstall/coordination/gossip.h>
 #include <dandelionstall/coordination/worker_directory.h>
 
+#include <optional>
+
 namespace dandelionstall::coordination {
 
 // Where changes of the directory come from.
--- a/programs/dandelionstall/control_gossip.cpp
+++ b/programs/dandelionstall/control_gossip.cpp
@@ -133,8 +133,9 @@
 void control::detail::logWorkerStateChanges(state::time_point now)
 {
     for (const coordination::worker_explanation &worker : m_tracker.consumeStateChanges(now)) {
-        if (worker.state == coordination::worker_state::healthy && now < m_firstContactsUntil) {
-            continue; // its first report
+        const bool isFirstReport = worker.state == coordination::worker_state::healthy && worker.recentEjections == 0;
+        if (isFirstReport && now < m_firstContactsUntil) {
+            continue;
         }
         logEvent(event::worker_judged,
                  {{"worker", worker.worker},
