Test of first_start fails without it now

Cause: the test took the repeats of 8 s and of 17 s together, and a sidecar that waits for a window may use its part by then: with the wait of a restart put in for the first start it passed. Change: both are also checked at 8 s. With that wait put in, the check fails; without, it passes.

--- a/coordination/tests/test_repeat_budget.cpp
+++ b/coordination/tests/test_repeat_budget.cpp
@@ -355,6 +355,12 @@
     const std::size_t repeats = repeatsOf(earlier_repeats::none);
     cr_assert(repeats <= Allowance.extraPerWindow, "%zu repeats in one window", repeats);
     cr_assert(repeats >= Allowance.extraPerWindow / 2, "%zu repeats", repeats);
+    repeat_budget first(Start, earlier_repeats::none);
+    first.recordWorkers(Workers, Start);
+    cr_assert(first.count(repeat_kind::retry, Allowance, Start + 8s).admitted, "callers have just come");
+    repeat_budget restarted(Start, earlier_repeats::possible);
+    restarted.recordWorkers(Workers, Start);
+    cr_assert(not(restarted.count(repeat_kind::retry, Allowance, Start + 8s).admitted), "nothing is known of the window before its start");
     repeat_budget early(Start, earlier_repeats::none);
     early.recordWorkers(Workers, Start);
     cr_assert(not(early.count(repeat_kind::retry, Allowance, Start + 3s).admitted), "the workers may not all be known yet");
