Collect what a reader has read as its own change at once

What callers saw: nothing yet; a sidecar that does not know that its worker leaves lets work through until gossip reaches it.

Cause: a reader tells the worker's own node and five others of a change that it has read, three others of a change that it has heard. Which of the two a change is was decided at the next tick or with the next message of another node, whichever came first. A node gets some ten messages a second and ticks every 50 ms, so that many reads counted as heard.

Evidence: gossip_at_size::the_node_of_a_worker_knows_of_a_change_at_once failed once a fleet sent more messages.

Why it works: the change is collected when it is read, before any message can make it look like another node's.

--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -141,12 +141,14 @@
 void gossip_node::offerWorker(const discovered_worker &entry, state::time_point now)
 {
     m_directory.offer(entry, now);
+    m_workerDissemination.collectChanges(change_source::service, now); // before a message of another node makes them look like its own
 }
 
 void gossip_node::replaceWorkers(const std::vector<discovered_worker> &entries, store_revision asOf, state::time_point now)
 {
     m_listRead = true;
     m_directory.replaceAll(entries, asOf, now);
+    m_workerDissemination.collectChanges(change_source::service, now);
     refreshPools();
     refreshMembers(now);
 }
@@ -154,6 +156,7 @@
 void gossip_node::offerWorkerRemoval(std::string_view id, store_revision revision, state::time_point now)
 {
     m_directory.offerRemoval(id, revision, now);
+    m_workerDissemination.collectChanges(change_source::service, now);
 }
 
 void gossip_node::learnStoreEra(std::uint64_t era)
--- a/coordination/tests/test_gossip_at_size.cpp
+++ b/coordination/tests/test_gossip_at_size.cpp
@@ -184,6 +184,26 @@
     }
 }
 
+// Guards against changes read from the service that are passed on like those of other nodes, to fewer nodes and not to the worker's own,
+// since a message of another node arrived between the read and the next tick.
+Test(gossip_at_size, the_node_of_a_worker_is_told_of_a_change_whatever_arrives_meanwhile)
+{
+    const state::time_point start{1000s};
+    gossip_node node({gossip_simulation::addressOf(0), "dc-0", 1}, Seed);
+    node.start({}, start);
+    node.tick(start);
+    gossip_message other;
+    other.sender = {gossip_simulation::addressOf(1), "dc-0", 1, 0, false};
+    node.receive(other, start);
+    node.offerWorker(entryOf(5, 7, worker_phase::leaving), start + 10ms);
+    node.receive(other, start + 20ms);
+    const gossip_batch sent = node.tick(start + 50ms);
+    const auto isToldOwnNode = [](const outgoing_gossip &out) {
+        return out.to == gossip_simulation::addressOf(5) && !out.message.workers.empty();
+    };
+    cr_assert(std::any_of(sent.begin(), sent.end(), isToldOwnNode));
+}
+
 // A merge takes time for each worker: while workers are replaced one after the other, the time for all merges must not grow with the pool.
 Test(gossip_at_size, changes_of_workers_that_follow_each_other_are_merged_together)
 {
