Find another reader within a second when the store turns the readers away

Cause: a reader was replaced after 30 s without a known read, a time taken from blocking queries. Its failing calls were known to itself only, and ages of reads travelled in whole seconds.

Evidence: reader_changed on two nodes at the start and never again; watch_failed with status 503 on these two as they were turned away; all six nodes log config_accepted within 28 ms, 25 ms after the readers were served again. So neither gossip nor the nodes were late.

Why it works: reads succeed at most 1 s apart while the store works. The readers, the two nodes next in order, which are told of each read, and after some more time all others end a window of readers without reads; eight nodes, then four times as many every 350 ms, make one cheap call each, and the first that is served reads from then on. During an outage each node calls once in a search, one search in over 2 s.

Related paths: frozen, cut off one way, mute and refused readers together, a node cut off from its peers, a data centre that is turned away, a node that starts meanwhile, workers' entries and eras, total outages: tests. The Consul-like source had the same hand-over; it waits 2.5 s now, and its queries block for 2 s, not 15.

Tests changed: rounds are windows now. reader_choice's three tests have successors with the same checks (bounded readers under differing views, equal numbers of readers, windows that end without reads and stay with them) and more. the_number_of_readers_is_bounded_... and few_nodes_select_themselves_... let the service answer, and count nodes that probe as readers; without reads, where the number of readers was bounded, the number of tries is, since a search is wide by design.

Gossip: read_age_s is replaced by read_age_ms, with reader_first and reader_width.

--- a/coordination/include/dandelionstall/coordination/gossip.h
+++ b/coordination/include/dandelionstall/coordination/gossip.h
@@ -7,6 +7,7 @@
 #include <dandelionstall/coordination/config_store.h>
 #include <dandelionstall/coordination/member.h>
 #include <dandelionstall/coordination/pool_view.h>
+#include <dandelionstall/coordination/reader_choice.h>
 #include <dandelionstall/coordination/worker_directory.h>
 
 #include <array>
@@ -67,8 +68,8 @@
     std::uint64_t sequence = 0;                       // matches a ping with its ack
     gossip_sender sender;                             // node that sent this datagram
     std::array<table_hint, TableKinds.size()> tables; // highest valid versions that the sender knows
-    std::uint32_t readerRound = 0;                    // round of reader selection in the sender's data centre; see reader_choice.h
-    std::chrono::seconds serviceReadAge{0};           // time since a node of the sender's data centre last read the service, as far as the sender knows
+    reader_window readers;                            // which nodes of the sender's data centre read the service; see reader_choice.h
+    std::chrono::milliseconds serviceReadAge{0};      // time since a node of the sender's data centre last read the service, as far as the sender knows
     std::optional<std::chrono::milliseconds> receiverContactAge; // time since the sender last received directly from the receiver; empty when not recent
     std::optional<state::node_address> subject;                  // third node of relay, relayed_ack and relayed pings; cursor of member_pull
     std::vector<member> updates;                                 // member records that have changed, or the rows of a member_page
--- a/coordination/include/dandelionstall/coordination/gossip_node.h
+++ b/coordination/include/dandelionstall/coordination/gossip_node.h
@@ -7,7 +7,7 @@
 //   node.start(settings.seeds, now);
 //   send(node.tick(now));                  // every TickInterval
 //   send(node.receive(message, now));
-//   if (node.isServiceReader(now)) ...     // keep watches of the platform's service open
+//   if (node.serviceRole(now) == reader_role::reading) ... // keep watches of the platform's service open
 #pragma once
 
 #include <dandelionstall/coordination/config_dissemination.h>
@@ -42,9 +42,13 @@
     void replaceWorkers(const std::vector<discovered_worker> &entries, store_revision asOf, state::time_point now); // complete list read from the service
     void offerWorkerRemoval(std::string_view id, store_revision revision, state::time_point now);                   // removal reported by the service
     void learnStoreEra(std::uint64_t era);                                                                          // era named by the service
-    void recordServiceReadFailure(state::time_point now);   // a call to the platform's service has failed
-    void recordServiceRead(state::time_point now);          // a call to the platform's service has succeeded
-    bool isServiceReader(state::time_point now) const;      // true when this node reads the service for its data centre now
+    void recordServiceReadFailure(state::time_point now);  // a call to the platform's service has failed
+    void recordServiceRead(state::time_point now);         // a call to the platform's service has succeeded
+    reader_role serviceRole(state::time_point now) const;  // whether this node reads the service for its data centre now
+    bool isServiceReader(state::time_point now) const;     // true when its role is to read
+    void setServiceReadGap(std::chrono::milliseconds gap); // longest time between two successful calls of a reader while the service works
+    const reader_choice &readers() const;
+    bool consumeSearchStarted();                            // see reader_choice.h
     bool isServiceReadAllowed(state::time_point now) const; // false while this node still waits for tables from its peers after the start
 
     membership &members();
@@ -70,7 +74,8 @@
     void refreshReceivers(const state::pool &pool);
     void refreshMembers(state::time_point now);
     void pushWorkers(state::time_point now, gossip_batch &out);
-    void refreshReader(state::time_point now);
+    void refreshReaders(state::time_point now);
+    void pushReaders(state::time_point now, gossip_batch &out);
     void requestTablesFromPeers(state::time_point now, gossip_batch &out);
     void sendRegularReport(state::time_point now, gossip_batch &out);
     void attachReports(outgoing_gossip &out);
@@ -93,10 +98,12 @@
     std::uint64_t m_memberListDirectoryVersion = 0;         // version of the worker directory that the list of members reflects
     std::uint64_t m_mergedDirectoryVersion = 0;             // version of the worker directory that m_mergedPools reflects
     std::size_t m_nextReportIndex = 0;
-    std::uint64_t m_readerVersion = 0; // membership version for which m_isReader was computed, plus 1; 0 when never computed
-    std::uint32_t m_readerRound = 0;   // reader round for which m_isReader was computed
-    bool m_readerWhileJoining = false; // m_isReader was computed before m_joinedAt
-    bool m_isReader = false;
+    std::uint64_t m_readersVersion = 0;  // membership version that the choice of readers reflects, plus 1; 0 when none
+    bool m_readersWhileJoining = false;  // the choice counts members without contact
+    bool m_readersWhileIsolated = false; // the choice counts this node only
+    reader_window m_pushedReaders;       // the readers as last pushed to other nodes
+    bool m_readPushDue = false;          // this node has read the service since the last push of that
+    state::time_point m_nextReadPush;
     bool m_hasPeers = false;
     bool m_listRead = false;                       // the VMs or the workers have been listed at least once, by the service or by peers
     state::time_point m_peerTransferDeadline;      // no service reads before this time while tables are missing and a peer has named a revision
--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -14,6 +14,10 @@
 constexpr std::size_t TableRequestPeers = 3;
 constexpr std::chrono::seconds JoinTime{5}; // after the start, time for contact with the members that are running
 
+constexpr std::chrono::milliseconds ReadPushInterval{300}; // between two pushes of the reads of this node; shorter than the time between two reads
+constexpr std::size_t ReaderPushes = 3;                    // nodes of the data centre to which a change of the readers is passed on
+constexpr std::chrono::seconds EntryLapseTime{3};          // without reads for longer, entries of workers may have lapsed although these run
+
 constexpr std::size_t ConfigLocalPushes = 3;
 constexpr std::size_t ConfigRemotePushes = 2;
 constexpr std::size_t WorkerLocalRelays = 2;  // nodes of the data centre to which a change of a worker is passed on
@@ -32,6 +36,7 @@
     : m_configDissemination(m_store, seed ^ DisseminationSalt)
     , m_workerDissemination(m_directory)
     , m_members(identity, seed)
+    , m_readers(identity.address)
     , m_random(seed ^ ReportSalt)
 { }
 
@@ -50,7 +55,13 @@
 gossip_batch gossip_node::tick(state::time_point now)
 {
     gossip_batch out = m_members.tick(now);
-    m_readers.tick(now);
+    refreshReaders(now);
+    if (isServiceReadAllowed(now)) {
+        m_readers.tick(now);
+    } else {
+        m_readers.start(now); // nobody reads yet
+    }
+    pushReaders(now, out);
     std::ranges::move(m_configDissemination.tick(now), std::back_inserter(out));
     if (m_configDissemination.hasPendingPush()) {
         std::ranges::move(m_configDissemination.push(m_members.samplePeers(ConfigLocalPushes, ConfigRemotePushes)), std::back_inserter(out));
@@ -59,7 +70,6 @@
     pushWorkers(now, out);
     requestTablesFromPeers(now, out);
     applyWorkerChanges(now);
-    refreshReader(now);
     sendRegularReport(now, out);
     return fillCommonFields(std::move(out), now);
 }
@@ -78,7 +88,8 @@
     std::ranges::move(m_workerDissemination.receive(message, now), std::back_inserter(out));
     followTable();
     if (message.sender.dataCentre == m_members.self().dataCentre) {
-        m_readers.recordPeerState(message.readerRound, message.serviceReadAge, now);
+        m_readers.recordPeerState(message.readers, message.serviceReadAge, now);
+        pushReaders(now, out);
     }
     m_tableHints[message.sender.address] = message.tables;
     m_peerReports.insert(m_peerReports.end(), message.reports.begin(), message.reports.end());
@@ -93,11 +104,11 @@
 gossip_batch gossip_node::fillCommonFields(gossip_batch batch, state::time_point now)
 {
     const auto hints = m_configDissemination.tableHints();
-    const std::chrono::seconds serviceReadAge = m_readers.serviceReadAge(now);
+    const std::chrono::milliseconds serviceReadAge = m_readers.serviceReadAge(now);
     for (outgoing_gossip &out : batch) {
         out.message.sender = m_members.self();
         out.message.tables = hints;
-        out.message.readerRound = m_readers.round();
+        out.message.readers = m_readers.window();
         out.message.serviceReadAge = serviceReadAge;
         out.message.workersDigest = m_directory.digest();
         out.message.storeEra = m_directory.era();
@@ -237,9 +248,16 @@
     m_members.markLeavingVms(vms, now);
 }
 
+// ---- Reads of the service ----
+
 void gossip_node::recordServiceRead(state::time_point now)
 {
+    const std::chrono::milliseconds unreadFor = m_readers.serviceReadAge(now);
+    if (unreadFor > EntryLapseTime && unreadFor < MaxReadAge) {
+        m_directory.recordServiceFailure(now); // an outage that other nodes have seen
+    }
     m_readers.recordRead(now);
+    m_readPushDue = m_readPushDue || m_readers.role() == reader_role::reading;
     m_directory.recordServiceRecovery(now);
 }
 
@@ -250,25 +268,72 @@
     return complete || isAlone || now >= (m_configDissemination.receivedPeerRevision() ? m_peerTransferDeadline : m_unresponsivePeersDeadline);
 }
 
+reader_role gossip_node::serviceRole(state::time_point now) const
+{
+    return isServiceReadAllowed(now) ? m_readers.role() : reader_role::none;
+}
+
 bool gossip_node::isServiceReader(state::time_point now) const
 {
-    return m_isReader && isServiceReadAllowed(now);
+    return serviceRole(now) == reader_role::reading;
+}
+
+void gossip_node::setServiceReadGap(std::chrono::milliseconds gap)
+{
+    m_readers.setReadGap(gap);
+}
+
+const reader_choice &gossip_node::readers() const
+{
+    return m_readers;
+}
+
+bool gossip_node::consumeSearchStarted()
+{
+    return m_readers.consumeSearchStarted();
 }
 
 // A node that has just started has had no contact with most members. It counts the listed ones as well, or it would select itself
-// until then, as all nodes of a fleet that starts at once would.
-void gossip_node::refreshReader(state::time_point now)
+// until then, as all nodes of a fleet that starts at once would. A node that reaches no other one reads for itself.
+void gossip_node::refreshReaders(state::time_point now)
 {
     const bool joining = now < m_joinedAt;
-    if (joining == m_readerWhileJoining && m_readerVersion == m_members.version() + 1 && m_readerRound == m_readers.round()) {
+    const bool isolated = m_members.isIsolated(now);
+    if (joining == m_readersWhileJoining && isolated == m_readersWhileIsolated && m_readersVersion == m_members.version() + 1) {
         return;
     }
+    m_readersWhileJoining = joining;
+    m_readersWhileIsolated = isolated;
+    m_readersVersion = m_members.version() + 1; // plus 1, because 0 means that there was no choice yet
     const gossip_sender &self = m_members.self();
-    const std::vector<state::node_address> nodes = joining ? m_members.expectedNodes(self.dataCentre) : m_members.availableNodes(self.dataCentre);
-    m_isReader = isReader(self.address, nodes, m_readers.round());
-    m_readerWhileJoining = joining;
-    m_readerVersion = m_members.version() + 1; // plus 1, because 0 means never computed
-    m_readerRound = m_readers.round();
+    if (isolated) {
+        m_readers.setMembers({self.address});
+        return;
+    }
+    m_readers.setMembers(joining ? m_members.expectedNodes(self.dataCentre) : m_members.availableNodes(self.dataCentre));
+}
+
+// Pushes a change of the readers, which each node passes on to a few others, and the reads of this node to those who would replace it.
+void gossip_node::pushReaders(state::time_point now, gossip_batch &out)
+{
+    std::vector<state::node_address> receivers;
+    if (m_pushedReaders != m_readers.window()) {
+        m_pushedReaders = m_readers.window();
+        receivers = m_members.samplePeers(ReaderPushes, 0);
+        if (m_readers.window().width <= FirstSearchWidth) {
+            std::ranges::move(m_readers.nextInOrder(), std::back_inserter(receivers));
+        }
+    } else if (m_readPushDue && m_nextReadPush <= now) {
+        m_readPushDue = false;
+        m_nextReadPush = now + ReadPushInterval;
+        receivers = m_readers.nextInOrder();
+    }
+    std::ranges::sort(receivers);
+    const auto repeated = std::ranges::unique(receivers);
+    receivers.erase(repeated.begin(), repeated.end());
+    for (const state::node_address &receiver : receivers) {
+        out.push_back({receiver, {}});
+    }
 }
 
 // ---- Views ----
--- a/programs/dandelionstall/consul_source.cpp
+++ b/programs/dandelionstall/consul_source.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::chrono::seconds PartDeadline{5};           // deadline for reading one part of a split table
+constexpr std::chrono::milliseconds AnswerTime{500};      // longest time from a query to its answer, beside its wait, while the service works
 constexpr std::size_t LongListBytes = 32'768;             // a VM list above this size is read completely only at FullListInterval
 constexpr std::chrono::minutes FullListInterval{10};      // interval between two complete reads of a long list
 constexpr std::chrono::milliseconds VmListInterval{1000}; // minimum interval between two reads of the VM list
@@ -41,11 +42,17 @@
     m_vmWatch.start([this](transport::platform_answer answer) { return handleVmList(std::move(answer.body)); });
 }
 
-void consul_source::setActive(bool tables, bool vmList)
+void consul_source::setRole(coordination::reader_role role, bool needsVmList)
 {
-    m_routesWatch.setActive(tables);
-    m_poolsWatch.setActive(tables);
-    m_vmWatch.setActive(vmList);
+    const bool reads = role != coordination::reader_role::none;
+    m_routesWatch.setActive(reads);
+    m_poolsWatch.setActive(reads);
+    m_vmWatch.setActive(reads || needsVmList);
+}
+
+std::chrono::milliseconds consul_source::readGap() const
+{
+    return QueryWait + AnswerTime;
 }
 
 platform_watch::answer_handler consul_source::tableHandler(table_kind kind)
--- a/programs/dandelionstall/consul_source.h
+++ b/programs/dandelionstall/consul_source.h
@@ -24,7 +24,8 @@
         boost::asio::io_context &io, const state::settings &settings, transport::metrics &metrics, transport::source_events events, std::uint64_t seed);
 
     void start() override;
-    void setActive(bool tables, bool vmList) override; // selects which watches are active; inactive watches make no calls
+    void setRole(coordination::reader_role role, bool needsVmList) override; // selects which watches are active; inactive watches make no calls
+    std::chrono::milliseconds readGap() const override;
 
 private:
     platform_watch::answer_handler tableHandler(coordination::table_kind kind);
--- a/programs/dandelionstall/control.cpp
+++ b/programs/dandelionstall/control.cpp
@@ -121,7 +121,8 @@
     if (!m_settings.discoveredWorkerPool.empty()) {
         m_tracker.addLocalPool(m_settings.discoveredWorkerPool);
     }
-    m_configSource->setActive(false, true);
+    m_gossipNode.setServiceReadGap(m_configSource->readGap());
+    m_configSource->setRole(coordination::reader_role::none, true);
     m_configSource->start();
     tick();
 }
@@ -189,7 +190,7 @@
     result.dataCentre = m_settings.dataCentre;
     result.leaving = m_gossipNode.members().isLeaving();
     result.selfSuspected = m_selfSuspected;
-    result.reader = m_isReader;
+    result.reader = m_readerRole == coordination::reader_role::reading;
     result.routes = describeTable(table_kind::routes);
     result.pools = describeTable(table_kind::pools);
     for (member &known : m_gossipNode.members().members()) {
--- a/programs/dandelionstall/control_detail.h
+++ b/programs/dandelionstall/control_detail.h
@@ -79,7 +79,7 @@
     state::time_point m_firstContactsUntil; // members and healthy workers that are found before are not logged one by one; the totals count the members
     state::time_point m_nextTotalsAt;       // epoch before the first tick
     control_totals m_totals;
-    bool m_isReader = false;
+    coordination::reader_role m_readerRole = coordination::reader_role::none;
     bool m_selfSuspected = false;
     bool m_vmListRead = false;
     bool m_workersRead = false;    // the complete list of workers was read at least once
--- a/programs/dandelionstall/control_gossip.cpp
+++ b/programs/dandelionstall/control_gossip.cpp
@@ -15,6 +15,7 @@
 using coordination::member_state;
 using coordination::node_condition;
 using coordination::path_event;
+using coordination::reader_role;
 using coordination::table_kind;
 using transport::event;
 using transport::logEvent;
@@ -344,12 +345,23 @@
 
 void control::detail::updateReaderRole(state::time_point now)
 {
-    const bool reader = m_gossipNode.isServiceReader(now);
-    if (std::exchange(m_isReader, reader) != reader) {
-        logEvent(event::reader_changed, {{"reader", reader ? "yes" : "no"}});
-        m_metrics.setGauge("service_reader", reader ? 1 : 0);
+    const reader_role role = m_gossipNode.serviceRole(now);
+    const coordination::reader_choice &readers = m_gossipNode.readers();
+    if (std::exchange(m_readerRole, role) != role) {
+        logEvent(event::reader_changed,
+                 {{"reader", role == reader_role::reading ? "yes" : "no"},
+                  {"role", std::string(coordination::roleName(role))},
+                  {"round", fmt::to_string(readers.window().round)},
+                  {"width", fmt::to_string(readers.window().width)},
+                  {"read_age_ms", fmt::to_string(readers.serviceReadAge(now).count())}});
+        m_metrics.setGauge("service_reader", role == reader_role::reading ? 1 : 0);
     }
-    m_configSource->setActive(reader, reader || !(m_vmListRead || m_workersRead));
+    if (m_gossipNode.consumeSearchStarted()) {
+        m_metrics.incrementCounter("reader_searches");
+        logEvent(event::reader_search_started,
+                 {{"round", fmt::to_string(readers.window().round)}, {"read_age_ms", fmt::to_string(readers.serviceReadAge(now).count())}});
+    }
+    m_configSource->setRole(role, !(m_vmListRead || m_workersRead));
 }
 
 } // namespace dandelionstall
--- a/programs/dandelionstall/key_value_source.cpp
+++ b/programs/dandelionstall/key_value_source.cpp
@@ -13,6 +13,7 @@
 namespace dandelionstall {
 
 namespace asio = boost::asio;
+using coordination::reader_role;
 using coordination::table_kind;
 using protocol::read_freshness;
 using transport::event;
@@ -20,10 +21,13 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds ReadDeadline{1500};  // deadline for reading one page
-constexpr std::chrono::milliseconds WatchWait{2000};     // maximum time that the store blocks a watch without changes
+constexpr std::chrono::milliseconds ReadDeadline{1500}; // deadline for reading one page
+constexpr std::chrono::milliseconds ProbeDeadline{1000};
+constexpr std::chrono::milliseconds ProbeInterval{1000}; // between two probes while this node has no other role
+constexpr std::chrono::milliseconds WatchWait{300};      // maximum time that the store blocks a watch without changes
 constexpr std::chrono::milliseconds WatchGrace{800};     // added to the wait to form the deadline of a watch
 constexpr std::chrono::milliseconds WatchInterval{500};  // minimum interval between the starts of two watches
+constexpr std::chrono::milliseconds AnswerTime{200};     // longest time from a call to its answer, beside the wait of a watch, while the store works
 constexpr std::chrono::milliseconds InitialBackoff{100}; // base of the exponential backoff
 constexpr std::chrono::milliseconds MaxBackoff{1000};
 constexpr std::uint32_t MaxDoublings = 4;
@@ -51,27 +55,39 @@
     asio::co_spawn(m_timer.get_executor(), run(), asio::detached);
 }
 
-void key_value_source::setActive(bool tables, bool workers)
+void key_value_source::setRole(reader_role role, bool needsWorkers)
 {
-    const bool wasIdle = !m_isReader && !m_needsWorkers;
-    m_isReader = tables;
-    m_needsWorkers = workers;
-    if (wasIdle && (m_isReader || m_needsWorkers)) {
+    const bool changed = m_role != role || (needsWorkers && !m_needsWorkers);
+    m_role = role;
+    m_needsWorkers = needsWorkers;
+    if (changed) {
         m_timer.cancel();
     }
 }
 
+std::chrono::milliseconds key_value_source::readGap() const
+{
+    return WatchInterval + WatchWait + AnswerTime;
+}
+
 // [SECTION] Read and watch loop
 
 asio::awaitable<void> key_value_source::run()
 {
     while (true) {
-        if (!m_isReader && !m_needsWorkers) {
-            m_synced = false; // changes during this time are received from other nodes; reactivation reads all items again
+        const state::time_point startedAt = state::clock::now();
+        if (m_role != reader_role::reading) {
+            m_synced = false; // changes during this time are received from other nodes; a reader reads all items again
+        }
+        if (m_role == reader_role::none && !m_needsWorkers) {
             co_await pauseUntil(state::time_point::max());
             continue;
         }
-        const state::time_point startedAt = state::clock::now();
+        if (m_role == reader_role::probing && !m_needsWorkers) {
+            co_await probe();
+            co_await pauseUntil(startedAt + ProbeInterval);
+            continue;
+        }
         const bool done = m_synced ? co_await watchOnce() : co_await readAll();
         co_await pauseUntil(done ? startedAt + WatchInterval : state::clock::now() + nextBackoff());
     }
@@ -85,9 +101,16 @@
     }
 }
 
+asio::awaitable<bool> key_value_source::probe()
+{
+    const std::string prefix = m_dialect->configPrefix();
+    const auto answer = co_await call(m_dialect->rangeTarget(prefix, prefix, read_freshness::recent), state::clock::now() + ProbeDeadline);
+    co_return answer.ok();
+}
+
 asio::awaitable<bool> key_value_source::readAll()
 {
-    const read_freshness freshness = m_isReader ? read_freshness::latest : read_freshness::recent;
+    const read_freshness freshness = m_role == reader_role::reading ? read_freshness::latest : read_freshness::recent;
     std::uint64_t asOf = 0;
     const absl::StatusOr<std::vector<protocol::store_item>> workers = co_await readRange(m_dialect->workerPrefix(), freshness, asOf);
     const std::uint64_t era = m_era;
--- a/programs/dandelionstall/key_value_source.h
+++ b/programs/dandelionstall/key_value_source.h
@@ -2,10 +2,11 @@
 // decodes the answers.
 //
 // All items are read once; afterwards one watch reports all changes. A node that is no reader reads them at its start only, to find
-// its peers: it hears from them what has changed since, so that it takes the cheap answer, which may be some seconds old. If the store has compacted the
-// history that the watch needs, all items are read again. The call rate is bounded: watches start at a minimum interval even if each returns immediately. When
-// the store comes back from an older copy (a higher era), all items are read again as well, and answers of the earlier era are dropped. An item that cannot be
-// decoded is ignored; it is reported when it first fails and when its reason changes.
+// its peers: it hears from them what has changed since, so that it takes the cheap answer, which may be some seconds old. A node that
+// is probing asks for an empty range, as cheaply. If the store has compacted the history that the watch needs, all items are read
+// again. The call rate is bounded: watches start at a minimum interval even if each returns immediately. When the store comes back
+// from an older copy (a higher era), all items are read again as well, and answers of the earlier era are dropped. An item that
+// cannot be decoded is ignored; it is reported when it first fails and when its reason changes.
 #pragma once
 
 #include <dandelionstall/protocol/keyed_store.h>
@@ -34,17 +35,19 @@
                      std::uint64_t seed);
 
     void start() override;
-    void setActive(bool tables, bool workers) override;
+    void setRole(coordination::reader_role role, bool needsWorkers) override;
+    std::chrono::milliseconds readGap() const override;
 
 private:
     boost::asio::awaitable<void> run();
+    boost::asio::awaitable<bool> probe();     // false when the call failed
     boost::asio::awaitable<bool> readAll();   // false when a call failed
     boost::asio::awaitable<bool> watchOnce(); // false when a call failed
     boost::asio::awaitable<absl::StatusOr<std::vector<protocol::store_item>>>
     readRange(std::string prefix, protocol::read_freshness freshness, std::uint64_t &asOf);
     boost::asio::awaitable<absl::StatusOr<transport::platform_answer>> call(std::string target, state::time_point deadline);
-    boost::asio::awaitable<void> pauseUntil(state::time_point until);
-    bool followEra(const transport::platform_answer &answer); // false for an answer of an earlier era, or without one
+    boost::asio::awaitable<void> pauseUntil(state::time_point until); // or until the role changes
+    bool followEra(const transport::platform_answer &answer);         // false for an answer of an earlier era, or without one
     void handleConfig(const protocol::store_item &item);
     void handleWorkers(const std::vector<protocol::store_item> &items, std::uint64_t asOf);
     void handleChange(const protocol::store_item &item);
@@ -58,14 +61,14 @@
     transport::source_events m_events;
     boost::asio::steady_timer m_timer;
     pcg32 m_random;
-    std::map<std::string, std::string> m_lastRefusals; // key of an item that could not be decoded -> last reported reason
-    std::uint64_t m_revision = 0;                      // all changes up to this revision have been applied
-    coordination::store_revision m_configRevision;     // revision of the last configuration item that was processed
-    std::uint64_t m_era = 0;                           // era of the store in its answers; 0 when it names none
-    std::uint32_t m_failures = 0;                      // consecutive calls without a usable answer
-    bool m_isReader = false;                           // this node reads the store on behalf of other nodes
-    bool m_needsWorkers = true;                        // this node reads the list of workers from the store
-    bool m_synced = false;                             // all items up to m_revision have been read; false requires a full read
+    std::map<std::string, std::string> m_lastRefusals;                  // key of an item that could not be decoded -> last reported reason
+    std::uint64_t m_revision = 0;                                       // all changes up to this revision have been applied
+    coordination::store_revision m_configRevision;                      // revision of the last configuration item that was processed
+    std::uint64_t m_era = 0;                                            // era of the store in its answers; 0 when it names none
+    std::uint32_t m_failures = 0;                                       // consecutive calls without a usable answer
+    coordination::reader_role m_role = coordination::reader_role::none; // whether this node reads the store on behalf of other nodes
+    bool m_needsWorkers = true;                                         // this node reads the list of workers from the store
+    bool m_synced = false;                                              // all items up to m_revision have been read; false requires a full read
 };
 
 } // namespace dandelionstall
--- a/programs/dandelionstall/platform_watch.cpp
+++ b/programs/dandelionstall/platform_watch.cpp
@@ -14,7 +14,6 @@
 
 namespace {
 
-constexpr std::chrono::seconds MaxWait{15};              // maximum time that the service blocks a query
 constexpr std::chrono::seconds AnswerGrace{4};           // added to the wait to form the deadline of a call
 constexpr std::chrono::milliseconds InitialBackoff{200}; // base of the exponential backoff
 constexpr std::chrono::milliseconds MaxBackoff{5'000};
@@ -67,9 +66,9 @@
 asio::awaitable<bool> platform_watch::callOnce(const answer_handler &handler)
 {
     const std::uint64_t index = m_index;
-    const state::time_point deadline = state::clock::now() + (index == 0 ? std::chrono::seconds(0) : MaxWait) + AnswerGrace;
+    const state::time_point deadline = state::clock::now() + (index == 0 ? std::chrono::seconds(0) : QueryWait) + AnswerGrace;
     m_metrics.incrementCounter("platform_calls");
-    absl::StatusOr<transport::platform_answer> answer = co_await m_client.get(m_options.target(index, MaxWait), deadline);
+    absl::StatusOr<transport::platform_answer> answer = co_await m_client.get(m_options.target(index, QueryWait), deadline);
     recordOutcome(answer.status());
     if (!answer.ok()) {
         m_index = 0;
--- a/programs/dandelionstall/platform_watch.h
+++ b/programs/dandelionstall/platform_watch.h
@@ -17,6 +17,8 @@
 
 namespace dandelionstall {
 
+inline constexpr std::chrono::seconds QueryWait{2}; // maximum time that the service blocks a query
+
 struct watch_options {
     std::string name;                                                                  // name of the watch in log lines
     std::function<std::string(std::uint64_t index, std::chrono::seconds wait)> target; // returns the next request target; index 0: no waiting
--- a/protocol/src/gossip_codec.cpp
+++ b/protocol/src/gossip_codec.cpp
@@ -243,8 +243,10 @@
     writeMember({sender.address, sender.dataCentre, sender.incarnation, sender.refutations, member_state::alive, sender.leaving}, *out.mutable_sender());
     writeHint(message.tables[0], *out.mutable_routes());
     writeHint(message.tables[1], *out.mutable_pools());
-    out.set_read_age_s(static_cast<std::uint32_t>(message.serviceReadAge.count()));
-    out.set_reader_round(message.readerRound);
+    out.set_read_age_ms(static_cast<std::uint32_t>(message.serviceReadAge.count()));
+    out.set_reader_round(message.readers.round);
+    out.set_reader_first(message.readers.first);
+    out.set_reader_width(message.readers.width);
     if (message.receiverContactAge) {
         out.set_heard_you_ms(static_cast<std::uint32_t>(message.receiverContactAge->count()));
     }
@@ -283,8 +285,10 @@
     message.sequence = in.sequence();
     message.tables
         = {coordination::table_hint{in.routes().revision(), in.routes().digest()}, coordination::table_hint{in.pools().revision(), in.pools().digest()}};
-    message.readerRound = in.reader_round();
-    message.serviceReadAge = std::chrono::seconds(in.read_age_s());
+    if (in.reader_width() != 0) {
+        message.readers = {in.reader_round(), in.reader_first(), in.reader_width()};
+    }
+    message.serviceReadAge = in.has_read_age_ms() ? std::chrono::milliseconds(in.read_age_ms()) : std::chrono::milliseconds(coordination::MaxReadAge);
     message.workersDigest = in.workers_digest();
     message.workersCursor = in.workers_cursor();
     message.storeEra = in.store_era();
--- a/transport/include/dandelionstall/transport/config_source.h
+++ b/transport/include/dandelionstall/transport/config_source.h
@@ -6,6 +6,7 @@
 
 #include <dandelionstall/coordination/config_store.h>
 #include <dandelionstall/coordination/member.h>
+#include <dandelionstall/coordination/reader_choice.h>
 #include <dandelionstall/coordination/worker_directory.h>
 
 #include <functional>
@@ -39,8 +40,13 @@
 public:
     virtual ~config_source() = default;
 
-    virtual void start() = 0;                              // starts the source; called once
-    virtual void setActive(bool tables, bool members) = 0; // whether to watch the tables, and whether to watch the list of VMs or workers
+    virtual void start() = 0; // starts the source; called once
+
+    // Sets whether this node reads for its data centre, and whether it needs the list of VMs or workers in any case. A node that is probing
+    // makes one call and repeats it at a low rate.
+    virtual void setRole(coordination::reader_role role, bool needsMembers) = 0;
+
+    virtual std::chrono::milliseconds readGap() const = 0; // longest time between two successful calls of a reader while the service works
 };
 
 } // namespace dandelionstall::transport
--- a/transport/include/dandelionstall/transport/events.h
+++ b/transport/include/dandelionstall/transport/events.h
@@ -62,6 +62,7 @@
     reader_changed = 4008,        // info: this node has become a reader of the platform's service, or is no longer one
     store_era_learned = 4009,     // warn: the platform's store has come back from an older copy
     store_era_settled = 4010,     // info: what has become of the workers some seconds after the store came back
+    reader_search_started = 4011, // warn: the readers of the data centre have not read in time; others try
     member_alive = 4020,          // info: a node was discovered later than 10 s after the start of this one, or has recovered
     member_suspected = 4021,      // info: a node does not answer and is suspected of having failed
     member_dead = 4022,           // warn: a suspected node did not refute the suspicion in time and counts as dead
--- a/transport/src/events.cpp
+++ b/transport/src/events.cpp
@@ -58,6 +58,7 @@
     event_info{event::reader_changed, log_level::info, "reader_changed", "this node has become a reader of the platform's service, or is no longer one"},
     event_info{event::store_era_learned, log_level::warn, "store_era_learned", "the platform's store has come back from an older copy"},
     event_info{event::store_era_settled, log_level::info, "store_era_settled", "what has become of the workers some seconds after the store came back"},
+    event_info{event::reader_search_started, log_level::warn, "reader_search_started", "the readers of the data centre have not read in time; others try"},
     event_info{event::member_alive, log_level::info, "member_alive", "a node was discovered later than 10 s after the start of this one, or has recovered"},
     event_info{event::member_suspected, log_level::info, "member_suspected", "a node does not answer and is suspected of having failed"},
     event_info{event::member_dead, log_level::warn, "member_dead", "a suspected node did not refute the suspicion in time and counts as dead"},
