Answer requests that wait at other nodes before a stopping node ends

Cause: a bounded stop waits for requests in flight and then ends the process. Nothing told the ingress to bring what waits to an end before.

Evidence: no line about these requests between node_stopping (02.796) and node_stopped (08.549) of the stopping node; 3 ms later the other node logs attempt_refused reason=cancelled run=not_run for each, as their streams close. The worker's record says that none had run.

Why it works: 1 s before the end the ingress withdraws attempts without an answer (a new frame on a control stream). The sidecar refuses the attempt if no worker has begun it, which proves that it has not run, or fences it if its frames are still on the way; what has begun goes on. The caller gets an answer from another worker, or 503. From SIGTERM on no deadline lies beyond the end of the stop, so that what cannot be found out is answered 504 in time.

--- a/programs/dandelionstall/attempt_stream.cpp
+++ b/programs/dandelionstall/attempt_stream.cpp
@@ -231,6 +231,14 @@
         }
         return acknowledge.ok();
     }
+    if (frame.type == frame_type::withdraw) {
+        const auto withdrawal = protocol::decodeAttemptWithdrawal(frame.payload);
+        if (withdrawal.ok()) {
+            m_sidecar.handleWithdrawal(*withdrawal);
+            sendReply(frame_type::withdraw, frame.payload);
+        }
+        return withdrawal.ok();
+    }
     if (frame.type == frame_type::clock_request) {
         const auto request = protocol::decodeClockRequest(frame.payload);
         if (request.ok()) {
--- a/programs/dandelionstall/attempt_stream.h
+++ b/programs/dandelionstall/attempt_stream.h
@@ -76,7 +76,7 @@
     answer_writer m_writer;
 };
 
-// Receives one outcome query, acknowledgement or clock request and sends the reply.
+// Receives one outcome query, acknowledgement, withdrawal or clock request and sends the reply.
 class control_stream : public transport::stream_handler, public std::enable_shared_from_this<control_stream>
 {
 public:
--- a/programs/dandelionstall/ingress.cpp
+++ b/programs/dandelionstall/ingress.cpp
@@ -177,8 +177,11 @@
 
 asio::awaitable<bool> ingress::handleRequest(caller_connection &connection, caller_request &request)
 {
-    request_handler run(*this, connection, request);
-    co_return co_await run.run();
+    request_handler handler(*this, connection, request);
+    m_handlers.insert(&handler);
+    const bool proceed = co_await handler.run();
+    m_handlers.erase(&handler);
+    co_return proceed;
 }
 
 // [SECTION] Configuration
@@ -255,14 +258,27 @@
 
 // [SECTION] Shutdown
 
-void ingress::beginShutdown()
+void ingress::beginShutdown(state::time_point answersBy)
 {
     m_stopping = true;
+    m_answersBy = answersBy;
     for (const auto &connection : m_connections) {
         connection->closeAfterAnswer();
     }
 }
 
+void ingress::withdrawWaiting()
+{
+    for (request_handler *handler : m_handlers) {
+        handler->withdraw();
+    }
+}
+
+state::time_point ingress::answersBy() const
+{
+    return m_answersBy;
+}
+
 void ingress::stopListening()
 {
     for (const auto &connection : m_connections) {
--- a/programs/dandelionstall/ingress.h
+++ b/programs/dandelionstall/ingress.h
@@ -38,6 +38,8 @@
 
 // [SECTION] Ingress
 
+class request_handler;
+
 class ingress
 {
 public:
@@ -51,7 +53,8 @@
 
     absl::Status listen();                                         // binds the callers' address and starts to accept connections
     void applySnapshot(coordination::fleet_snapshot_ptr snapshot); // replaces the configuration and the pool views
-    void beginShutdown();                                          // answers carry Connection: close from now on; new connections are still served
+    void beginShutdown(state::time_point answersBy);               // answers carry Connection: close from now on; new connections are still served
+    void withdrawWaiting();                                        // withdraws attempts that wait for a worker; no request waits longer than answersBy
     void stopListening();                                          // accepts what is waiting, stops listening and closes idle connections
     bool isIdle() const;                                           // true when no connection is open
     std::size_t busyConnections() const;                           // number of connections with a request in flight
@@ -83,6 +86,7 @@
     void recordAnswerBytes(const std::string &route, std::size_t bytes);
     std::uint32_t &inFlight(const std::string &worker);                        // number of this ingress' in-flight attempts at the worker
     bool isCallOfRepeat(std::string_view request, state::time_point deadline); // see coordination/local_runs.h
+    state::time_point answersBy() const;                                       // latest deadline of a request while this node stops; else max()
     boost::asio::io_context &io();
 
 private:
@@ -119,6 +123,8 @@
     std::unordered_map<std::string, std::uint32_t> m_inFlight;
     std::unordered_map<std::string, double> m_averageAnswerBytes; // moving average of answer bodies, by route name
     std::set<std::shared_ptr<caller_connection>> m_connections;
+    std::set<request_handler *> m_handlers; // of the requests in progress
+    state::time_point m_answersBy = state::time_point::max();
     bool m_stopping = false;
 };
 
--- a/programs/dandelionstall/node.cpp
+++ b/programs/dandelionstall/node.cpp
@@ -23,6 +23,8 @@
 constexpr auto HandoverTime = std::chrono::milliseconds(1000);  // first part of LeaveGrace, in which the local workers still accept work
 constexpr auto IdlePoll = std::chrono::milliseconds(20);        // interval between checks whether the ingresses and the sidecar are idle
 constexpr auto StopMargin = std::chrono::milliseconds(250);     // a bounded shutdown ends this long before stop_grace expires
+constexpr auto WithdrawTime = std::chrono::milliseconds(1000);  // before the end of a bounded shutdown, what no worker has begun is withdrawn
+constexpr auto AnswerMargin = std::chrono::milliseconds(250);   // before that end, the last requests get their answers; more than AnswerGrace
 constexpr auto ShortLinger = std::chrono::milliseconds(500);    // replaces OutcomeLinger if the shutdown is bounded
 constexpr auto OutcomeLinger = std::chrono::milliseconds(1500); // outcomes can be queried for this long after the last attempt
 
@@ -204,10 +206,17 @@
     });
 }
 
-void node::beginIngressShutdown()
+void node::beginIngressShutdown(state::time_point answersBy)
 {
     for (const auto &entry : m_ingresses) {
-        asio::post(entry->io, [server = entry->server.get()] { server->beginShutdown(); });
+        asio::post(entry->io, [server = entry->server.get(), answersBy] { server->beginShutdown(answersBy); });
+    }
+}
+
+void node::withdrawWaiting()
+{
+    for (const auto &entry : m_ingresses) {
+        asio::post(entry->io, [server = entry->server.get()] { server->withdrawWaiting(); });
     }
 }
 
@@ -252,13 +261,16 @@
     const bool bounded = m_settings.stopGrace.count() > 0;
     const state::time_point startedAt = state::clock::now();
     const state::time_point endsAt = bounded ? startedAt + m_settings.stopGrace - StopMargin : state::time_point::max();
-    beginIngressShutdown();
-    asio::steady_timer pause(m_controlIo, std::min(startedAt + HandoverTime, endsAt));
+    beginIngressShutdown(bounded ? endsAt - AnswerMargin : state::time_point::max());
+    const state::time_point withdrawAt = bounded ? endsAt - WithdrawTime : state::time_point::max();
+    asio::steady_timer pause(m_controlIo, std::min(startedAt + HandoverTime, withdrawAt));
     co_await pause.async_wait(asio::use_awaitable);
     beginSidecarShutdown();
-    pause.expires_at(std::min(startedAt + LeaveGrace, endsAt));
+    pause.expires_at(std::min(startedAt + LeaveGrace, withdrawAt));
     co_await pause.async_wait(asio::use_awaitable);
     stopListening();
+    co_await waitUntilIdle(withdrawAt);
+    withdrawWaiting();
     co_await waitUntilIdle(endsAt);
     pause.expires_at(std::min(endsAt, state::clock::now() + (bounded ? ShortLinger : OutcomeLinger)));
     co_await pause.async_wait(asio::use_awaitable);
--- a/programs/dandelionstall/request_attempt.cpp
+++ b/programs/dandelionstall/request_attempt.cpp
@@ -34,7 +34,7 @@
     return status == 500 || status == 502 || status == 503 || status == 504;
 }
 
-// Discards the reply to an acknowledgement; its content is not used.
+// Discards the reply to an acknowledgement or a withdrawal; its content is not used.
 class discard_handler : public transport::stream_handler
 {
 public:
@@ -144,7 +144,10 @@
     }
     protocol::appendFrame(out, frame_type::attempt_end, {});
     sent.link->session->write(sent.stream, out, true);
-    co_return co_await readAnswer(sent);
+    m_current = &sent;
+    attempt_outcome outcome = co_await readAnswer(sent);
+    m_current = nullptr;
+    co_return outcome;
 }
 
 // [SECTION] Reading
@@ -353,10 +356,21 @@
 }
 
 void request_handler::acknowledge(const sent_attempt &sent)
+{
+    sendControl(sent, protocol::makeFrame(frame_type::acknowledge, protocol::encode(protocol::attempt_acknowledge{sent.id})));
+}
+
+void request_handler::sendWithdrawal(const sent_attempt &sent)
+{
+    const state::time_point expiresAt = sent.link->clock.toPeerClock(m_deadline, state::clock::now());
+    sendControl(sent, protocol::makeFrame(frame_type::withdraw, protocol::encode(protocol::attempt_withdrawal{sent.id, expiresAt})));
+}
+
+void request_handler::sendControl(const sent_attempt &sent, std::string_view frame)
 {
     const transport::stream_id stream = sent.link->session->open("/control", std::make_shared<discard_handler>());
     if (stream >= 0) {
-        sent.link->session->write(stream, protocol::makeFrame(frame_type::acknowledge, protocol::encode(protocol::attempt_acknowledge{sent.id})), true);
+        sent.link->session->write(stream, frame, true);
     }
 }
 
--- a/programs/dandelionstall/request_handler.cpp
+++ b/programs/dandelionstall/request_handler.cpp
@@ -1,5 +1,5 @@
 // Routing, limits, tickets and the loop over attempts; request_attempt.cpp handles one attempt.
-#include "request_handler.h"
+#include "request_attempt.h"
 #include "wall_clock.h"
 
 #include <dandelionstall/coordination/failure_guard.h>
@@ -66,6 +66,20 @@
     , m_request(request)
 { }
 
+// [SECTION] Shutdown
+
+void request_handler::withdraw()
+{
+    m_deadline = std::min(m_deadline, m_ingress.answersBy());
+    if (m_reader) {
+        m_reader->limitDeadline(m_deadline + AnswerGrace);
+    }
+    const bool isAtSidecar = m_current != nullptr && m_current->contactedNode == m_current->node;
+    if (isAtSidecar && !m_current->headArrived) {
+        sendWithdrawal(*m_current);
+    }
+}
+
 // [SECTION] Routing
 
 asio::awaitable<bool> request_handler::run()
@@ -99,7 +113,7 @@
     if (!timeLeft) {
         co_return co_await refuse(refusal_reason::bad_request, run_state::not_run, now);
     }
-    m_deadline = m_request.arrivedAt + *timeLeft;
+    m_deadline = std::min(m_request.arrivedAt + *timeLeft, m_ingress.answersBy());
     m_isCallOfRepeat = m_ingress.isCallOfRepeat(protocol::findHeader(m_request.headers, m_ingress.settings().headers.requestId), m_deadline);
     if (const refusal_reason reason = readTicket(); reason != refusal_reason::none) {
         co_return co_await refuse(reason, reason == refusal_reason::bad_request ? run_state::not_run : run_state::unknown, now);
--- a/programs/dandelionstall/request_handler.h
+++ b/programs/dandelionstall/request_handler.h
@@ -50,6 +50,7 @@
     request_handler(ingress &owner, caller_connection &connection, caller_request &request);
 
     boost::asio::awaitable<bool> run(); // handles the request; true when the connection can serve another one
+    void withdraw();                    // the ingress stops: the current attempt is withdrawn unless it has started, and the request ends by answersBy()
 
 private:
     struct answer_state;
@@ -91,6 +92,8 @@
     attempt_outcome makeFailureOutcome(coordination::retry_reason retryReason, coordination::refusal_reason reason, coordination::run_state run) const;
     attempt_outcome abortAnswer(const sent_attempt &sent);
     void acknowledge(const sent_attempt &sent);
+    void sendWithdrawal(const sent_attempt &sent);
+    void sendControl(const sent_attempt &sent, std::string_view frame); // sends one frame on a stream of its own; the reply is not awaited
 
     ingress &m_ingress;
     caller_connection &m_connection;
@@ -114,6 +117,7 @@
     bool m_isCallOfRepeat = false;                                         // may be a call that a local worker makes during a repeated run
     coordination::run_state m_runState = coordination::run_state::not_run; // run state of the request, combined over all its attempts
     std::shared_ptr<stream_reader> m_reader;                               // stream of the current attempt; null before the first one
+    const sent_attempt *m_current = nullptr;                               // attempt whose answer is awaited; null when there is none
     bool m_callerDisconnected = false;                                     // the caller closed its connection
 };
 
--- a/programs/dandelionstall/request_outcome.cpp
+++ b/programs/dandelionstall/request_outcome.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-constexpr auto QueryTimeout = std::chrono::milliseconds(1200); // maximum time for connecting to the queried node; ends at recoveryDeadline if that is earlier
+constexpr auto QueryTimeout = std::chrono::milliseconds(1200); // maximum time for connecting to the queried node; or until the deadline of the request
 
 } // namespace
 
@@ -54,8 +54,7 @@
 // a relay. If no relay is available, the node itself is queried.
 asio::awaitable<attempt_outcome> request_handler::recoverOutcome(sent_attempt &sent)
 {
-    const state::time_point recoveryDeadline = m_deadline + AnswerGrace;
-    while (state::clock::now() < recoveryDeadline && !m_callerDisconnected) {
+    while (state::clock::now() < m_deadline + AnswerGrace && !m_callerDisconnected) { // a stop of this node brings the deadline forward
         const bool avoided = m_ingress.isAvoided(sent.node);
         const bool useRelay = avoided || sent.queries % 2 == 1;
         ++sent.queries;
@@ -70,7 +69,8 @@
                   {"attempt", state::formatAttemptId(sent.id)},
                   {"node", state::formatNodeAddress(sent.node)},
                   {"asked", state::formatNodeAddress(queriedNode)}});
-        const auto link = co_await m_ingress.peers().connect(queriedNode, std::min(recoveryDeadline, state::clock::now() + QueryTimeout));
+        const auto link
+            = co_await m_ingress.peers().connect(queriedNode, std::min<state::time_point>(m_deadline + AnswerGrace, state::clock::now() + QueryTimeout));
         if (!link.ok()) {
             m_ingress.recordPathOutcome(queriedNode, false);
             asio::steady_timer retryTimer(m_ingress.io(), QueryRetryDelay);
--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar.h
@@ -100,6 +100,7 @@
     void handleQuery(const protocol::attempt_query &query, const std::shared_ptr<control_stream> &stream);
     boost::asio::awaitable<void> relayQuery(protocol::attempt_query query, std::shared_ptr<control_stream> stream); // forwards the query to the node in relayTo
     void handleAcknowledgement(const protocol::attempt_acknowledge &message);
+    void handleWithdrawal(const protocol::attempt_withdrawal &message);                             // refuses the attempt unless it has started
     void handleStreamLost(const state::attempt_id &id, transport::stream_close_reason closeReason); // the stream can no longer carry an answer
 
 private:
@@ -140,7 +141,8 @@
     bool guardAdmits(const served_worker &worker, const protocol::attempt_head &head, state::time_point now) const;
     bool repeatHasRoom(served_worker &worker, const protocol::attempt_head &head, state::time_point now); // decides without counting the repeat
     bool countRepeat(served_worker &worker, const protocol::attempt_head &head, state::time_point now);   // false when the repeat is denied
-    void refuseRiskyQueuedAttempts(served_worker &worker); // refuses queued attempts that the guard no longer admits
+    void refuseRiskyQueuedAttempts(served_worker &worker);                                        // refuses queued attempts that the guard no longer admits
+    void refuseWaitingAttempt(const local_attempt &attempt, coordination::refusal_reason reason); // takes it out of the queue; the attempt is gone afterwards
     void startAttempt(served_worker &worker, const state::attempt_id &id);
     coordination::refusal_reason beginRun(served_worker &worker, const local_attempt &attempt, state::time_point now);
     boost::asio::awaitable<void> runAttempt(served_worker &worker, state::attempt_id id);
--- a/programs/dandelionstall/sidecar_attempts.cpp
+++ b/programs/dandelionstall/sidecar_attempts.cpp
@@ -42,6 +42,10 @@
     if (tracked && !beginRecord(stream, now)) {
         return;
     }
+    if (!tracked && m_registry.find(head.id) != nullptr) { // it was withdrawn before its frames arrived
+        sendRefusal(stream->writer(), head, refusal_reason::draining, run_state::not_run);
+        return;
+    }
     if (m_attempts.contains(head.id)) {
         sendRefusal(stream->writer(), head, refusal_reason::duplicate_attempt, run_state::unknown);
         return;
--- a/programs/dandelionstall/sidecar_outcomes.cpp
+++ b/programs/dandelionstall/sidecar_outcomes.cpp
@@ -259,6 +259,28 @@
     m_registry.acknowledge(message.id);
 }
 
+void sidecar::handleWithdrawal(const protocol::attempt_withdrawal &message)
+{
+    m_metrics.incrementCounter("attempts_withdrawn");
+    const auto found = m_attempts.find(message.id);
+    if (found == m_attempts.end()) {
+        m_registry.findOrFence(message.id, message.expiresAt + RecordRetention); // its frames may still be on the way
+        return;
+    }
+    if (!found->second.started) {
+        refuseWaitingAttempt(found->second, refusal_reason::draining);
+    }
+}
+
+void sidecar::refuseWaitingAttempt(const local_attempt &attempt, refusal_reason reason)
+{
+    const protocol::attempt_head &head = attempt.stream->head();
+    served_worker &worker = *findWorker(head.worker);
+    const coordination::admission_actions actions = worker.admission->cancel(head.id, state::clock::now());
+    refuseAttempt(state::attempt_id(head.id), reason, run_state::not_run, state::clock::now());
+    applyActions(worker, actions);
+}
+
 void sidecar::handleStreamLost(const state::attempt_id &id, transport::stream_close_reason)
 {
     const auto found = m_attempts.find(id);
@@ -267,10 +289,7 @@
     }
     local_attempt &attempt = found->second;
     if (!attempt.started) {
-        served_worker &worker = *findWorker(attempt.stream->head().worker);
-        const coordination::admission_actions actions = worker.admission->cancel(id, state::clock::now());
-        refuseAttempt(id, refusal_reason::cancelled, run_state::not_run, state::clock::now());
-        applyActions(worker, actions);
+        refuseWaitingAttempt(attempt, refusal_reason::cancelled);
     } else if (!attempt.tracked) {
         attempt.call->cancel();
     }
--- a/programs/dandelionstall/stream_reader.cpp
+++ b/programs/dandelionstall/stream_reader.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
+
 namespace dandelionstall {
 
 namespace asio = boost::asio;
@@ -28,10 +30,11 @@
         if (std::optional<read_event> event = consumeEvent()) {
             co_return *std::move(event);
         }
-        if (state::clock::now() >= deadline) {
+        const state::time_point until = std::min(deadline, m_latestDeadline);
+        if (state::clock::now() >= until) {
             co_return read_event{read_kind::timed_out, {}, {}};
         }
-        m_signal.expires_at(deadline);
+        m_signal.expires_at(until);
         co_await m_signal.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 }
@@ -58,6 +61,12 @@
     return std::nullopt;
 }
 
+void stream_reader::limitDeadline(state::time_point latest)
+{
+    m_latestDeadline = std::min(m_latestDeadline, latest);
+    m_signal.cancel();
+}
+
 void stream_reader::cancel()
 {
     m_cancelled = true;
--- a/programs/dandelionstall/stream_reader.h
+++ b/programs/dandelionstall/stream_reader.h
@@ -35,6 +35,7 @@
 
     void attach(std::weak_ptr<transport::node_session> session, transport::stream_id stream); // call after opening the stream
     boost::asio::awaitable<read_event> next(state::time_point deadline);                      // waits for the next event; only one call at a time
+    void limitDeadline(state::time_point latest);                                             // the pending call of next() and all later ones end by then
     void cancel(); // makes the pending call of next() and all later ones return read_kind::cancelled
 
     void onData(std::string_view bytes) override;
@@ -51,6 +52,7 @@
     protocol::frame_decoder m_decoder;
     std::deque<protocol::frame> m_frames;
     std::optional<transport::stream_close_reason> m_closeReason;
+    state::time_point m_latestDeadline = state::time_point::max();
     bool m_malformed = false;
     bool m_cancelled = false;
 };
--- a/protocol/include/dandelionstall/protocol/frame.h
+++ b/protocol/include/dandelionstall/protocol/frame.h
@@ -31,6 +31,7 @@
     acknowledge = 7,
     clock_request = 8,
     clock_reply = 9,
+    withdraw = 10,
 };
 
 struct frame {
--- a/protocol/include/dandelionstall/protocol/messages.h
+++ b/protocol/include/dandelionstall/protocol/messages.h
@@ -4,6 +4,7 @@
 //   attempt:  attempt_head, body..., attempt_end  ->  answer_head, body..., answer_end
 //   query:    attempt_query                       ->  answer_head, body..., answer_end
 //   acknowledge: attempt_acknowledge              ->  (end of stream)
+//   withdraw: attempt_withdrawal                  ->  (end of stream); the refusal comes on the stream of the attempt
 //   clock:    clock_request                       ->  clock_reply
 // Time points are on the sidecar's steady clock; the ingress converts them with clock_estimate (see clock_estimate.h).
 //
@@ -97,6 +98,12 @@
     state::attempt_id id; // id of the attempt
 };
 
+// Refuses an attempt that has not started, so that it is proven not to have run. An attempt that has started goes on.
+struct attempt_withdrawal {
+    state::attempt_id id;        // id of the attempt
+    state::time_point expiresAt; // on the sidecar's clock; no frame of the attempt is valid after this time
+};
+
 struct clock_request {
     std::int64_t sentAt = 0; // sender's clock, returned unchanged in the reply
 };
@@ -114,6 +121,7 @@
 std::string encode(const answer_end &message);
 std::string encode(const attempt_query &message);
 std::string encode(const attempt_acknowledge &message);
+std::string encode(const attempt_withdrawal &message);
 std::string encode(const clock_request &message);
 std::string encode(const clock_reply &message);
 
@@ -122,6 +130,7 @@
 absl::StatusOr<answer_end> decodeAnswerEnd(std::string_view bytes);                   // error: malformed_message
 absl::StatusOr<attempt_query> decodeAttemptQuery(std::string_view bytes);             // error: malformed_message
 absl::StatusOr<attempt_acknowledge> decodeAttemptAcknowledge(std::string_view bytes); // error: malformed_message
+absl::StatusOr<attempt_withdrawal> decodeAttemptWithdrawal(std::string_view bytes);   // error: malformed_message
 absl::StatusOr<clock_request> decodeClockRequest(std::string_view bytes);             // error: malformed_message
 absl::StatusOr<clock_reply> decodeClockReply(std::string_view bytes);                 // error: malformed_message
 
--- a/protocol/src/frame.cpp
+++ b/protocol/src/frame.cpp
@@ -10,7 +10,7 @@
 
 bool isKnown(std::uint8_t type)
 {
-    return type >= static_cast<std::uint8_t>(frame_type::attempt_head) && type <= static_cast<std::uint8_t>(frame_type::clock_reply);
+    return type >= static_cast<std::uint8_t>(frame_type::attempt_head) && type <= static_cast<std::uint8_t>(frame_type::withdraw);
 }
 
 std::uint32_t readLength(std::string_view bytes)
--- a/protocol/src/messages.cpp
+++ b/protocol/src/messages.cpp
@@ -149,6 +149,14 @@
     return out.SerializeAsString();
 }
 
+std::string encode(const attempt_withdrawal &message)
+{
+    wire::Withdraw out;
+    writeId(message.id, *out.mutable_id());
+    out.set_expires_us(toMicros(message.expiresAt));
+    return out.SerializeAsString();
+}
+
 std::string encode(const clock_request &message)
 {
     wire::ClockRequest out;
@@ -258,6 +266,15 @@
     return attempt_acknowledge{readId(in->id())};
 }
 
+absl::StatusOr<attempt_withdrawal> decodeAttemptWithdrawal(std::string_view bytes)
+{
+    const auto in = parseWire<wire::Withdraw>(bytes, "withdrawal");
+    if (!in.ok()) {
+        return in.status();
+    }
+    return attempt_withdrawal{readId(in->id()), fromMicros(in->expires_us())};
+}
+
 absl::StatusOr<clock_request> decodeClockRequest(std::string_view bytes)
 {
     const auto in = parseWire<wire::ClockRequest>(bytes, "clock request");
--- a/tests/integration/support/store_fleet.cpp
+++ b/tests/integration/support/store_fleet.cpp
@@ -118,15 +118,17 @@
     command(m_storeAddress, "/_remove/servers/" + id, "");
 }
 
-void store_fleet::configure(std::uint64_t version, const std::string &path)
+void store_fleet::configure(std::uint64_t version, const std::string &path, std::chrono::milliseconds timeout)
 {
     command(m_storeAddress,
             "/_put/op/config",
             fmt::format(R"({{"version":{},"services":[{{"name":"orders"}}],"virtualHosts":[{{"host":"shop.example","paths":[)"
-                        R"({{"name":"read","prefix":"/{}/","kind":"idempotent","timeoutMs":2000,"priority":2,"service":"orders","maxAttempts":2}},)"
-                        R"({{"name":"book","prefix":"/book/","kind":"non_idempotent","timeoutMs":2000,"priority":1,"service":"orders","maxAttempts":2}}]}}]}})",
+                        R"({{"name":"read","prefix":"/{}/","kind":"idempotent","timeoutMs":{},"priority":2,"service":"orders","maxAttempts":2}},)"
+                        R"({{"name":"book","prefix":"/book/","kind":"non_idempotent","timeoutMs":{},"priority":1,"service":"orders","maxAttempts":2}}]}}]}})",
                         version,
-                        path));
+                        path,
+                        timeout.count(),
+                        timeout.count()));
 }
 
 void store_fleet::setStoreFault(const std::string &lines) const
--- a/tests/integration/support/store_fleet.h
+++ b/tests/integration/support/store_fleet.h
@@ -31,7 +31,9 @@
     void startWorker(std::size_t index, const std::string &id);
     void announce(std::size_t index, const std::string &id, const std::string &state = "ready", std::uint64_t born = 1); // writes the worker's entry
     void removeEntry(const std::string &id) const;
-    void configure(std::uint64_t version, const std::string &path); // the idempotent route gets this path
+    void configure(std::uint64_t version,
+                   const std::string &path,
+                   std::chrono::milliseconds timeout = std::chrono::seconds(2)); // the idempotent route gets this path, both this timeout
     void setStoreFault(const std::string &lines) const;
     void rewindStore(std::chrono::milliseconds age) const; // the store comes back from a copy of this age; its era rises
     void heartbeat(int times);                             // all workers w0, w1, ... write their entries again, so that the revisions rise
