Take valid configurations that exceed bounds of the table format

Cause: the adapter writes the document as text of the project's tables, whose parser has bounds that the platform doesn't have: 190 bytes a line (the buffer of the library that splits lines), 64 MiB a body, names of 64 letters, digits, "-" or "_", 1 h, priority 1,000, 16 attempts, weight 1,000,000. One value over a bound refuses the whole version.

Evidence: config_refused on both readers, "max_body_bytes: expected a whole number from 1 to" for version 9 and "line is 217 bytes long, expected at most 190" for version 12.

Why it works: long lines go to the library in pieces, as continuation lines. Names may be any text up to 1,024 bytes, written with %XX in a table.

The same bounds elsewhere: settings (data centre, own pool, lines); the sidecar, which cut bodies beyond its own settings although the table allowed them; a header over 256 KiB, which would have ended the process by an assertion if the table allowed it: the ingress takes 131,072 bytes.

--- a/programs/dandelionstall/ingress.cpp
+++ b/programs/dandelionstall/ingress.cpp
@@ -22,6 +22,7 @@
 constexpr auto SweepPeriod = std::chrono::seconds(1);
 constexpr auto PoolUseReportPeriod = std::chrono::seconds(1);           // minimum interval between use reports of one pool
 constexpr double AnswerBytesSmoothing = 0.2;                            // weight of a new answer in the moving average of answer sizes
+constexpr std::size_t MaxForwardedHeaderBytes = 131'072;                // an attempt carries the header in one frame, with some bytes more for each field
 constexpr std::chrono::milliseconds LastIdleTimeout{1000};              // of connections that were accepted as the ingress stopped listening
 constexpr auto CallerLimitRetryAfter = std::chrono::milliseconds(1000); // Retry-After of callers refused over the connection limit
 
@@ -158,6 +159,7 @@
         limits.headerTimeout = tableLimits.headerTimeout.count() > 0 ? tableLimits.headerTimeout : limits.headerTimeout;
         limits.idleTimeout = tableLimits.idleTimeout.count() > 0 ? tableLimits.idleTimeout : limits.idleTimeout;
     }
+    limits.maxHeaderBytes = std::min(limits.maxHeaderBytes, MaxForwardedHeaderBytes);
     if (!m_acceptor.is_open()) {
         limits.idleTimeout = std::min(limits.idleTimeout, LastIdleTimeout);
     }
--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -125,7 +125,7 @@
             session->start([this](const std::shared_ptr<transport::node_session> &from, transport::stream_id stream, std::string_view path) {
                 std::shared_ptr<transport::stream_handler> handler;
                 if (path == "/attempt") {
-                    handler = std::make_shared<attempt_stream>(*this, from, stream, m_settings.maxBodyBytes);
+                    handler = std::make_shared<attempt_stream>(*this, from, stream, maxBodyBytes());
                 } else if (path == "/control") {
                     handler = std::make_shared<control_stream>(*this, from, stream);
                 }
@@ -361,6 +361,12 @@
     return worker.draining || m_leaving || m_stopping;
 }
 
+std::size_t sidecar::maxBodyBytes() const
+{
+    const std::size_t stated = m_snapshot && m_snapshot->routes ? m_snapshot->routes->callers.maxBodyBytes : 0;
+    return std::max(stated, m_settings.maxBodyBytes);
+}
+
 bool sidecar::isIdle() const
 {
     return m_attempts.empty();
--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar.h
@@ -107,6 +107,7 @@
     struct answer_sink;
 
     void acceptLoop();
+    std::size_t maxBodyBytes() const; // largest body of one attempt, from the route table or the settings
     void tick();
     void probeWorkers();
     served_worker &addWorker(const state::local_worker &worker);
--- a/state/include/dandelionstall/state/ini_reader.h
+++ b/state/include/dandelionstall/state/ini_reader.h
@@ -41,6 +41,13 @@
 std::string suggestName(std::string_view name, std::span<const std::string_view> known);      // "; did you mean "..."?", or empty when no name is similar
 bool isName(std::string_view text);                                                           // 1 to 64 letters, digits, '-' or '_'
 
+// Names of routes and pools are any text of 1 to MaxLabelBytes bytes without control characters. In a table, bytes other than letters,
+// digits, '-', '_' and '.' are written as %XX, in hexadecimal.
+inline constexpr std::size_t MaxLabelBytes = 1024;
+std::string escapeLabel(std::string_view label);               // the label as written in a table
+absl::StatusOr<std::string> parseLabel(std::string_view text); // the label that is written like this; state_error::malformed with what was expected
+bool isLabel(std::string_view text);                           // whether the text, not escaped, is a label
+
 // [SECTION] Sections
 
 // Reads the keys of one section. Each read function returns true when it sets the target. When the key is absent or its
@@ -54,6 +61,7 @@
     void requireKeys(std::initializer_list<std::string_view> keys); // adds an error for each missing key
     bool readText(std::string_view key, std::string &target);       // an empty value is an error
     bool readName(std::string_view key, std::string &target);       // accepts the names that isName() accepts
+    bool readLabel(std::string_view key, std::string &target);      // accepts the texts that isLabel() accepts; nothing is escaped
     bool readChoice(std::string_view key, std::string &target, std::span<const std::string_view> choices);
     bool readFlag(std::string_view key, bool &target);
     bool readNumber(std::string_view key, double &target, double min, double max);
--- a/state/include/dandelionstall/state/tables.h
+++ b/state/include/dandelionstall/state/tables.h
@@ -12,6 +12,7 @@
 // Index:
 //   [SECTION] Routes
 //   [SECTION] Pools
+//   [SECTION] Limits
 //   [SECTION] Policy names
 //   [SECTION] Parsing
 //   [SECTION] Matching
@@ -129,6 +130,14 @@
     std::vector<pool> pools;     // pools in table order
 };
 
+// [SECTION] Limits
+
+inline constexpr std::chrono::milliseconds MaxRouteTime = std::chrono::hours(24); // of timeout, target, cost hint and the callers' timeouts
+inline constexpr std::uint64_t MaxCallerBytes = 1'099'511'627'776; // of a caller's header and body; what a node holds in memory is bounded elsewhere
+inline constexpr std::uint32_t MaxRoutePriority = 1'000'000'000;
+inline constexpr std::uint32_t MaxRouteAttempts = 16;
+inline constexpr std::uint32_t MaxPoolWeight = 1'000'000'000;
+
 // [SECTION] Policy names
 
 inline constexpr std::array<std::string_view, 3> BalancerNames{"least_wait", "random", "round_robin"};
--- a/state/src/ini.cpp
+++ b/state/src/ini.cpp
@@ -14,10 +14,16 @@
 
 namespace {
 
+constexpr std::size_t MaxPieceBytes = 190; // the buffer of inih holds 200
+
 // State of one parse, shared by the two callbacks of inih: readLine() passes one line at a time to inih and starts new
-// sections; addEntry() receives the key and value of the line read last.
+// sections; addEntry() receives the key and value of the line read last. A line that is longer than the buffer of inih is
+// passed in pieces, in the manner of continuation lines, of which inih passes on the values one by one.
 struct parse_state {
-    std::string_view rest; // text that is not read yet
+    std::string_view rest;             // text that is not read yet
+    std::string_view pieces;           // rest of a line that is passed in pieces
+    bool continues = false;            // the piece passed last is not the first one of its line
+    std::vector<std::uint32_t> passed; // line of each text that was passed to inih
     std::uint32_t line = 0;
     ini_document document;
     std::unordered_set<std::string> sectionNames;
@@ -64,26 +70,77 @@
     state.keys.clear();
 }
 
-char *readLine(char *buffer, int size, void *stream)
+bool isBlank(char c)
 {
-    auto &state = *static_cast<parse_state *>(stream);
-    if (state.rest.empty() || !state.error.ok()) {
-        return nullptr;
+    return c == ' ' || c == '\t';
+}
+
+// Removes a comment at the end of the line: " ;" and what follows.
+std::string_view withoutComment(std::string_view line)
+{
+    for (std::size_t i = 1; i < line.size(); ++i) {
+        if (line[i] == ';' && isBlank(line[i - 1])) {
+            return trimBlanks(line.substr(0, i));
+        }
     }
+    return line;
+}
+
+// Returns the length of the next piece; 0 when the text cannot be split. No piece begins or ends with a blank, which inih would remove,
+// or begins like a comment.
+std::size_t pieceLength(std::string_view text)
+{
+    if (text.size() <= MaxPieceBytes) {
+        return text.size();
+    }
+    std::size_t length = MaxPieceBytes;
+    while (length > 0 && (isBlank(text[length - 1]) || isBlank(text[length]) || text[length] == ';' || text[length] == '#')) {
+        --length;
+    }
+    return length;
+}
+
+// Returns the text of the next line as inih needs it.
+std::string_view nextText(parse_state &state)
+{
     const std::string_view line = nextLine(state);
-    if (line.size() > MaxIniLineBytes || line.size() + 2 > static_cast<std::size_t>(size)) {
+    if (line.size() > MaxIniLineBytes) {
         fail(state, fmt::format("line is {} bytes long, expected at most {}", line.size(), MaxIniLineBytes));
     } else if (std::any_of(line.begin(), line.end(), isControl)) {
         fail(state, "line contains a control character");
     } else if (line.starts_with('[')) {
         beginSection(state, line);
+        return "[section]"; // the name has been read
+    } else if (line.starts_with(';') || line.starts_with('#')) {
+        return {};
+    }
+    return line.size() > MaxPieceBytes ? withoutComment(line) : line;
+}
+
+char *readLine(char *buffer, int size, void *stream)
+{
+    auto &state = *static_cast<parse_state *>(stream);
+    if (!state.error.ok() || (state.rest.empty() && state.pieces.empty())) {
+        return nullptr;
+    }
+    state.continues = !state.pieces.empty();
+    const std::string_view text = state.continues ? state.pieces : nextText(state);
+    const std::size_t length = pieceLength(text);
+    if ((length == 0 && !text.empty()) || length + 3 > static_cast<std::size_t>(size)) {
+        fail(state, "the line is too long and has no place where it can be split");
     }
     if (!state.error.ok()) {
         return nullptr;
     }
-    std::memcpy(buffer, line.data(), line.size());
-    buffer[line.size()] = '\n';
-    buffer[line.size() + 1] = '\0';
+    state.pieces = text.substr(length);
+    state.passed.push_back(state.line);
+    char *out = buffer;
+    if (state.continues) {
+        *out++ = ' ';
+    }
+    out = std::copy_n(text.data(), length, out);
+    *out++ = '\n';
+    *out = '\0';
     return buffer;
 }
 
@@ -95,6 +152,14 @@
         return 1;
     }
     ini_section &section = state.document.sections.back();
+    if (state.continues) {
+        section.entries.back().value += value;
+        return 1;
+    }
+    if (std::strlen(name) > MaxIniKeyBytes) {
+        fail(state, fmt::format("the key is {} bytes long, expected at most {}", std::strlen(name), MaxIniKeyBytes));
+        return 1;
+    }
     if (!state.keys.insert(name).second) {
         fail(state, fmt::format("duplicate key \"{}\" in [{}]", name, section.name));
         return 1;
@@ -115,8 +180,8 @@
     state.rest = text;
     state.document.source = source;
     const int errorLine = ini_parse_stream(readLine, &state, addEntry, &state);
-    if (errorLine > 0) { // number of the first line that is neither section header, key nor comment
-        return makeIniError(state_error::malformed, source, static_cast<std::uint32_t>(errorLine), "expected \"<key> = <value>\"");
+    if (errorLine > 0) { // number of the first text that is neither section header, key nor comment
+        return makeIniError(state_error::malformed, source, state.passed.at(static_cast<std::size_t>(errorLine) - 1), "expected \"<key> = <value>\"");
     }
     if (!state.error.ok()) {
         return state.error;
--- a/state/src/ini_reader.cpp
+++ b/state/src/ini_reader.cpp
@@ -4,6 +4,7 @@
 #include <fmt/ranges.h>
 
 #include <algorithm>
+#include <charconv>
 #include <numeric>
 
 namespace dandelionstall::state {
@@ -36,6 +37,45 @@
 
 } // namespace
 
+std::string escapeLabel(std::string_view label)
+{
+    std::string out;
+    for (const char c : label) {
+        out += isNameCharacter(c) || c == '.' ? std::string(1, c) : fmt::format("%{:02X}", static_cast<unsigned char>(c));
+    }
+    return out;
+}
+
+absl::StatusOr<std::string> parseLabel(std::string_view text)
+{
+    std::string label;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        unsigned code = 0;
+        const bool isEscape = text[i] == '%' && i + 2 < text.size();
+        const auto parsed = isEscape ? std::from_chars(text.data() + i + 1, text.data() + i + 3, code, 16) : std::from_chars_result{text.data(), {}};
+        if (isEscape && parsed.ptr == text.data() + i + 3) {
+            label += static_cast<char>(code);
+            i += 2;
+        } else if (isNameCharacter(text[i]) || text[i] == '.') {
+            label += text[i];
+        } else {
+            return makeError(state_error::malformed, "expected letters, digits, \"-\", \"_\", \".\" or %XX for another byte");
+        }
+    }
+    if (!isLabel(label)) {
+        return makeError(state_error::malformed, fmt::format("expected 1 to {} bytes without control characters", MaxLabelBytes));
+    }
+    return label;
+}
+
+bool isLabel(std::string_view text)
+{
+    const auto isControl = [](char c) {
+        return static_cast<unsigned char>(c) < 0x20 || c == '\x7f';
+    };
+    return !text.empty() && text.size() <= MaxLabelBytes && std::none_of(text.begin(), text.end(), isControl);
+}
+
 parse_errors::parse_errors(std::string_view source)
     : m_source(source)
 { }
@@ -139,6 +179,16 @@
     });
 }
 
+bool section_reader::readLabel(std::string_view key, std::string &target)
+{
+    return readParsed(key, target, [](std::string_view text) -> absl::StatusOr<std::string> {
+        if (!isLabel(text)) {
+            return makeError(state_error::malformed, fmt::format("expected 1 to {} bytes without control characters", MaxLabelBytes));
+        }
+        return std::string(text);
+    });
+}
+
 bool section_reader::readChoice(std::string_view key, std::string &target, std::span<const std::string_view> choices)
 {
     return readParsed(key, target, [&](std::string_view text) -> absl::StatusOr<std::string> {
--- a/state/src/settings.cpp
+++ b/state/src/settings.cpp
@@ -43,15 +43,15 @@
 {
     section_reader reader(section, errors);
     reader.requireKeys({"data_centre", "region", "listen", "callers"});
-    reader.readName("name", target.name);
-    reader.readName("data_centre", target.dataCentre);
-    reader.readName("region", target.region);
+    reader.readLabel("name", target.name);
+    reader.readLabel("data_centre", target.dataCentre);
+    reader.readLabel("region", target.region);
     reader.readAddress("listen", target.listenAddress);
     reader.readAddress("callers", target.callersAddress);
     reader.readAddress("admin", target.adminAddress);
     reader.readAddress("ready", target.readyAddress);
     reader.readText("ready_path", target.readyPath);
-    reader.readName("own_pool", target.localPool);
+    reader.readLabel("own_pool", target.localPool);
     reader.readDuration("stop_grace", target.stopGrace, milliseconds(0), MaxCallerTimeout);
     reader.readCount("ingress_threads", target.ingressThreads, 1, MaxIngressThreads);
     reader.readFlag("first_start", target.firstStart);
@@ -152,7 +152,7 @@
 {
     section_reader reader(section, errors);
     reader.requireKeys({"pool", "address"});
-    reader.readName("pool", target.discoveredWorkerPool);
+    reader.readLabel("pool", target.discoveredWorkerPool);
     reader.readAddress("address", target.discoveredWorkerAddress);
     reader.reportUnknownKeys();
 }
@@ -174,7 +174,7 @@
     }
     section_reader reader(section, errors);
     reader.requireKeys({"pool", "address"});
-    reader.readName("pool", worker.pool);
+    reader.readLabel("pool", worker.pool);
     reader.readAddress("address", worker.address);
     const ini_entry *healthPath = reader.findEntry("health_path");
     if (healthPath != nullptr) {
--- a/state/src/tables.cpp
+++ b/state/src/tables.cpp
@@ -51,12 +51,12 @@
         errors.add(state_error::unknown_key, section.line, fmt::format("unknown section [{}], expected {}{}", section.name, expected, hint));
         return {};
     }
-    std::string name = section.name.substr(prefix.size());
-    if (!isName(name)) {
-        errors.add(state_error::malformed, section.line, fmt::format("expected a name of 1 to 64 letters, digits, \"-\" or \"_\" in [{}]", section.name));
+    absl::StatusOr<std::string> name = parseLabel(std::string_view(section.name).substr(prefix.size()));
+    if (!name.ok()) {
+        errors.add(state_error::malformed, section.line, fmt::format("invalid name in [{}]: {}", section.name, reasonOf(name.status())));
         return {};
     }
-    return name;
+    return *std::move(name);
 }
 
 } // namespace detail
--- a/state/src/tables_routes.cpp
+++ b/state/src/tables_routes.cpp
@@ -18,13 +18,8 @@
 constexpr double MaxWorth = 1'000'000;
 constexpr double MaxOrganisationRate = 1'000'000; // requests per second
 constexpr milliseconds MinTimeout{1};
-constexpr milliseconds MaxTimeout = std::chrono::hours(1);
 constexpr std::string_view AnyHost = "*";
 constexpr std::string_view CallersSection = "callers";
-constexpr std::uint32_t MaxPriority = 1000;
-constexpr std::uint32_t MaxAttemptsLimit = 16;
-constexpr std::uint64_t MaxWeight = 1'000'000;
-constexpr std::size_t MaxCallerBytes = 67'108'864;
 
 void readHost(section_reader &reader, route &row)
 {
@@ -42,7 +37,7 @@
 
 bool isPathCharacter(char c)
 {
-    return c > ' ' && c < '\x7f' && c != '?' && c != '#';
+    return static_cast<unsigned char>(c) > ' ' && c != '\x7f' && c != '?' && c != '#';
 }
 
 void readPath(section_reader &reader, route &row)
@@ -90,18 +85,20 @@
     }
     for (const std::string &item : items) {
         const std::size_t blank = item.find(' ');
-        pool_share share{item.substr(0, blank), 1};
+        pool_share share;
         if (blank != std::string::npos) {
-            const absl::StatusOr<std::uint64_t> weight = parseUnsigned(item.substr(item.find_first_not_of(' ', blank)), 0, MaxWeight);
+            const absl::StatusOr<std::uint64_t> weight = parseUnsigned(item.substr(item.find_first_not_of(' ', blank)), 0, MaxPoolWeight);
             if (!weight.ok()) {
                 return reader.addError(*entry, state_error::malformed, reasonOf(weight.status()));
             }
             share.weight = static_cast<std::uint32_t>(*weight);
         }
-        if (!isName(share.pool)) {
+        absl::StatusOr<std::string> pool = parseLabel(std::string_view(item).substr(0, blank));
+        if (!pool.ok()) {
             return reader.addError(
                 *entry, state_error::malformed, fmt::format("expected pool names separated by commas, each with an optional weight, got \"{}\"", entry->value));
         }
+        share.pool = *std::move(pool);
         row.poolShares.push_back(std::move(share));
     }
     row.pool = row.poolShares.front().pool;
@@ -115,8 +112,8 @@
     section_reader reader(section, errors);
     reader.readCount("max_header_bytes", target.maxHeaderBytes, 1, MaxCallerBytes);
     reader.readCount("max_body_bytes", target.maxBodyBytes, 1, MaxCallerBytes);
-    reader.readDuration("header_timeout", target.headerTimeout, MinTimeout, MaxTimeout);
-    reader.readDuration("idle_timeout", target.idleTimeout, MinTimeout, MaxTimeout);
+    reader.readDuration("header_timeout", target.headerTimeout, MinTimeout, MaxRouteTime);
+    reader.readDuration("idle_timeout", target.idleTimeout, MinTimeout, MaxRouteTime);
     reader.reportUnknownKeys();
 }
 
@@ -134,11 +131,11 @@
     readPools(reader, row);
     reader.readFlag("idempotent", row.idempotent);
     reader.readNumber("worth", row.worth, MinWorth, MaxWorth);
-    reader.readCount("priority", row.priority, 0, MaxPriority);
-    reader.readCount("max_attempts", row.maxAttempts, 1, MaxAttemptsLimit);
-    reader.readDuration("target", row.targetLatency, milliseconds(0), MaxTimeout);
-    reader.readDuration("timeout", row.timeout, MinTimeout, MaxTimeout);
-    reader.readDuration("cost_hint", row.costHint, milliseconds(0), MaxTimeout);
+    reader.readCount("priority", row.priority, 0, MaxRoutePriority);
+    reader.readCount("max_attempts", row.maxAttempts, 1, MaxRouteAttempts);
+    reader.readDuration("target", row.targetLatency, milliseconds(0), MaxRouteTime);
+    reader.readDuration("timeout", row.timeout, MinTimeout, MaxRouteTime);
+    reader.readDuration("cost_hint", row.costHint, milliseconds(0), MaxRouteTime);
     reader.readNumber("organisation_rate", row.organisationRate, 0, MaxOrganisationRate);
     reader.reportUnknownKeys();
     return row;
--- a/state/tests/test_ini.cpp
+++ b/state/tests/test_ini.cpp
@@ -40,8 +40,9 @@
 Test(ini, accepts_lines_up_to_the_length_limit_and_refuses_longer_ones)
 {
     cr_assert(rc::check("no line is truncated", [] {
-        const auto keyBytes = *rc::gen::inRange<std::size_t>(1, 120);
-        const auto valueBytes = *rc::gen::inRange<std::size_t>(1, 120);
+        const auto keyBytes = *rc::gen::inRange<std::size_t>(1, MaxIniKeyBytes + 1);
+        const auto valueBytes = *rc::gen::element<std::size_t>(*rc::gen::inRange<std::size_t>(1, 600),
+                                                               *rc::gen::inRange<std::size_t>(MaxIniLineBytes - 2 * MaxIniKeyBytes, MaxIniLineBytes + 20));
         const std::string key(keyBytes, 'k');
         const std::string value(valueBytes, 'v');
         const auto document = parseIni("[" + key + "]\n" + key + "=" + value + "\n", "t.ini");
@@ -54,6 +55,48 @@
     }));
 }
 
+// Guards against values that are changed because they are longer than the buffer of the library that splits lines.
+Test(ini, keeps_every_byte_of_a_long_value)
+{
+    cr_assert(rc::check("blanks and characters with a meaning inside of a long value stay", [] {
+        const auto words = *rc::gen::container<std::vector<std::string>>(
+            40, rc::gen::element<std::string>("a", "bb 10,", "c;d", "#", "=", "[x]", "\"", "e:f", "\xC3\xA4", std::string(70, 'w'), " ", "  ", "\t"));
+        std::string value = "v";
+        for (const std::string &word : words) {
+            value += word;
+        }
+        value += "v";
+        const auto document = parseIni("[s]\nshort = 1\nlong = " + value + " ; comment\nafter = 2 ; comment\n", "t.ini");
+        RC_ASSERT(document.ok());
+        const std::vector<ini_entry> &entries = document->sections[0].entries;
+        RC_ASSERT(entries.size() == 3u);
+        RC_ASSERT(entries[1].value == value && entries[1].line == 3u);
+        RC_ASSERT(entries[2].value == "2" && entries[2].line == 4u);
+    }));
+    const std::string longLine = "long = " + std::string(1000, 'x') + "\n";
+    cr_assert(reasonFor("[s]\n" + longLine + "x\n") == "t.ini:3: expected \"<key> = <value>\"", "lines are counted as in the text");
+    cr_assert(reasonFor("[s]\n" + longLine + longLine) == "t.ini:3: duplicate key \"long\" in [s]");
+    cr_assert(reasonFor("[s]\n" + std::string(MaxIniKeyBytes + 1, 'k') + " = 1\n").starts_with("t.ini:2: the key is 121 bytes long"));
+    cr_assert(parseIni("[" + std::string(5000, 'n') + "]\nx = 1\n", "t.ini")->sections[0].name.size() == 5000);
+}
+
+Test(ini, labels_are_escaped_and_read_back)
+{
+    cr_assert(escapeLabel("r-hh2b9wu_1.x") == "r-hh2b9wu_1.x");
+    cr_assert(escapeLabel("a b]%") == "a%20b%5D%25");
+    cr_assert(rc::check("any label comes back", [](const std::string &text) {
+        const auto label = parseLabel(escapeLabel(text));
+        RC_ASSERT(label.ok() == isLabel(text));
+        if (label.ok()) {
+            RC_ASSERT(*label == text);
+        }
+    }));
+    for (const std::string_view invalid : {"", "a b", "a]", "%", "%4", "%GG", "a;b", "%00", "%0A"}) {
+        cr_assert(not(parseLabel(invalid).ok()), "%s", std::string(invalid).c_str());
+    }
+    cr_assert(parseLabel("%61").value() == "a");
+}
+
 Test(ini, parses_or_refuses_any_text)
 {
     cr_assert(rc::check("any text is parsed or refused with its source", [](const std::string &text) {
--- a/tests/integration/support/store_fleet.cpp
+++ b/tests/integration/support/store_fleet.cpp
@@ -120,15 +120,19 @@
 
 void store_fleet::configure(std::uint64_t version, const std::string &path, std::chrono::milliseconds timeout)
 {
-    command(m_storeAddress,
-            "/_put/op/config",
-            fmt::format(R"({{"version":{},"services":[{{"name":"orders"}}],"virtualHosts":[{{"host":"shop.example","paths":[)"
-                        R"({{"name":"read","prefix":"/{}/","kind":"idempotent","timeoutMs":{},"priority":2,"service":"orders","maxAttempts":2}},)"
-                        R"({{"name":"book","prefix":"/book/","kind":"non_idempotent","timeoutMs":{},"priority":1,"service":"orders","maxAttempts":2}}]}}]}})",
-                        version,
-                        path,
-                        timeout.count(),
-                        timeout.count()));
+    writeConfiguration(
+        fmt::format(R"({{"version":{},"services":[{{"name":"orders"}}],"virtualHosts":[{{"host":"shop.example","paths":[)"
+                    R"({{"name":"read","prefix":"/{}/","kind":"idempotent","timeoutMs":{},"priority":2,"service":"orders","maxAttempts":2}},)"
+                    R"({{"name":"book","prefix":"/book/","kind":"non_idempotent","timeoutMs":{},"priority":1,"service":"orders","maxAttempts":2}}]}}]}})",
+                    version,
+                    path,
+                    timeout.count(),
+                    timeout.count()));
+}
+
+void store_fleet::writeConfiguration(const std::string &document) const
+{
+    command(m_storeAddress, "/_put/op/config", document);
 }
 
 void store_fleet::setStoreFault(const std::string &lines) const
@@ -157,19 +161,22 @@
 
 // [SECTION] Requests
 
-std::string store_fleet::request(std::size_t index, const std::string &method, const std::string &path, const std::string &id, const std::string &version) const
+std::string store_fleet::request(
+    std::size_t index, const std::string &method, const std::string &path, const std::string &id, const std::string &version, const std::string &body) const
 {
     boost::asio::io_context io;
     tcp::socket socket(io);
     boost::system::error_code error;
     socket.connect(tcp::endpoint(boost::asio::ip::make_address(nodeIp(index)), CallersPort), error);
     const std::string text = fmt::format("{} {} HTTP/{}\r\nHost: shop.example\r\nAttempt-Id: {}\r\nX-Request-Id: {}\r\nDeadline-Remaining: "
-                                         "1500\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+                                         "1500\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{}",
                                          method,
                                          path,
                                          version,
                                          id,
-                                         id);
+                                         id,
+                                         body.size(),
+                                         body);
     boost::asio::write(socket, boost::asio::buffer(text), error);
     std::string answer;
     boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
--- a/tests/integration/support/store_fleet.h
+++ b/tests/integration/support/store_fleet.h
@@ -34,13 +34,19 @@
     void configure(std::uint64_t version,
                    const std::string &path,
                    std::chrono::milliseconds timeout = std::chrono::seconds(2)); // the idempotent route gets this path, both this timeout
+    void writeConfiguration(const std::string &document) const;                  // any text
     void setStoreFault(const std::string &lines) const;
     void rewindStore(std::chrono::milliseconds age) const; // the store comes back from a copy of this age; its era rises
     void heartbeat(int times);                             // all workers w0, w1, ... write their entries again, so that the revisions rise
     void setWorkerFault(std::size_t index, const std::string &lines) const;
 
     // Sends one request with the given id and returns its whole answer, header included.
-    std::string request(std::size_t index, const std::string &method, const std::string &path, const std::string &id, const std::string &version = "1.1") const;
+    std::string request(std::size_t index,
+                        const std::string &method,
+                        const std::string &path,
+                        const std::string &id,
+                        const std::string &version = "1.1",
+                        const std::string &body = {}) const;
     std::string statusOf(std::size_t index, const std::string &path) const; // of a GET, for example "HTTP/1.1 200"
 
     std::size_t runsAt(std::size_t index) const;          // runs that the worker at this place has started
--- a/tests/integration/test_promise_discovery.cpp
+++ b/tests/integration/test_promise_discovery.cpp
@@ -57,6 +57,35 @@
     }
 }
 
+// Guards against valid configurations that all nodes refuse, by bounds that the platform does not have.
+Test(discovery, applies_configurations_that_exceed_the_bounds_of_table_lines_and_settings)
+{
+    constexpr std::size_t BodyBytes = 4 * 1024 * 1024; // the settings allow 1 MiB
+    store_fleet fleet;
+    fleet.start();
+    const std::string prefix = "/" + std::string(300, 'p') + "/";
+    std::string services = R"({"name":"orders"})";
+    std::string parts = R"({"service":"orders","weight":90000000})";
+    for (int i = 0; i < 30; ++i) {
+        services += fmt::format(R"(,{{"name":"another service of a long name, number {}"}})", i);
+        parts += fmt::format(R"(,{{"service":"another service of a long name, number {}","weight":0}})", i);
+    }
+    fleet.writeConfiguration(fmt::format(R"({{"version":5,"services":[{}],"limits":{{"maxBodyBytes":104857600,"maxHeaderBytes":4194304}},"virtualHosts":[)"
+                                         R"({{"host":"shop.example","paths":[{{"name":"r: 1 [all]; x","prefix":"{}","kind":"non_idempotent",)"
+                                         R"("timeoutMs":7200000,"targetLatencyMs":7200000,"priority":5000,"weightedServices":[{}],"maxAttempts":100}}]}}]}})",
+                                         services,
+                                         prefix,
+                                         parts));
+    for (std::size_t i = 0; i < Nodes; ++i) {
+        cr_assert(waitUntil([&] { return fleet.statusOf(i, prefix + "1") == "HTTP/1.1 200"; }, InForceTime), "node %zu", i);
+        for (int upload = 0; upload < 4; ++upload) { // also to workers of other nodes
+            const std::string answer = fleet.request(i, "POST", prefix + "2", fmt::format("upload-{}-{}", i, upload), "1.1", std::string(BodyBytes, 'b'));
+            cr_assert(answer.starts_with("HTTP/1.1 200"), "node %zu: %s", i, answer.substr(0, 400).c_str());
+        }
+    }
+    cr_assert(fleet.linesWith("name=config_refused").empty());
+}
+
 Test(discovery, follows_leaving_and_replaced_workers)
 {
     store_fleet fleet;
