--- a/state/include/dandelionstall/state/ini.h
+++ b/state/include/dandelionstall/state/ini.h
@@ -29,7 +29,7 @@
 };
 
 inline constexpr std::size_t MaxIniLineBytes = 4'194'304; // longest line in bytes without blanks at both ends; longer lines are an error
-inline constexpr std::size_t MaxIniKeyBytes = 120;     // longest key; a longer one is an error
+inline constexpr std::size_t MaxIniKeyBytes = 120;        // longest key; a longer one is an error
 
 absl::StatusOr<ini_document> parseIni(std::string_view text, std::string_view source);
 absl::Status makeIniError(state_error code, std::string_view source, std::uint32_t line, std::string_view reason); // "<source>:<line>: <reason>"
