Let one of the two readers call seldom while nothing changes

A change ends either at once. The time without reads after which a search begins is 1.1 s (1.0 s before).

--- a/coordination/include/dandelionstall/coordination/gossip_node.h
+++ b/coordination/include/dandelionstall/coordination/gossip_node.h
@@ -7,7 +7,7 @@
 //   node.start(settings.seeds, now);
 //   send(node.tick(now));                  // every TickInterval
 //   send(node.receive(message, now));
-//   if (node.serviceRole(now) == reader_role::reading) ... // keep watches of the platform's service open
+//   if (reads(node.serviceRole(now))) ... // keep watches of the platform's service open
 #pragma once
 
 #include <dandelionstall/coordination/config_dissemination.h>
@@ -46,7 +46,7 @@
     void recordServiceRead(state::time_point now);         // a call to the platform's service has succeeded
     reader_role serviceRole(state::time_point now) const;  // whether this node reads the service for its data centre now
     bool isServiceReader(state::time_point now) const;     // true when its role is to read
-    void setServiceReadGap(std::chrono::milliseconds gap); // longest time between two successful calls of a reader while the service works
+    void setServiceReadGap(std::chrono::milliseconds gap); // longest time between two successful calls of the primary while the service works
     const reader_choice &readers() const;
     bool consumeSearchStarted();                            // see reader_choice.h
     bool isServiceReadAllowed(state::time_point now) const; // false while this node still waits for tables from its peers after the start
--- a/coordination/include/dandelionstall/coordination/reader_choice.h
+++ b/coordination/include/dandelionstall/coordination/reader_choice.h
@@ -17,7 +17,7 @@
 //   choice.recordRead(now);                                               // after a successful call of this node
 //   choice.recordPeerState(message.readers, message.serviceReadAge, now); // from a node of the same data centre
 //   choice.tick(now);
-//   if (choice.role() == reader_role::reading) ...
+//   if (reads(choice.role())) ...
 //
 // Index:
 //   [SECTION] Timing
@@ -36,7 +36,7 @@
 
 // [SECTION] Timing
 
-inline constexpr std::chrono::milliseconds DefaultReadGap{1000}; // longest time between two reads of a reader while the service works
+inline constexpr std::chrono::milliseconds DefaultReadGap{1100}; // longest time between two reads of the primary while the service works
 inline constexpr std::chrono::milliseconds StandbyDelay{300};    // added for the nodes that are told of each read: messages are lost at times
 inline constexpr std::chrono::seconds OtherNodesDelay{2};        // added for all other nodes, which hear of reads by gossip
 inline constexpr std::chrono::milliseconds SearchStep{350};      // from one window of a search to the next; longer than a call takes
@@ -87,12 +87,14 @@
 // [SECTION] Choice
 
 enum class reader_role {
-    none,    // other nodes read
-    probing, // tries whether the service serves this node
-    reading, // reads on behalf of all nodes of the data centre
+    none,      // other nodes read
+    probing,   // tries whether the service serves this node
+    secondary, // reads on behalf of all nodes of the data centre; a change reaches it as soon as the primary
+    primary,   // the same, and calls so often that a failure is noticed soon
 };
 
-std::string_view roleName(reader_role role); // "none", "probing" or "reading"
+std::string_view roleName(reader_role role); // name of the enumerator
+bool reads(reader_role role);                // true for primary and secondary
 
 // Reads of the service in the local data centre, as far as this node knows.
 class reader_choice
@@ -101,7 +103,7 @@
     explicit reader_choice(const state::node_address &self);
 
     void start(state::time_point now);
-    void setReadGap(std::chrono::milliseconds gap);                // longest time between two successful calls of a reader while the service works
+    void setReadGap(std::chrono::milliseconds gap);                // longest time between two successful calls of the primary while the service works
     void setMembers(const std::vector<state::node_address> &live); // the members of the data centre that may read; without this node, it has no role
     void recordRead(state::time_point now);                        // this node has read the service
     void recordPeerState(const reader_window &window, std::chrono::milliseconds readAge, state::time_point now); // from another node of the data centre
--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -257,7 +257,7 @@
         m_directory.recordServiceFailure(now); // an outage that other nodes have seen
     }
     m_readers.recordRead(now);
-    m_readPushDue = m_readPushDue || m_readers.role() == reader_role::reading;
+    m_readPushDue = m_readPushDue || reads(m_readers.role());
     m_directory.recordServiceRecovery(now);
 }
 
@@ -275,7 +275,7 @@
 
 bool gossip_node::isServiceReader(state::time_point now) const
 {
-    return serviceRole(now) == reader_role::reading;
+    return reads(serviceRole(now));
 }
 
 void gossip_node::setServiceReadGap(std::chrono::milliseconds gap)
--- a/coordination/src/reader_choice.cpp
+++ b/coordination/src/reader_choice.cpp
@@ -109,12 +109,19 @@
         return "none";
     case reader_role::probing:
         return "probing";
-    case reader_role::reading:
-        return "reading";
+    case reader_role::secondary:
+        return "secondary";
+    case reader_role::primary:
+        return "primary";
     }
     return "none";
 }
 
+bool reads(reader_role role)
+{
+    return role == reader_role::primary || role == reader_role::secondary;
+}
+
 reader_choice::reader_choice(const state::node_address &self)
     : m_self(self)
     , m_selfRank(rankOf(self))
@@ -154,7 +161,7 @@
     if (!supersedes(window, m_window)) {
         return;
     }
-    const bool isReading = role() == reader_role::reading && now - m_lastOwnRead < m_readGap;
+    const bool isReading = reads(role()) && now - m_lastOwnRead < m_readGap;
     adopt(window, now);
     if (isReading && phaseOf(window) != reader_phase::settled) {
         settle(now); // the other node has not heard of the reads of this one
@@ -263,7 +270,10 @@
     if (!own || *own >= sizeOf(m_window, m_members.size())) {
         return reader_role::none;
     }
-    return phaseOf(m_window) == reader_phase::settled ? reader_role::reading : reader_role::probing;
+    if (phaseOf(m_window) != reader_phase::settled) {
+        return reader_role::probing;
+    }
+    return *own == 0 ? reader_role::primary : reader_role::secondary;
 }
 
 const reader_window &reader_choice::window() const
--- a/programs/dandelionstall/control.cpp
+++ b/programs/dandelionstall/control.cpp
@@ -190,7 +190,7 @@
     result.dataCentre = m_settings.dataCentre;
     result.leaving = m_gossipNode.members().isLeaving();
     result.selfSuspected = m_selfSuspected;
-    result.reader = m_readerRole == coordination::reader_role::reading;
+    result.reader = coordination::reads(m_readerRole);
     result.routes = describeTable(table_kind::routes);
     result.pools = describeTable(table_kind::pools);
     for (member &known : m_gossipNode.members().members()) {
--- a/programs/dandelionstall/control_gossip.cpp
+++ b/programs/dandelionstall/control_gossip.cpp
@@ -349,12 +349,12 @@
     const coordination::reader_choice &readers = m_gossipNode.readers();
     if (std::exchange(m_readerRole, role) != role) {
         logEvent(event::reader_changed,
-                 {{"reader", role == reader_role::reading ? "yes" : "no"},
+                 {{"reader", coordination::reads(role) ? "yes" : "no"},
                   {"role", std::string(coordination::roleName(role))},
                   {"round", fmt::to_string(readers.window().round)},
                   {"width", fmt::to_string(readers.window().width)},
                   {"read_age_ms", fmt::to_string(readers.serviceReadAge(now).count())}});
-        m_metrics.setGauge("service_reader", role == reader_role::reading ? 1 : 0);
+        m_metrics.setGauge("service_reader", coordination::reads(role) ? 1 : 0);
     }
     if (m_gossipNode.consumeSearchStarted()) {
         m_metrics.incrementCounter("reader_searches");
--- a/programs/dandelionstall/key_value_source.cpp
+++ b/programs/dandelionstall/key_value_source.cpp
@@ -24,7 +24,9 @@
 constexpr std::chrono::milliseconds ReadDeadline{1500}; // deadline for reading one page
 constexpr std::chrono::milliseconds ProbeDeadline{1000};
 constexpr std::chrono::milliseconds ProbeInterval{1000}; // between two probes while this node has no other role
-constexpr std::chrono::milliseconds WatchWait{300};      // maximum time that the store blocks a watch without changes
+constexpr std::chrono::milliseconds SecondaryWait{2000}; // maximum time that the store blocks a watch without changes, of the secondary reader
+constexpr std::chrono::milliseconds PrimaryCadence{900}; // the primary has an answer at least this often
+constexpr std::chrono::milliseconds MinWait{50};
 constexpr std::chrono::milliseconds WatchGrace{800};     // added to the wait to form the deadline of a watch
 constexpr std::chrono::milliseconds WatchInterval{500};  // minimum interval between the starts of two watches
 constexpr std::chrono::milliseconds AnswerTime{200};     // longest time from a call to its answer, beside the wait of a watch, while the store works
@@ -67,7 +69,15 @@
 
 std::chrono::milliseconds key_value_source::readGap() const
 {
-    return WatchInterval + WatchWait + AnswerTime;
+    return PrimaryCadence + AnswerTime;
+}
+
+std::chrono::milliseconds key_value_source::watchWait() const
+{
+    if (m_role != reader_role::primary) {
+        return SecondaryWait;
+    }
+    return std::max(std::chrono::duration_cast<std::chrono::milliseconds>(m_answeredAt + PrimaryCadence - state::clock::now()), MinWait);
 }
 
 // [SECTION] Read and watch loop
@@ -76,7 +86,7 @@
 {
     while (true) {
         const state::time_point startedAt = state::clock::now();
-        if (m_role != reader_role::reading) {
+        if (!coordination::reads(m_role)) {
             m_synced = false; // changes during this time are received from other nodes; a reader reads all items again
         }
         if (m_role == reader_role::none && !m_needsWorkers) {
@@ -110,7 +120,7 @@
 
 asio::awaitable<bool> key_value_source::readAll()
 {
-    const read_freshness freshness = m_role == reader_role::reading ? read_freshness::latest : read_freshness::recent;
+    const read_freshness freshness = coordination::reads(m_role) ? read_freshness::latest : read_freshness::recent;
     std::uint64_t asOf = 0;
     const absl::StatusOr<std::vector<protocol::store_item>> workers = co_await readRange(m_dialect->workerPrefix(), freshness, asOf);
     const std::uint64_t era = m_era;
@@ -165,7 +175,8 @@
 
 asio::awaitable<bool> key_value_source::watchOnce()
 {
-    const auto answer = co_await call(m_dialect->watchTarget(m_revision, WatchWait), state::clock::now() + WatchWait + WatchGrace);
+    const std::chrono::milliseconds wait = watchWait();
+    const auto answer = co_await call(m_dialect->watchTarget(m_revision, wait), state::clock::now() + wait + WatchGrace);
     if (!answer.ok()) {
         co_return false;
     }
@@ -200,6 +211,7 @@
     }
     recordOutcome(answer.status());
     if (answer.ok()) {
+        m_answeredAt = state::clock::now();
         m_events.readSucceeded();
     } else {
         m_events.readFailed();
--- a/programs/dandelionstall/key_value_source.h
+++ b/programs/dandelionstall/key_value_source.h
@@ -47,6 +47,7 @@
     readRange(std::string prefix, protocol::read_freshness freshness, std::uint64_t &asOf);
     boost::asio::awaitable<absl::StatusOr<transport::platform_answer>> call(std::string target, state::time_point deadline);
     boost::asio::awaitable<void> pauseUntil(state::time_point until); // or until the role changes
+    std::chrono::milliseconds watchWait() const;                      // maximum time that the store blocks the next watch
     bool followEra(const transport::platform_answer &answer);         // false for an answer of an earlier era, or without one
     void handleConfig(const protocol::store_item &item);
     void handleWorkers(const std::vector<protocol::store_item> &items, std::uint64_t asOf);
@@ -65,6 +66,7 @@
     std::uint64_t m_revision = 0;                                       // all changes up to this revision have been applied
     coordination::store_revision m_configRevision;                      // revision of the last configuration item that was processed
     std::uint64_t m_era = 0;                                            // era of the store in its answers; 0 when it names none
+    state::time_point m_answeredAt;                                     // the latest usable answer
     std::uint32_t m_failures = 0;                                       // consecutive calls without a usable answer
     coordination::reader_role m_role = coordination::reader_role::none; // whether this node reads the store on behalf of other nodes
     bool m_needsWorkers = true;                                         // this node reads the list of workers from the store
