Let entries of no pool take no address from a worker

Cause: of several entries at an address the one started last is taken, before entries of unknown pools are left out.

Why it works: entries of unknown pools are left out first. Test before the fix: worker_directory::an_entry_of_an_unknown_pool_takes_no_address_from_a_worker fails (0 of 1 workers in the table).

--- a/coordination/include/dandelionstall/coordination/worker_directory.h
+++ b/coordination/include/dandelionstall/coordination/worker_directory.h
@@ -117,8 +117,8 @@
 
 // [SECTION] Merging
 
-// Returns the table with the rows of discovered workers added. Of several workers at one address, only the one started last
-// is included.
+// Returns the table with the rows of discovered workers added. Of several workers at one address that belong to pools of the table, only
+// the one started last is included.
 state::pool_table mergeDiscoveredWorkers(const state::pool_table &table, const worker_directory &directory);
 
 } // namespace dandelionstall::coordination
--- a/coordination/src/worker_directory.cpp
+++ b/coordination/src/worker_directory.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <set>
 
 namespace dandelionstall::coordination {
 
@@ -303,9 +304,15 @@
 state::pool_table mergeDiscoveredWorkers(const state::pool_table &table, const worker_directory &directory)
 {
     std::map<state::node_address, const discovered_worker *> latestByAddress; // latest started worker at each address
+    std::set<std::string_view> pools;
+    for (const state::pool &pool : table.pools) {
+        if (pool.hasDiscoveredWorkers) {
+            pools.insert(pool.name);
+        }
+    }
     for (const auto &[id, entry] : directory.entries()) {
-        if (entry.phase == worker_phase::removed) {
-            continue;
+        if (entry.phase == worker_phase::removed || !pools.contains(entry.pool)) {
+            continue; // an entry of no pool takes no address from a worker
         }
         const discovered_worker *&latest = latestByAddress[entry.address];
         if (latest == nullptr || startedLater(entry, *latest)) {
--- a/coordination/tests/test_worker_directory.cpp
+++ b/coordination/tests/test_worker_directory.cpp
@@ -8,6 +8,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <limits>
 #include <set>
 
 using namespace dandelionstall;
@@ -215,6 +216,23 @@
         std::vector<worker_directory> directories(Nodes);
         std::vector<worker_dissemination> disseminations;
         std::vector<state::node_address> addresses;
+// Guards against an entry of another writer, with a service that isn't configured and a later start, that takes the place of a worker.
+Test(worker_directory, an_entry_of_an_unknown_pool_takes_no_address_from_a_worker)
+{
+    worker_directory directory;
+    discovered_worker worker = makeWorker("a", 1);
+    worker.startedAtMs = 1000;
+    directory.offer(worker, Start);
+    discovered_worker odd = makeWorker("odd", 2);
+    odd.pool = "nobody";
+    odd.address = worker.address;
+    odd.startedAtMs = std::numeric_limits<std::uint64_t>::max();
+    directory.offer(odd, Start);
+    const state::pool_table merged = mergeDiscoveredWorkers(discoveredTable(), directory);
+    cr_assert(merged.pools[0].workers.size() == 1u);
+    cr_assert(merged.pools[0].workers[0].id == "a");
+}
+
         for (std::size_t i = 0; i < Nodes; ++i) {
             disseminations.emplace_back(directories[i]);
             addresses.push_back({"10.0.0." + std::to_string(i + 1), 7400});
