Read everything anew when the changes since a revision are too large

What callers saw: nodes that learn of no change any more (first report of the issue). When more than 4 MiB of entries were written between two answers of a watch, the answer exceeded the limit, and the reader asked for the same changes again, for good.

Cause: a watch, unlike a page of a range, has no bound of size, and a call that fails keeps the revision that it starts from.

Why it works: after such an answer the reader reads all items by pages, which the store bounds, and watches from there.

--- a/programs/dandelionstall/key_value_source.cpp
+++ b/programs/dandelionstall/key_value_source.cpp
@@ -178,6 +178,7 @@
     const std::chrono::milliseconds wait = watchWait();
     const auto answer = co_await call(m_dialect->watchTarget(m_revision, wait), state::clock::now() + wait + WatchGrace);
     if (!answer.ok()) {
+        m_synced = m_synced && !transport::isError(answer.status(), transport::transport_error::too_large); // pages are limited in size, changes are not
         co_return false;
     }
     if (answer->status == StatusHistoryLost) {
--- a/tests/integration/support/store_fleet.cpp
+++ b/tests/integration/support/store_fleet.cpp
@@ -118,6 +118,11 @@
     command(m_storeAddress, "/_remove/servers/" + id, "");
 }
 
+void store_fleet::writeEntry(const std::string &id, const std::string &value) const
+{
+    command(m_storeAddress, "/_put/servers/" + id, value);
+}
+
 void store_fleet::configure(std::uint64_t version, const std::string &path, std::chrono::milliseconds timeout)
 {
     writeConfiguration(
--- a/tests/integration/support/store_fleet.h
+++ b/tests/integration/support/store_fleet.h
@@ -31,6 +31,7 @@
     void startWorker(std::size_t index, const std::string &id);
     void announce(std::size_t index, const std::string &id, const std::string &state = "ready", std::uint64_t born = 1); // writes the worker's entry
     void removeEntry(const std::string &id) const;
+    void writeEntry(const std::string &id, const std::string &value) const; // any bytes
     void configure(std::uint64_t version,
                    const std::string &path,
                    std::chrono::milliseconds timeout = std::chrono::seconds(2)); // the idempotent route gets this path, both this timeout
--- a/transport/src/errors.cpp
+++ b/transport/src/errors.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr const char *ErrorPayload = "dandelionstall/transport";
+
 std::string_view errorName(transport_error code)
 {
     switch (code) {
@@ -24,6 +26,8 @@
         return "protocol";
     case transport_error::overloaded:
         return "overloaded";
+    case transport_error::too_large:
+        return "too_large";
     }
     return "closed";
 }
@@ -33,10 +37,16 @@
 absl::Status makeError(transport_error code, std::string_view reason)
 {
     absl::Status status(absl::StatusCode::kUnavailable, fmt::format("transport: {}", reason));
-    status.SetPayload("dandelionstall/transport", absl::Cord(state::toAbsl(errorName(code))));
+    status.SetPayload(ErrorPayload, absl::Cord(state::toAbsl(errorName(code))));
     return status;
 }
 
+bool isError(const absl::Status &status, transport_error code)
+{
+    const auto payload = status.GetPayload(ErrorPayload);
+    return payload && *payload == state::toAbsl(errorName(code));
+}
+
 absl::Status wrapProtocolError(const absl::Status &status)
 {
     return status.ok() ? status : makeError(transport_error::protocol, state::messageOf(status));
--- a/transport/src/platform_client.cpp
+++ b/transport/src/platform_client.cpp
@@ -41,6 +41,9 @@
 
 absl::Status makeReadError(const boost::system::error_code &error)
 {
+    if (error == http::error::body_limit) {
+        return makeSocketError(transport_error::too_large, error);
+    }
     return makeSocketError(error == beast::error::timeout ? transport_error::silent : transport_error::closed, error);
 }
 
