Keep a worker whose entry cannot be read when the whole list is read

What callers saw: nothing yet; a worker went out of use although it ran (first report of the issue).

Cause: an entry that another writer had made unreadable was skipped by a watch, which kept the worker, but looked missing in a read of the whole list, which removed it. Such reads come with each new reader.

Why it works: the list names the ids of entries that cannot be read, and these are not missing. Test: worker_directory::an_entry_that_cannot_be_read_keeps_its_ worker fails with the mechanism taken out. Remembered refusals of keys that are gone are dropped with each such read.

--- a/bench/bench_pool_size.cpp
+++ b/bench/bench_pool_size.cpp
@@ -135,7 +135,7 @@
     for (std::size_t i = 0; i < workers; ++i) {
         entries.push_back(makeEntry(pool, i, i + 1, worker_phase::ready));
     }
-    node.replaceWorkers(entries, {0, workers}, now);
+    node.replaceWorkers({entries, {}}, {0, workers}, now);
     node.tick(now);
     pool_tracker tracker(Seed, "dc-0");
     tracker.setTable(node.pools(), now);
--- a/bench/bench_start.cpp
+++ b/bench/bench_start.cpp
@@ -98,7 +98,7 @@
         fleet.at(i).start({}, fleet.now());
         fleet.at(i).offerFromService(table_kind::pools, pools, fleet.now());
         fleet.at(i).offerFromService(table_kind::routes, routes, fleet.now());
-        fleet.at(i).replaceWorkers(workers, {0, nodes}, fleet.now());
+        fleet.at(i).replaceWorkers({workers, {}}, {0, nodes}, fleet.now());
     }
     for (measured_node &node : measured) {
         node.tracker.addLocalPool("dressing-order");
--- a/coordination/include/dandelionstall/coordination/gossip_node.h
+++ b/coordination/include/dandelionstall/coordination/gossip_node.h
@@ -37,15 +37,15 @@
 
     offer_result offerFromService(table_kind kind, std::string text, state::time_point now);
     void setVmList(const std::vector<vm_record> &vms, state::time_point now);
-    void markLeavingVms(const std::vector<vm_record> &vms, state::time_point now);                                  // marks leaving VMs from a partial list
-    void offerWorker(const discovered_worker &entry, state::time_point now);                                        // entry read from the service
-    void replaceWorkers(const std::vector<discovered_worker> &entries, store_revision asOf, state::time_point now); // complete list read from the service
-    void offerWorkerRemoval(std::string_view id, store_revision revision, state::time_point now);                   // removal reported by the service
-    void learnStoreEra(std::uint64_t era);                                                                          // era named by the service
-    void recordServiceReadFailure(state::time_point now);  // a call to the platform's service has failed
-    void recordServiceRead(state::time_point now);         // a call to the platform's service has succeeded
-    reader_role serviceRole(state::time_point now) const;  // whether this node reads the service for its data centre now
-    bool isServiceReader(state::time_point now) const;     // true when its role is to read
+    void markLeavingVms(const std::vector<vm_record> &vms, state::time_point now);                // marks leaving VMs from a partial list
+    void offerWorker(const discovered_worker &entry, state::time_point now);                      // entry read from the service
+    void replaceWorkers(const worker_list &list, store_revision asOf, state::time_point now);     // complete list read from the service
+    void offerWorkerRemoval(std::string_view id, store_revision revision, state::time_point now); // removal reported by the service
+    void learnStoreEra(std::uint64_t era);                                                        // era named by the service
+    void recordServiceReadFailure(state::time_point now);                                         // a call to the platform's service has failed
+    void recordServiceRead(state::time_point now);                                                // a call to the platform's service has succeeded
+    reader_role serviceRole(state::time_point now) const;                                         // whether this node reads the service for its data centre now
+    bool isServiceReader(state::time_point now) const;                                            // true when its role is to read
     void setServiceReadGap(std::chrono::milliseconds gap); // longest time between two successful calls of the primary while the service works
     const reader_choice &readers() const;
     bool consumeSearchStarted();                            // see reader_choice.h
--- a/coordination/include/dandelionstall/coordination/worker_directory.h
+++ b/coordination/include/dandelionstall/coordination/worker_directory.h
@@ -17,7 +17,7 @@
 // Usage:
 //   worker_directory directory;
 //   directory.offer(entry, now);                 // one entry, from a watch or from another node
-//   directory.replaceAll(entries, asOf, now);    // the whole list as of revision asOf
+//   directory.replaceAll(list, asOf, now);       // the whole list as of revision asOf
 //   directory.tick(now);                         // applies pending removals that are due
 //   for (const discovered_worker &changed : directory.consumeChanges()) ... pass it on ...
 //   auto table = mergeDiscoveredWorkers(poolTable, directory);
@@ -61,6 +61,12 @@
     store_revision revision;                  // when the entry was written; a higher one is newer
 };
 
+// The whole list of the service. An entry that cannot be read says nothing about its worker, neither that it is there nor that it is gone.
+struct worker_list {
+    std::vector<discovered_worker> entries;
+    std::vector<std::string> unreadable; // ids
+};
+
 bool sameContent(const discovered_worker &a, const discovered_worker &b); // compares all fields except revision and coldUntil
 
 // [SECTION] Directory
@@ -72,8 +78,8 @@
 class worker_directory
 {
 public:
-    bool offer(const discovered_worker &entry, state::time_point now);                                          // true when the content has changed
-    void replaceAll(const std::vector<discovered_worker> &entries, store_revision asOf, state::time_point now); // removes missing entries older than asOf
+    bool offer(const discovered_worker &entry, state::time_point now);                      // true when the content has changed
+    void replaceAll(const worker_list &list, store_revision asOf, state::time_point now);   // removes missing entries older than asOf
     void offerRemoval(std::string_view id, store_revision revision, state::time_point now); // stays pending during a disruption of the service
     void recordServiceFailure(state::time_point now);                                       // a call to the service has failed
     void recordServiceRecovery(state::time_point now);                                      // a call to the service has succeeded
--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -155,10 +155,10 @@
     m_workerDissemination.collectChanges(change_source::service, now); // before a message of another node makes them look like its own
 }
 
-void gossip_node::replaceWorkers(const std::vector<discovered_worker> &entries, store_revision asOf, state::time_point now)
+void gossip_node::replaceWorkers(const worker_list &list, store_revision asOf, state::time_point now)
 {
     m_listRead = true;
-    m_directory.replaceAll(entries, asOf, now);
+    m_directory.replaceAll(list, asOf, now);
     m_workerDissemination.collectChanges(change_source::service, now);
     refreshPools();
     refreshMembers(now);
--- a/coordination/src/worker_directory.cpp
+++ b/coordination/src/worker_directory.cpp
@@ -171,17 +171,18 @@
     applyRemoval(std::string(id), revision, now);
 }
 
-void worker_directory::replaceAll(const std::vector<discovered_worker> &entries, store_revision asOf, state::time_point now)
+void worker_directory::replaceAll(const worker_list &list, store_revision asOf, state::time_point now)
 {
     learnEra(asOf.era);
     m_listedAsOf = std::max(m_listedAsOf, asOf);
-    for (const discovered_worker &entry : entries) {
+    std::set<std::string_view> listed(list.unreadable.begin(), list.unreadable.end());
+    for (const discovered_worker &entry : list.entries) {
         offer(entry, now);
+        listed.insert(entry.id);
     }
     std::vector<std::string> missing;
     for (auto &[id, known] : m_entries) {
-        const bool listed = std::any_of(entries.begin(), entries.end(), [&name = id](const discovered_worker &entry) { return entry.id == name; });
-        if (listed || known.revision >= asOf) {
+        if (listed.contains(id) || known.revision >= asOf) {
             continue;
         }
         if (known.phase == worker_phase::removed) {
--- a/coordination/tests/test_gossip_at_size.cpp
+++ b/coordination/tests/test_gossip_at_size.cpp
@@ -222,7 +222,7 @@
     for (std::size_t i = 0; i < Nodes; ++i) {
         workers.push_back(entryOf(i, i + 1, worker_phase::ready));
     }
-    node.replaceWorkers(workers, {0, Nodes}, now);
+    node.replaceWorkers({workers, {}}, {0, Nodes}, now);
     std::shared_ptr<const state::pool_table> known = node.pools();
     std::size_t merges = 0;
     for (std::size_t i = 0; i < Changes; ++i) {
--- a/coordination/tests/test_worker_directory.cpp
+++ b/coordination/tests/test_worker_directory.cpp
@@ -131,12 +131,26 @@
     worker_directory directory;
     directory.offer(makeWorker("a", 1), Start);
     directory.offer(makeWorker("bb", 9), Start);
-    directory.replaceAll({makeWorker("ccc", 3)}, {0, 5}, Start);
+    directory.replaceAll({{makeWorker("ccc", 3)}, {}}, {0, 5}, Start);
     cr_assert(phaseOf(directory, "a") == worker_phase::removed);
     cr_assert(phaseOf(directory, "bb") == worker_phase::ready); // higher revision than the list
     cr_assert(phaseOf(directory, "ccc") == worker_phase::ready);
 }
 
+// Guards against workers that are taken out of use by a read of the whole list, since another writer made their entry unreadable.
+Test(worker_directory, an_entry_that_cannot_be_read_keeps_its_worker)
+{
+    worker_directory directory;
+    directory.offer(makeWorker("a", 1), Start);
+    directory.offer(makeWorker("bb", 2), Start);
+    directory.replaceAll({{}, {"a", "unknown"}}, {0, 9}, Start);
+    cr_assert(phaseOf(directory, "a") == worker_phase::ready);
+    cr_assert(phaseOf(directory, "bb") == worker_phase::removed);
+    cr_assert(not(directory.entries().contains("unknown")));
+    directory.offerRemoval("a", {0, 10}, Start);
+    cr_assert(phaseOf(directory, "a") == worker_phase::removed);
+}
+
 // ---- Removals during a disruption of the service ----
 
 Test(worker_directory, keeps_removals_pending_until_some_time_after_the_service_recovers)
@@ -202,20 +216,6 @@
 
 // ---- Dissemination ----
 
-// Guards against entries that never reach some nodes: a third of the messages is lost, and a node that missed a push must
-// catch up by a pull.
-Test(worker_dissemination, reaches_every_node_despite_lost_messages)
-{
-    cr_assert(rc::check("all directories become equal", [] {
-        constexpr std::size_t Nodes = 12;
-        auto random = *rc::gen::arbitrary<std::uint64_t>();
-        const auto draw = [&random](std::size_t limit) {
-            random = random * 6364136223846793005ULL + 1442695040888963407ULL;
-            return static_cast<std::size_t>(random >> 33U) % limit;
-        };
-        std::vector<worker_directory> directories(Nodes);
-        std::vector<worker_dissemination> disseminations;
-        std::vector<state::node_address> addresses;
 // Guards against an entry of another writer, with a service that isn't configured and a later start, that takes the place of a worker.
 Test(worker_directory, an_entry_of_an_unknown_pool_takes_no_address_from_a_worker)
 {
@@ -233,6 +233,20 @@
     cr_assert(merged.pools[0].workers[0].id == "a");
 }
 
+// Guards against entries that never reach some nodes: a third of the messages is lost, and a node that missed a push must
+// catch up by a pull.
+Test(worker_dissemination, reaches_every_node_despite_lost_messages)
+{
+    cr_assert(rc::check("all directories become equal", [] {
+        constexpr std::size_t Nodes = 12;
+        auto random = *rc::gen::arbitrary<std::uint64_t>();
+        const auto draw = [&random](std::size_t limit) {
+            random = random * 6364136223846793005ULL + 1442695040888963407ULL;
+            return static_cast<std::size_t>(random >> 33U) % limit;
+        };
+        std::vector<worker_directory> directories(Nodes);
+        std::vector<worker_dissemination> disseminations;
+        std::vector<state::node_address> addresses;
         for (std::size_t i = 0; i < Nodes; ++i) {
             disseminations.emplace_back(directories[i]);
             addresses.push_back({"10.0.0." + std::to_string(i + 1), 7400});
@@ -326,7 +340,7 @@
 {
     worker_directory directory;
     directory.offer(makeWorker("a", 90, worker_phase::leaving, 1), Start);
-    directory.replaceAll({makeWorker("a", 5, worker_phase::ready, 2)}, {2, 6}, Start);
+    directory.replaceAll({{makeWorker("a", 5, worker_phase::ready, 2)}, {}}, {2, 6}, Start);
     cr_assert(phaseOf(directory, "a") == worker_phase::leaving);
     discovered_worker again = makeWorker("a", 9, worker_phase::ready, 2);
     again.startedAtMs += 1;
@@ -416,7 +430,7 @@
                 }
                 break;
             case 5:
-                nodes[node].replaceAll(listOf(), {era, revision}, now);
+                nodes[node].replaceAll({listOf(), {}}, {era, revision}, now);
                 break;
             case 6:
                 if (!sent.empty()) {
@@ -441,7 +455,7 @@
                     nodes[0].offer(entry, now);
                 }
             }
-            nodes[0].replaceAll(listOf(), {era, ++revision}, now);
+            nodes[0].replaceAll({listOf(), {}}, {era, ++revision}, now);
             now += seconds(3);
             for (worker_directory &node : nodes) {
                 node.tick(now);
--- a/programs/dandelionstall/control.cpp
+++ b/programs/dandelionstall/control.cpp
@@ -64,9 +64,9 @@
         m_gossipNode.markLeavingVms(vms, state::clock::now());
         applyUpdates(state::clock::now());
     };
-    events.workerListReceived = [this](const std::vector<coordination::discovered_worker> &all, coordination::store_revision asOf) {
+    events.workerListReceived = [this](const coordination::worker_list &list, coordination::store_revision asOf) {
         m_workersRead = true;
-        m_gossipNode.replaceWorkers(all, asOf, state::clock::now());
+        m_gossipNode.replaceWorkers(list, asOf, state::clock::now());
         applyUpdates(state::clock::now());
     };
     events.workerUpdated = [this](const coordination::discovered_worker &entry) {
--- a/programs/dandelionstall/key_value_source.cpp
+++ b/programs/dandelionstall/key_value_source.cpp
@@ -260,14 +260,19 @@
 
 void key_value_source::handleWorkers(const std::vector<protocol::store_item> &items, std::uint64_t asOf)
 {
-    std::vector<coordination::discovered_worker> workers;
-    workers.reserve(items.size());
+    coordination::worker_list list;
+    list.entries.reserve(items.size());
+    const std::size_t prefixBytes = m_dialect->workerPrefix().size();
+    std::map<std::string, std::string> earlierRefusals = std::exchange(m_lastRefusals, {}); // keys that are gone are forgotten
     for (const protocol::store_item &item : items) {
+        m_lastRefusals.insert(earlierRefusals.extract(item.key));
         if (auto worker = readWorker(item); worker.ok()) {
-            workers.push_back(*std::move(worker));
+            list.entries.push_back(*std::move(worker));
+        } else {
+            list.unreadable.push_back(item.key.substr(prefixBytes));
         }
     }
-    m_events.workerListReceived(std::move(workers), {m_era, asOf});
+    m_events.workerListReceived(std::move(list), {m_era, asOf});
 }
 
 void key_value_source::handleChange(const protocol::store_item &item)
--- a/transport/include/dandelionstall/transport/config_source.h
+++ b/transport/include/dandelionstall/transport/config_source.h
@@ -22,8 +22,7 @@
     std::function<void(coordination::table_kind kind, const absl::Status &reason)> tableInvalid; // a table cannot be read or assembled from its parts
     std::function<void(std::vector<coordination::vm_record> vms)> vmListReceived;                // the whole list of VMs was read
     std::function<void(std::vector<coordination::vm_record> vms)> leavingVmsReceived;            // only the rows of VMs that are leaving were read
-    std::function<void(std::vector<coordination::discovered_worker> all, coordination::store_revision asOf)>
-        workerListReceived;                                                                   // all workers were read, as of a revision
+    std::function<void(coordination::worker_list list, coordination::store_revision asOf)> workerListReceived; // all workers were read, as of a revision
     std::function<void(coordination::discovered_worker entry)> workerUpdated;                 // the entry of one worker was added or has changed
     std::function<void(std::string id, coordination::store_revision revision)> workerRemoved; // the entry of one worker was removed at this revision
     std::function<void(std::string key, std::string reason)> entryRefused;                    // an entry does not describe a usable worker
