Bound the texts of workers' entries, and leave out rows that cannot be used

What callers saw: nodes that miss changes of workers (first report of the issue), because of an entry of another writer among theirs.

Cause, two ways on which one entry hides others between nodes: an address that no VM has was taken, and each message with it was refused as a whole; texts of any length were taken, and messages with up to eight such rows were larger than a datagram may be.

Evidence, with the mechanisms taken out: messages_with_long_entries_of_workers_ fit_into_one_datagram has a message of 5,182 bytes of 1,400 allowed; unusable_rows_are_left_out_and_the_others_hold fails by construction on the code before, which returned an error for the message.

Why it works: entries need a unicast address, a service of up to 450 and a zone of up to 200 bytes; versions are cut at 64, cold starts believed up to ten minutes. With these bounds any row fits into a message, which is filled by bytes; a page names its last id when more follow. Rows that cannot be used are left out and counted.

--- a/coordination/include/dandelionstall/coordination/gossip.h
+++ b/coordination/include/dandelionstall/coordination/gossip.h
@@ -28,7 +28,7 @@
     config_fetch, // requests a chunk of a table
     config_chunk, // carries a chunk of a table or of the difference between two revisions
     worker_pull,  // requests the page of discovered workers that follow the cursor
-    worker_page,  // answers worker_pull
+    worker_page,  // answers worker_pull; its cursor is set when more rows follow
 };
 
 // Abbreviated version of a table. Shows whether another node has a different version.
@@ -79,7 +79,8 @@
     std::vector<worker_update> workers;                          // discovered workers that have changed, or the rows of a worker_page
     std::uint64_t storeEra = 0;                                  // highest era of the platform's store that the sender knows
     std::optional<bucket_digests> workersBuckets;                // of the sender of a worker_pull: the answer holds the entries of other buckets only
-    std::string workersCursor;                                   // cursor of worker_pull: the id of the last worker already received; empty for the first page
+    std::string workersCursor; // of a worker_pull: the id of the last worker already received, empty for the first page; of a page: its last id if more follow
+    std::size_t unusableRows = 0; // rows of a received message that describe nothing usable; they are left out
 };
 
 struct outgoing_gossip {
--- a/coordination/src/worker_directory.cpp
+++ b/coordination/src/worker_directory.cpp
@@ -304,13 +304,13 @@
 
 state::pool_table mergeDiscoveredWorkers(const state::pool_table &table, const worker_directory &directory)
 {
-    std::map<state::node_address, const discovered_worker *> latestByAddress; // latest started worker at each address
     std::set<std::string_view> pools;
     for (const state::pool &pool : table.pools) {
         if (pool.hasDiscoveredWorkers) {
             pools.insert(pool.name);
         }
     }
+    std::map<state::node_address, const discovered_worker *> latestByAddress; // latest started worker at each address
     for (const auto &[id, entry] : directory.entries()) {
         if (entry.phase == worker_phase::removed || !pools.contains(entry.pool)) {
             continue; // an entry of no pool takes no address from a worker
--- a/coordination/src/worker_dissemination.cpp
+++ b/coordination/src/worker_dissemination.cpp
@@ -11,7 +11,11 @@
 constexpr std::chrono::milliseconds PullInterval{250};
 constexpr std::chrono::milliseconds SettlingTime{200}; // after news, time for the pushes that bring the same news to all nodes
 constexpr std::chrono::milliseconds RepairTime{300};   // after the first differing digest, time until a pull while news follows news
-constexpr std::size_t RowsPerMessage = 8;              // rows in a message, so that it stays below MaxDatagramBytes
+constexpr std::size_t RowsPerMessage = 8;
+constexpr std::size_t RowBytesPerMessage = 1050; // of all rows of a message, so that it stays below MaxDatagramBytes
+constexpr std::size_t FixedRowBytes = 60;        // of a row beside its texts and addresses, at most
+constexpr std::size_t AddressBytes = 10;
+constexpr std::size_t LongAddressBytes = 28; // of IPv6
 
 worker_update makeUpdate(const discovered_worker &entry, state::time_point now)
 {
@@ -19,6 +23,27 @@
     return {entry, std::max(coldRemaining, std::chrono::milliseconds(0))};
 }
 
+std::size_t bytesOf(const discovered_worker &entry)
+{
+    const std::size_t addressBytes = entry.address.ip.find(':') == std::string::npos ? AddressBytes : LongAddressBytes;
+    return FixedRowBytes + 2 * addressBytes + entry.id.size() + entry.pool.size() + entry.dataCentre.size() + entry.version.size();
+}
+
+// Returns how many of the rows from this one on fit into one message; at least one, unless there is none.
+std::size_t countFitting(const std::vector<discovered_worker> &rows, std::size_t first)
+{
+    std::size_t count = 0;
+    std::size_t bytes = 0;
+    while (first + count < rows.size() && count < RowsPerMessage) {
+        bytes += bytesOf(rows[first + count]);
+        if (count > 0 && bytes > RowBytesPerMessage) {
+            break;
+        }
+        ++count;
+    }
+    return count;
+}
+
 } // namespace
 
 worker_dissemination::worker_dissemination(worker_directory &directory)
@@ -42,9 +67,10 @@
 {
     const std::vector<discovered_worker> pending = std::exchange(m_pendingPush.at(static_cast<std::size_t>(source)), {});
     gossip_batch out;
-    for (std::size_t first = 0; first < pending.size(); first += RowsPerMessage) {
+    for (std::size_t first = 0, count = 0; first < pending.size(); first += count) {
+        count = countFitting(pending, first);
         gossip_message message;
-        for (std::size_t i = first; i < std::min(first + RowsPerMessage, pending.size()); ++i) {
+        for (std::size_t i = first; i < first + count; ++i) {
             message.workers.push_back(makeUpdate(pending[i], now));
         }
         for (const state::node_address &peer : peers) {
@@ -80,8 +106,8 @@
     if (message.kind == gossip_kind::worker_pull) {
         servePage(message, now, out);
     } else if (message.kind == gossip_kind::worker_page) {
-        if (message.workers.size() == RowsPerMessage) {
-            requestPage(message.sender.address, message.workers.back().entry.id, out);
+        if (!message.workersCursor.empty()) {
+            requestPage(message.sender.address, message.workersCursor, out);
         }
     } else if (isPullDue(message.workersDigest, now)) {
         m_nextPull = now + PullInterval;
@@ -120,10 +146,14 @@
     gossip_message page;
     page.kind = gossip_kind::worker_page;
     const std::vector<discovered_worker> rows = message.workersBuckets
-                                                    ? m_directory.differingAfter(message.workersCursor, RowsPerMessage, *message.workersBuckets)
-                                                    : m_directory.pageAfter(message.workersCursor, RowsPerMessage);
-    for (const discovered_worker &entry : rows) {
-        page.workers.push_back(makeUpdate(entry, now));
+                                                    ? m_directory.differingAfter(message.workersCursor, RowsPerMessage + 1, *message.workersBuckets)
+                                                    : m_directory.pageAfter(message.workersCursor, RowsPerMessage + 1);
+    const std::size_t count = countFitting(rows, 0);
+    for (std::size_t i = 0; i < count; ++i) {
+        page.workers.push_back(makeUpdate(rows[i], now));
+    }
+    if (count < rows.size()) {
+        page.workersCursor = rows[count - 1].id;
     }
     out.push_back({message.sender.address, std::move(page)});
 }
--- a/programs/dandelionstall/control_gossip.cpp
+++ b/programs/dandelionstall/control_gossip.cpp
@@ -158,6 +158,11 @@
         logEvent(event::gossip_refused, {{"reason", std::string(state::messageOf(message.status()))}});
         return;
     }
+    if (message->unusableRows > 0) {
+        m_metrics.incrementCounter("gossip_rows_unusable");
+        logEvent(event::gossip_refused,
+                 {{"reason", fmt::format("{} unusable rows", message->unusableRows)}, {"sender", state::formatNodeAddress(message->sender.address)}});
+    }
     const state::time_point now = state::clock::now();
     send(m_gossipNode.receive(*message, now));
     recordStoreEra(state::formatNodeAddress(message->sender.address), {m_loggedEra, 0});
--- a/protocol/src/gossip_codec.cpp
+++ b/protocol/src/gossip_codec.cpp
@@ -177,30 +177,25 @@
     return absl::OkStatus();
 }
 
-absl::Status readUpdates(const wire::Gossip &in, gossip_message &out)
+// Leaves out rows that cannot be used: the others of the message hold.
+template<typename rows, typename reader, typename values>
+void readRows(const rows &in, const reader &read, values &out, std::size_t &unusable)
 {
-    for (const wire::GossipMember &row : in.updates()) {
-        absl::StatusOr<member> update = readMember(row);
-        if (!update.ok()) {
-            return update.status();
+    for (const auto &row : in) {
+        auto value = read(row);
+        if (value.ok()) {
+            out.push_back(*std::move(value));
+        } else {
+            ++unusable;
         }
-        out.updates.push_back(*std::move(update));
     }
-    for (const wire::WorkerReport &row : in.reports()) {
-        absl::StatusOr<coordination::worker_report> report = readReport(row);
-        if (!report.ok()) {
-            return report.status();
-        }
-        out.reports.push_back(*std::move(report));
-    }
-    for (const wire::DiscoveredWorker &row : in.workers()) {
-        absl::StatusOr<coordination::worker_update> worker = readWorker(row);
-        if (!worker.ok()) {
-            return worker.status();
-        }
-        out.workers.push_back(*std::move(worker));
-    }
-    return absl::OkStatus();
+}
+
+void readUpdates(const wire::Gossip &in, gossip_message &out)
+{
+    readRows(in.updates(), readMember, out.updates, out.unusableRows);
+    readRows(in.reports(), readReport, out.reports, out.unusableRows);
+    readRows(in.workers(), readWorker, out.workers, out.unusableRows);
 }
 
 absl::Status readOptionalFields(const wire::Gossip &in, gossip_message &out)
@@ -292,11 +287,12 @@
     message.workersDigest = in.workers_digest();
     message.workersCursor = in.workers_cursor();
     message.storeEra = in.store_era();
-    for (const absl::Status &status : {readSender(in.sender(), message.sender), readOptionalFields(in, message), readUpdates(in, message)}) {
+    for (const absl::Status &status : {readSender(in.sender(), message.sender), readOptionalFields(in, message)}) {
         if (!status.ok()) {
             return status;
         }
     }
+    readUpdates(in, message);
     return message;
 }
 
--- a/protocol/tests/test_gossip_codec.cpp
+++ b/protocol/tests/test_gossip_codec.cpp
@@ -1,4 +1,5 @@
 // Tests of protocol/gossip_codec.h.
+#include <dandelionstall/coordination/worker_dissemination.h>
 #include <dandelionstall/protocol/gossip_codec.h>
 
 #include <criterion/criterion.h>
@@ -85,6 +86,74 @@
     cr_assert(encodeGossip(pull).size() <= MaxDatagramBytes);
 }
 
+// Guards against entries of workers with long texts, whose messages are too large to be sent, so that the entries beside them are missed.
+Test(gossip_codec, messages_with_long_entries_of_workers_fit_into_one_datagram)
+{
+    constexpr std::size_t Workers = 30;
+    const state::time_point now{std::chrono::seconds(100)};
+    worker_directory directory;
+    worker_dissemination dissemination(directory);
+    for (std::size_t i = 0; i < Workers; ++i) {
+        discovered_worker worker;
+        worker.id = fmt::format("{:0>200}", i); // the longest texts that the adapter takes
+        worker.pool = std::string(i % 3 == 0 ? 450 : 8, 'p');
+        worker.dataCentre = std::string(i % 2 == 0 ? 200 : 6, 'd');
+        worker.version = std::string(64, 'v');
+        worker.node = {"fd00::1:2", 7400};
+        worker.address = {"fd00::1:2", 8080};
+        worker.slots = 10'000;
+        worker.startedAtMs = std::numeric_limits<std::uint64_t>::max();
+        worker.revision = {std::numeric_limits<std::uint64_t>::max(), std::numeric_limits<std::uint64_t>::max()};
+        directory.offer(worker, now);
+    }
+    dissemination.collectChanges(change_source::service, now);
+    std::size_t pushed = 0;
+    const auto check = [](gossip_message message) {
+        const gossip_message common = sample();
+        message.sender = common.sender;
+        message.tables = common.tables;
+        message.readers = common.readers;
+        message.serviceReadAge = common.serviceReadAge;
+        message.workersDigest = std::numeric_limits<std::uint32_t>::max();
+        message.storeEra = std::numeric_limits<std::uint64_t>::max();
+        cr_assert(encodeGossip(message).size() <= MaxDatagramBytes, "%zu bytes", encodeGossip(message).size());
+    };
+    for (const outgoing_gossip &out : dissemination.push(change_source::service, {{"10.0.0.9", 7400}}, now)) {
+        pushed += out.to.ip == "10.0.0.9" ? out.message.workers.size() : 0;
+        check(out.message);
+    }
+    cr_assert(pushed == Workers);
+    std::size_t pulled = 0;
+    gossip_message pull;
+    pull.kind = gossip_kind::worker_pull;
+    pull.sender.address = {"10.0.0.9", 7400};
+    do {
+        const gossip_batch pages = dissemination.receive(pull, now);
+        cr_assert(pages.size() == 1);
+        pulled += pages[0].message.workers.size();
+        pull.workersCursor = pages[0].message.workersCursor;
+        check(pages[0].message);
+    } while (!pull.workersCursor.empty());
+    cr_assert(pulled == Workers);
+}
+
+// Guards against one row that cannot be used, for which all other news of the message was refused.
+Test(gossip_codec, unusable_rows_are_left_out_and_the_others_hold)
+{
+    gossip_message message = sample();
+    message.config.reset();
+    worker_update unusable = message.workers.front();
+    unusable.entry.id = "odd";
+    unusable.entry.address = {"0.0.0.0", 8080};
+    message.workers.insert(message.workers.begin(), unusable);
+    message.updates.insert(message.updates.begin(), {{"0.0.0.0", 7400}, "thika", 9, 1, member_state::alive, false});
+    const absl::StatusOr<gossip_message> read = decodeGossip(encodeGossip(message));
+    cr_assert(read.ok());
+    cr_assert(read->unusableRows == 2u);
+    cr_assert(read->workers.size() == 1u && read->workers.front().entry.id == "i-7f3a");
+    cr_assert(read->updates.size() == 2u && read->tables == message.tables);
+}
+
 Test(gossip_codec, decodes_or_refuses_any_bytes)
 {
     cr_assert(rc::check("corrupted and truncated messages are refused or have a sender address", [] {
--- a/state/include/dandelionstall/state/types.h
+++ b/state/include/dandelionstall/state/types.h
@@ -38,6 +38,7 @@
     friend auto operator<=>(const node_address &, const node_address &) = default;
 };
 
+bool isUnicast(const node_address &address);                          // false for an unspecified, multicast, reserved or malformed IP address
 absl::StatusOr<node_address> parseNodeAddress(std::string_view text); // "10.0.0.1:7400" or "[::1]:7400"
 std::string formatNodeAddress(const node_address &address);           // inverse of parseNodeAddress()
 
--- a/state/src/types.cpp
+++ b/state/src/types.cpp
@@ -41,6 +41,19 @@
     return address;
 }
 
+bool isUnicast(const node_address &address)
+{
+    constexpr std::uint32_t FirstMulticast = 224; // first octet; reserved addresses follow
+    constexpr unsigned char MulticastV6 = 0xFF;   // first octet
+    in_addr v4{};
+    if (inet_pton(AF_INET, address.ip.c_str(), &v4) == 1) {
+        const std::uint32_t firstOctet = ntohl(v4.s_addr) >> 24U;
+        return firstOctet != 0 && firstOctet < FirstMulticast;
+    }
+    in6_addr v6{};
+    return inet_pton(AF_INET6, address.ip.c_str(), &v6) == 1 && !IN6_IS_ADDR_UNSPECIFIED(&v6) && v6.s6_addr[0] != MulticastV6;
+}
+
 std::string formatNodeAddress(const node_address &address)
 {
     if (address.ip.find(':') != std::string::npos) {
--- a/transport/include/dandelionstall/transport/events.h
+++ b/transport/include/dandelionstall/transport/events.h
@@ -69,7 +69,7 @@
     member_leaving = 4023,        // info: a node is leaving and accepts no new work
     self_doubt = 4024,            // warn: this node was paused or is isolated; until this ends it declares no node dead
     self_trust = 4025,            // info: self-suspicion has ended; this node may declare other nodes dead again
-    gossip_refused = 4026,        // warn: a received datagram is not a valid gossip message and was dropped
+    gossip_refused = 4026,        // warn: a received datagram, or some rows of it, is no valid gossip and was dropped
     worker_judged = 4027,         // info: this node has changed the state or the weight of a worker
     worker_known = 4030,          // info: a discovered worker is new, or its phase (ready or leaving) has changed
     worker_gone = 4031,           // info: the entry of a discovered worker was removed
--- a/transport/src/events.cpp
+++ b/transport/src/events.cpp
@@ -65,7 +65,7 @@
     event_info{event::member_leaving, log_level::info, "member_leaving", "a node is leaving and accepts no new work"},
     event_info{event::self_doubt, log_level::warn, "self_doubt", "this node was paused or is isolated; until this ends it declares no node dead"},
     event_info{event::self_trust, log_level::info, "self_trust", "self-suspicion has ended; this node may declare other nodes dead again"},
-    event_info{event::gossip_refused, log_level::warn, "gossip_refused", "a received datagram is not a valid gossip message and was dropped"},
+    event_info{event::gossip_refused, log_level::warn, "gossip_refused", "a received datagram, or some rows of it, is no valid gossip and was dropped"},
     event_info{event::worker_judged, log_level::info, "worker_judged", "this node has changed the state or the weight of a worker"},
     event_info{event::worker_known, log_level::info, "worker_known", "a discovered worker is new, or its phase (ready or leaving) has changed"},
     event_info{event::worker_gone, log_level::info, "worker_gone", "the entry of a discovered worker was removed"},
