Take no answer without an id for that of a request on a kept connection

A refusal without an id that a worker wrote once more on a kept connection was taken for the answer to the request that it was running there: the caller was told that the request had not run, and another worker ran it as well.

Cause: an answer that echoes no id counted as the answer to the request in progress, whatever the connection had carried before.

Evidence: a_repeated_refusal_is_no_proof_that_another_request_has_not_run, 8 copies at 4 moments, fails on the code before: "a request that runs ends as refused; copy 1: HTTP/1.1 503 Busy".

Why it works: without an id, an answer is taken only on a connection that has carried no other request; otherwise the outcome of the request is unknown. Connections to workers that do not echo ids are not kept. Copies with other ids, 1xx, on idle connections and behind answers were harmless before; the test keeps them so.

--- a/transport/include/dandelionstall/transport/worker_client.h
+++ b/transport/include/dandelionstall/transport/worker_client.h
@@ -1,6 +1,8 @@
 // HTTP/1.1 client of one worker on this VM, with keep-alive connections, deadlines, cancellation and streamed answers.
 // What is not the body of a success is limited in size, so that a worker that sends bytes without end costs little; interim answers
 // (status 1xx) are skipped. Only the body of a success may be of any length, until the deadline.
+// An answer is taken for that of a request when it echoes the id of the request. One without an id is, too, on a connection that has
+// carried no other request; on others it may be a late or repeated answer, so that nothing is known of the request.
 // It may be used from one thread only.
 //
 // Usage:
@@ -82,6 +84,13 @@
 
 // [SECTION] Client
 
+// Which request an answer belongs to.
+enum class answer_origin {
+    this_request,
+    another_request, // it echoes another id
+    unknown,         // it echoes none, and the connection has carried other requests
+};
+
 class worker_client
 {
 public:
@@ -100,12 +109,13 @@
 
     stream_ptr popIdleConnection();                                                               // null when there is none
     boost::asio::awaitable<stream_ptr> connect(const worker_request &request, worker_call &call); // null when the connection cannot be made
-    boost::asio::awaitable<worker_result> runOn(stream_ptr stream, const worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call);
+    boost::asio::awaitable<worker_result>
+    runOn(stream_ptr stream, bool reused, const worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call);
     boost::asio::awaitable<boost::system::error_code> readHead(exchange &current, const worker_request &request) const;
     boost::asio::awaitable<boost::system::error_code> dropBody(exchange &current) const;
-    bool answersRequest(const exchange &current, const worker_request &request) const;
+    answer_origin originOf(const exchange &current, const worker_request &request) const;
     bool passesSealCheck(const exchange &current) const;
-    void keepIdleConnection(const exchange &current, const worker_call &call);
+    void keepIdleConnection(const exchange &current, const worker_request &request, const worker_call &call);
 
     state::node_address m_address;
     state::header_names m_names;
--- a/transport/src/worker_client.cpp
+++ b/transport/src/worker_client.cpp
@@ -166,6 +166,7 @@
     std::unique_ptr<answer_parser> parser;
     protocol::http_headers headers; // end-to-end headers of the answer
     std::uint32_t status = 0;
+    bool reused = false; // an earlier request was sent on this connection
 };
 
 worker_client::worker_client(const state::node_address &address, state::header_names names)
@@ -214,18 +215,24 @@
         result.outcome = call->isCancelled() ? worker_call_outcome::cancelled : worker_call_outcome::unreachable;
         co_return result;
     }
-    result = co_await runOn(stream, request, sink, call);
+    result = co_await runOn(stream, reused, request, sink, call);
     if (reused && result.outcome == worker_call_outcome::cut && result.status == 0) {
         m_idle.clear(); // a worker that has dropped one idle connection may have dropped all of them
     }
     co_return result;
 }
 
-bool worker_client::answersRequest(const exchange &current, const worker_request &request) const
+answer_origin worker_client::originOf(const exchange &current, const worker_request &request) const
 {
     const std::string_view sent = m_names.requestId.empty() ? std::string_view() : protocol::findHeader(request.headers, m_names.requestId);
     const std::string_view echoed = protocol::findHeader(current.headers, m_names.requestId);
-    return sent.empty() || echoed.empty() || sent == echoed;
+    if (sent.empty() || sent == echoed) {
+        return answer_origin::this_request;
+    }
+    if (!echoed.empty()) {
+        return answer_origin::another_request;
+    }
+    return current.reused ? answer_origin::unknown : answer_origin::this_request;
 }
 
 // True when the answer comes from the worker itself and a truncation of it would be detected. When a seal header is
@@ -260,9 +267,13 @@
         current.status = current.parser->get().result_int();
         current.headers = headersOf(current.parser->get().base());
         const bool isInterim = current.status < FirstFinalStatus;
-        if (!isInterim && answersRequest(current, request)) {
+        const answer_origin origin = originOf(current, request);
+        if (!isInterim && origin == answer_origin::this_request) {
             co_return beast::error_code();
         }
+        if (!isInterim && origin == answer_origin::unknown) {
+            break;
+        }
         current.status = 0;
         if (isInterim) {
             ++interim;
@@ -273,6 +284,7 @@
             co_return dropError;
         }
     }
+    current.status = 0;
     co_return beast::error_code(http::error::bad_status);
 }
 
@@ -297,7 +309,7 @@
 }
 
 asio::awaitable<worker_result>
-worker_client::runOn(stream_ptr stream, const worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call)
+worker_client::runOn(stream_ptr stream, bool reused, const worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call)
 {
     constexpr auto token = asio::as_tuple(asio::use_awaitable);
     worker_result result;
@@ -306,6 +318,7 @@
 
     exchange current;
     current.stream = stream;
+    current.reused = reused;
     current.write = std::make_shared<request_write>();
     current.write->message = makeRequest(request, m_names);
     http::async_write(*stream, current.write->message, [write = current.write, stream](const beast::error_code &error, std::size_t) {
@@ -361,17 +374,19 @@
         }
     }
     result.outcome = worker_call_outcome::answered;
-    keepIdleConnection(current, *call);
+    keepIdleConnection(current, request, *call);
     co_return result;
 }
 
 // Keeps the connection for reuse. It is closed instead if bytes follow the answer or the request is not completely written,
-// as it cannot carry another request then.
-void worker_client::keepIdleConnection(const exchange &current, const worker_call &call)
+// as it cannot carry another request then, and if the worker does not echo ids, as the next answer on it would prove nothing.
+void worker_client::keepIdleConnection(const exchange &current, const worker_request &request, const worker_call &call)
 {
     const state::duration idleLifetime = idleLifetimeOf(current.parser->get().base());
     const bool clean = current.parser->keep_alive() && current.buffer.size() == 0 && current.write->done && !current.write->error;
-    if (!clean || call.isCancelled() || m_idle.size() >= MaxIdleConnections || idleLifetime == state::duration::zero()) {
+    const bool sentId = !m_names.requestId.empty() && !protocol::findHeader(request.headers, m_names.requestId).empty();
+    const bool echoes = !sentId || !protocol::findHeader(current.headers, m_names.requestId).empty();
+    if (!clean || !echoes || call.isCancelled() || m_idle.size() >= MaxIdleConnections || idleLifetime == state::duration::zero()) {
         current.stream->close();
         return;
     }
--- a/transport/tests/test_worker_client.cpp
+++ b/transport/tests/test_worker_client.cpp
@@ -5,6 +5,7 @@
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
 
+#include <algorithm>
 #include <string>
 
 using namespace dandelionstall;
@@ -95,6 +96,110 @@
     std::string m_answer;
 };
 
+// Runs requests on kept connections. It sends the copy of an earlier refusal at a set moment of the second request, and answers the
+// second request some time after it.
+enum class copy_time {
+    before_request, // while the connection is idle
+    with_request,   // when the first byte of the request has arrived
+    after_request,  // when the worker has the whole request and runs it
+    after_answer,   // behind the answer to the second request
+};
+
+class repeating_worker
+{
+public:
+    repeating_worker(asio::io_context &io, std::string copy, copy_time when)
+        : m_acceptor(io, {asio::ip::make_address("127.0.0.1"), 0})
+        , m_copy(std::move(copy))
+        , m_when(when)
+    {
+        asio::co_spawn(io, serve(), asio::detached);
+    }
+
+    state::node_address address() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+
+    std::vector<std::string> runs; // ids of the requests that were run
+
+private:
+    asio::awaitable<void> serve()
+    {
+        while (true) {
+            auto socket = std::make_shared<tcp::socket>(co_await m_acceptor.async_accept(asio::use_awaitable));
+            asio::co_spawn(m_acceptor.get_executor(), serveConnection(socket), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serveConnection(std::shared_ptr<tcp::socket> socket)
+    {
+        constexpr auto token = asio::as_tuple(asio::use_awaitable);
+        std::string text;
+        for (int request = 0;; ++request) {
+            const auto [firstError, firstBytes] = co_await asio::async_read(*socket, asio::dynamic_buffer(text), asio::transfer_at_least(1), token);
+            if (firstError) {
+                co_return;
+            }
+            const bool hasCopy = request == 1;
+            if (hasCopy && m_when == copy_time::with_request) {
+                co_await asio::async_write(*socket, asio::buffer(m_copy), token);
+            }
+            const auto [error, bytes] = co_await asio::async_read_until(*socket, asio::dynamic_buffer(text), "\r\n\r\n", token);
+            if (error) {
+                co_return;
+            }
+            const std::size_t at = text.find("Request-Id: ") + 12;
+            const std::string id = text.substr(at, text.find("\r\n", at) - at);
+            text.clear();
+            runs.push_back(id);
+            if (hasCopy && m_when == copy_time::after_request) {
+                co_await asio::async_write(*socket, asio::buffer(m_copy), token);
+            }
+            asio::steady_timer work(m_acceptor.get_executor(), std::chrono::milliseconds(20));
+            co_await work.async_wait(token);
+            std::string answer = "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: 2\r\n\r\nok";
+            if ((request == 0 && m_when == copy_time::before_request) || (hasCopy && m_when == copy_time::after_answer)) {
+                co_await asio::async_write(*socket, asio::buffer(answer), token);
+                asio::steady_timer pause(m_acceptor.get_executor(), std::chrono::milliseconds(5));
+                co_await pause.async_wait(token);
+                answer = m_copy;
+            }
+            co_await asio::async_write(*socket, asio::buffer(answer), token);
+        }
+    }
+
+    tcp::acceptor m_acceptor;
+    std::string m_copy;
+    copy_time m_when;
+};
+
+class counting_sink : public discarding_sink
+{
+public:
+    void onSignals(const protocol::worker_signals &, bool) override
+    {
+        ++signals;
+    }
+    void onHead(std::uint32_t, protocol::http_headers) override
+    {
+        ++heads;
+    }
+
+    int signals = 0;
+    int heads = 0;
+};
+
+state::header_names namesWithIds()
+{
+    state::header_names names;
+    names.requestId = "Request-Id";
+    names.notRun = "Not-Run";
+    names.expectedWorker = "Expected";
+    names.leaving = "Leaving";
+    return names;
+}
+
 worker_request makeLookup()
 {
     worker_request request;
@@ -114,8 +219,90 @@
     }
 }
 
+struct outcome_of_two {
+    worker_call_outcome first = worker_call_outcome::cut;
+    worker_call_outcome second = worker_call_outcome::cut;
+    counting_sink sink; // of the second
+};
+
+asio::awaitable<void> runTwo(worker_client &client, outcome_of_two &outcome)
+{
+    discarding_sink ignored;
+    worker_request request = makeLookup();
+    request.headers.push_back({"Request-Id", "one"});
+    outcome.first = (co_await client.run(request, ignored, std::make_shared<worker_call>())).outcome;
+    asio::steady_timer pause(co_await asio::this_coro::executor, std::chrono::milliseconds(20)); // a copy on the idle connection has arrived then
+    co_await pause.async_wait(asio::use_awaitable);
+    request.headers.back().value = "two";
+    outcome.second = (co_await client.run(request, outcome.sink, std::make_shared<worker_call>())).outcome;
+}
+
 } // namespace
 
+// Guards against a refusal that a worker writes once more on a kept connection, and that is taken for the answer to a request which it
+// runs: the caller would be told that the request has not run.
+Test(worker_client, a_repeated_refusal_is_no_proof_that_another_request_has_not_run)
+{
+    const std::string tail = "Content-Length: 0\r\n\r\n";
+    const std::vector<std::string> copies{
+        "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: zero\r\n" + tail,
+        "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nRequest-Id: one\r\n" + tail,
+        "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n" + tail,
+        "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nLeaving: 1\r\n" + tail,
+        "HTTP/1.1 421 Misdirected\r\n" + tail,
+        "HTTP/1.1 429 Slow\r\nNot-Run: 1\r\nRequest-Id: \r\n" + tail,
+        "HTTP/1.1 102 Processing\r\nNot-Run: 1\r\n\r\n",
+        "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n\r\n", // without a length: it ends with the connection
+    };
+    for (const std::string &copy : copies) {
+        for (const copy_time when : {copy_time::before_request, copy_time::with_request, copy_time::after_request, copy_time::after_answer}) {
+            asio::io_context io(1);
+            repeating_worker worker(io, copy, when);
+            worker_client client(worker.address(), namesWithIds());
+            outcome_of_two outcome;
+            asio::co_spawn(io, runTwo(client, outcome), asio::detached);
+            io.run_for(std::chrono::milliseconds(400));
+            const bool hasRun = std::count(worker.runs.begin(), worker.runs.end(), "two") == 1;
+            cr_assert(outcome.first == worker_call_outcome::answered);
+            cr_assert(hasRun, "the second request runs once; %s", copy.c_str());
+            cr_assert(outcome.second == worker_call_outcome::answered || outcome.second == worker_call_outcome::cut,
+                      "a request that runs ends as %s; copy %d: %s",
+                      std::string(outcomeName(outcome.second)).c_str(),
+                      static_cast<int>(when),
+                      copy.c_str());
+            const int whole = outcome.second == worker_call_outcome::answered ? 1 : 0;
+            cr_assert(outcome.sink.heads == whole && outcome.sink.signals == whole, "what the copy states is not taken for the worker's word");
+        }
+    }
+}
+
+// The refusal of the request itself is a proof, on a new and on a kept connection, with its id, and without one on a new connection.
+Test(worker_client, a_refusal_of_the_request_itself_is_a_proof)
+{
+    for (const bool echoes : {true, false}) {
+        asio::io_context io(1);
+        const std::string id = echoes ? "Request-Id: one\r\n" : "";
+        scripted_worker worker(io, "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n" + id + "Content-Length: 0\r\n\r\n");
+        worker_client client(worker.address(), namesWithIds());
+        outcome_of_two outcome;
+        asio::co_spawn(io, runTwo(client, outcome), asio::detached);
+        io.run_for(std::chrono::milliseconds(300));
+        cr_assert(outcome.first == worker_call_outcome::refused);
+    }
+}
+
+// Without an echoed id, an answer on a kept connection would prove nothing: each request gets a connection of its own.
+Test(worker_client, keeps_no_connection_to_a_worker_that_does_not_echo_ids)
+{
+    asio::io_context io(1);
+    scripted_worker worker(io, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    worker_client client(worker.address(), namesWithIds());
+    outcome_of_two outcome;
+    asio::co_spawn(io, runTwo(client, outcome), asio::detached);
+    io.run_for(std::chrono::milliseconds(300));
+    cr_assert(outcome.first == worker_call_outcome::answered && outcome.second == worker_call_outcome::answered);
+}
+
 // Retries count against a budget that all nodes share, so the client itself must not retry. A connection that breaks on reuse
 // ends the call as cut; the next call opens a new connection.
 Test(worker_client, sends_a_request_once_when_an_idle_connection_breaks)
