Test that an answer which stops in its head is no answer

This does not happen here: with the head cut after each byte and the connection closed, and after each seventh with a reset or silence, the call ends as cut or timed_out and nothing is passed on (an_answer_that_stops_in_its_head_is_no_answer). An answer without a length is whole after a clean end only.

--- a/transport/tests/test_worker_client.cpp
+++ b/transport/tests/test_worker_client.cpp
@@ -200,6 +200,66 @@
     return names;
 }
 
+// How a worker ends an answer.
+enum class answer_stop {
+    close,  // it closes the connection
+    reset,  // it resets the connection
+    silent, // it sends nothing more
+};
+
+// Sends the bytes in answer to one request, and stops.
+class stopping_worker
+{
+public:
+    stopping_worker(asio::io_context &io, std::string bytes, answer_stop stop)
+        : m_acceptor(io, {asio::ip::make_address("127.0.0.1"), 0})
+        , m_bytes(std::move(bytes))
+        , m_stop(stop)
+    {
+        asio::co_spawn(io, serve(), asio::detached);
+    }
+
+    state::node_address address() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+
+private:
+    asio::awaitable<void> serve()
+    {
+        constexpr auto token = asio::as_tuple(asio::use_awaitable);
+        tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+        std::string text;
+        co_await asio::async_read_until(socket, asio::dynamic_buffer(text), "\r\n\r\n", token);
+        co_await asio::async_write(socket, asio::buffer(m_bytes), token);
+        if (m_stop == answer_stop::silent) {
+            co_await asio::async_read(socket, asio::dynamic_buffer(text), token);
+        } else if (m_stop == answer_stop::reset) {
+            asio::steady_timer pause(m_acceptor.get_executor(), std::chrono::milliseconds(5)); // what was sent arrives before the reset
+            co_await pause.async_wait(token);
+            socket.set_option(asio::socket_base::linger(true, 0));
+        }
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    }
+
+    tcp::acceptor m_acceptor;
+    std::string m_bytes;
+    answer_stop m_stop;
+};
+
+class collecting_sink : public counting_sink
+{
+public:
+    asio::awaitable<void> onBody(std::string_view bytes) override
+    {
+        body += bytes;
+        co_return;
+    }
+
+    std::string body;
+};
+
 worker_request makeLookup()
 {
     worker_request request;
@@ -237,6 +297,14 @@
     outcome.second = (co_await client.run(request, outcome.sink, std::make_shared<worker_call>())).outcome;
 }
 
+asio::awaitable<void> runOne(worker_client &client, worker_answer_sink &sink, state::time_point deadline, worker_call_outcome &outcome)
+{
+    worker_request request = makeLookup();
+    request.headers.push_back({"Request-Id", "one"});
+    request.deadline = deadline;
+    outcome = (co_await client.run(request, sink, std::make_shared<worker_call>())).outcome;
+}
+
 } // namespace
 
 // Guards against a refusal that a worker writes once more on a kept connection, and that is taken for the answer to a request which it
@@ -291,6 +359,50 @@
     }
 }
 
+// Guards against an answer that stops in the middle of its head, and reaches the caller as a whole one with an empty or short body.
+Test(worker_client, an_answer_that_stops_in_its_head_is_no_answer)
+{
+    state::header_names names = namesWithIds();
+    names.seal = "Seal";
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nSeal: x\r\nContent-Length: 10\r\n\r\n";
+    for (const answer_stop stop : {answer_stop::close, answer_stop::reset, answer_stop::silent}) {
+        for (std::size_t length = 0; length <= head.size(); length += stop == answer_stop::close ? 1 : 7) {
+            asio::io_context io(1);
+            stopping_worker worker(io, head.substr(0, length), stop);
+            worker_client client(worker.address(), names);
+            collecting_sink sink;
+            worker_call_outcome outcome = worker_call_outcome::answered;
+            asio::co_spawn(io, runOne(client, sink, state::clock::now() + std::chrono::milliseconds(100), outcome), asio::detached);
+            io.run_for(std::chrono::milliseconds(250));
+            const worker_call_outcome expected = stop == answer_stop::silent ? worker_call_outcome::timed_out : worker_call_outcome::cut;
+            cr_assert(outcome == expected, "%zu bytes of the head: %s", length, std::string(outcomeName(outcome)).c_str());
+            cr_assert(sink.heads == (length == head.size() ? 1 : 0), "%zu bytes of the head", length);
+        }
+    }
+}
+
+// An answer without a length is whole only when the worker ends the connection cleanly.
+Test(worker_client, an_answer_without_a_length_is_whole_after_a_clean_end_only)
+{
+    state::header_names names = namesWithIds();
+    names.seal = "Seal";
+    for (const answer_stop stop : {answer_stop::close, answer_stop::reset, answer_stop::silent}) {
+        asio::io_context io(1);
+        stopping_worker worker(io, "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nSeal: x\r\n\r\nhalf", stop);
+        worker_client client(worker.address(), names);
+        collecting_sink sink;
+        worker_call_outcome outcome = worker_call_outcome::refused;
+        asio::co_spawn(io, runOne(client, sink, state::clock::now() + std::chrono::milliseconds(200), outcome), asio::detached);
+        io.run_for(std::chrono::milliseconds(400));
+        const bool isWhole = stop == answer_stop::close;
+        const bool endsAsWhole = outcome == worker_call_outcome::answered;
+        cr_assert(endsAsWhole == isWhole, "%s", std::string(outcomeName(outcome)).c_str());
+        if (isWhole) {
+            cr_assert(sink.body == "half");
+        }
+    }
+}
+
 // Without an echoed id, an answer on a kept connection would prove nothing: each request gets a connection of its own.
 Test(worker_client, keeps_no_connection_to_a_worker_that_does_not_echo_ids)
 {
