--- a/state/tests/test_ini.cpp
+++ b/state/tests/test_ini.cpp
@@ -73,7 +73,7 @@
         RC_ASSERT(entries[1].value == value && entries[1].line == 3u);
         RC_ASSERT(entries[2].value == "2" && entries[2].line == 4u);
     }));
-    const std::string longLine = "long = " + std::string(1000, 'x') + "\n";
+    const std::string longLine = std::string("long = ").append(1000, 'x').append("\n");
     cr_assert(reasonFor("[s]\n" + longLine + "x\n") == "t.ini:3: expected \"<key> = <value>\"", "lines are counted as in the text");
     cr_assert(reasonFor("[s]\n" + longLine + longLine) == "t.ini:3: duplicate key \"long\" in [s]");
     cr_assert(reasonFor("[s]\n" + std::string(MaxIniKeyBytes + 1, 'k') + " = 1\n").starts_with("t.ini:2: the key is 121 bytes long"));
