Return the credit of a connection between nodes as bytes arrive

Claims were run and answered 504.

Cause: credit for the connection's window was returned when a frame was taken. Frames of a stream that was cancelled, timed out or ended early never were, so that each took its bytes from the window. Slow callers held it in the same way for as long as they read slowly.

Why it works: the connection's credit no longer depends on what becomes of the bytes. A stream's credit is returned when its frames are taken, so that a slow or lost reader blocks its own stream only.

--- a/transport/include/dandelionstall/transport/node_session.h
+++ b/transport/include/dandelionstall/transport/node_session.h
@@ -1,9 +1,10 @@
 // One HTTP/2 connection between two nodes, based on nghttp2. It may be used only from the thread of its executor.
 //
 // The client side opens streams; the server side gets each new stream through its stream_acceptor. Both sides write bytes
-// and receive them through a stream_handler. The handler returns flow-control credit with consume(), so a slow receiver
-// of one stream blocks that stream only. A connection on which nothing arrives although a PING is outstanding is
-// considered unresponsive and closed; the handler of every open stream is notified through onClosed().
+// and receive them through a stream_handler. The handler returns the flow-control credit of its stream with consume(), so a
+// slow receiver blocks its stream only: the credit of the connection is returned as bytes arrive, so that neither unread nor
+// cancelled streams reduce it. A connection on which nothing arrives although a PING is outstanding is considered
+// unresponsive and closed; the handler of every open stream is notified through onClosed().
 //
 // Usage (client):
 //   auto session = node_session::create(std::move(socket), session_role::client);
@@ -71,7 +72,7 @@
     std::chrono::milliseconds unresponsiveTimeout{400}; // time without received bytes, while streams are open, before the connection is closed
     std::uint32_t maxStreams = 1000;                    // streams that the peer may have open at once
     std::int32_t streamWindow = 262'144;                // flow-control window of each stream in bytes
-    std::int32_t connectionWindow = 16'777'216;         // flow-control window of the connection in bytes
+    std::int32_t connectionWindow = 16'777'216;         // flow-control window of the connection: bytes on the way at once
 };
 
 inline constexpr std::size_t WriteLowWater = 65'536; // bytes waiting on a stream below which onWritable() is called
@@ -87,7 +88,7 @@
     void start(stream_acceptor acceptor = {});                                      // begins reading; the server side needs an acceptor
     stream_id open(std::string_view path, std::shared_ptr<stream_handler> handler); // client side only; negative when no stream can be opened
     void write(stream_id stream, std::string_view bytes, bool end); // queues bytes, and the end of the stream if `end`; ignored on a closed stream
-    void consume(stream_id stream, std::size_t bytes);              // returns flow-control credit for received bytes
+    void consume(stream_id stream, std::size_t bytes);              // returns the stream's flow-control credit for received bytes
     void reset(stream_id stream);                                   // aborts a stream with RST_STREAM
     void drain();                                                   // server side: refuses new streams; the connection ends when the open streams have ended
     void close(stream_close_reason reason);                         // closes the connection at once; all open streams end with this reason
--- a/transport/src/node_session.cpp
+++ b/transport/src/node_session.cpp
@@ -90,9 +90,9 @@
     static int onData(nghttp2_session *, std::uint8_t, std::int32_t stream, const std::uint8_t *data, std::size_t length, void *userData)
     {
         auto *self = static_cast<node_session *>(userData);
+        nghttp2_session_consume_connection(self->m_session, length); // at once: streams may end with bytes that nobody processes
         const auto found = self->m_streams.find(stream);
         if (found == self->m_streams.end()) {
-            nghttp2_session_consume(self->m_session, stream, length);
             return 0;
         }
         const std::shared_ptr<stream_handler> handler = found->second.handler;
@@ -287,7 +287,7 @@
 void node_session::consume(stream_id stream, std::size_t bytes)
 {
     if (m_open && bytes > 0) {
-        nghttp2_session_consume(m_session, stream, bytes);
+        nghttp2_session_consume_stream(m_session, stream, bytes);
         flush();
     }
 }
--- a/transport/tests/test_node_session.cpp
+++ b/transport/tests/test_node_session.cpp
@@ -166,3 +166,49 @@
     cr_assert(request->closeReason == stream_close_reason::unresponsive);
     cr_assert(not(client->isOpen()));
 }
+
+// Guards against a connection that carries no answer any more, for good, after many callers have left their downloads.
+Test(node_session, streams_that_are_left_do_not_use_up_the_window_of_the_connection)
+{
+    constexpr std::size_t LeftBytes = 200'000; // of each stream, below its window
+    session_options options;
+    options.connectionWindow = 1'000'000;
+    for (const bool reset : {true, false}) {
+        session_pair pair(options);
+        for (std::size_t i = 0; i < 12; ++i) {
+            const auto left = pair.open();
+            left->creditAll = false;
+            pair.client->write(left->stream, "x", true);
+            cr_assert(pair.waitFor([&] { return pair.accepted.size() == i + 1 && pair.accepted[i]->peerEnded; }));
+            pair.server->write(pair.streams[i], std::string(LeftBytes, 'x'), !reset);
+            cr_assert(pair.waitFor([&] { return left->data.size() == LeftBytes; }), "stream %zu received %zu bytes", i, left->data.size());
+            if (reset) {
+                pair.client->reset(left->stream);
+            }
+            cr_assert(pair.waitFor([&] { return left->closeReason.has_value(); }));
+        }
+    }
+}
+
+// Guards against slow callers that hold up the answers to all others between two nodes.
+Test(node_session, many_unread_streams_do_not_block_another_stream)
+{
+    constexpr std::size_t UnreadStreams = 100;
+    session_options options;
+    options.connectionWindow = 1'000'000;
+    session_pair pair(options);
+    std::vector<std::shared_ptr<recorder>> opened;
+    for (std::size_t i = 0; i <= UnreadStreams; ++i) {
+        opened.push_back(pair.open());
+        opened[i]->creditAll = i == UnreadStreams;
+        pair.client->write(opened[i]->stream, "x", true);
+    }
+    cr_assert(pair.waitFor([&] { return pair.accepted.size() == UnreadStreams + 1 && pair.accepted.back()->peerEnded; }));
+    for (std::size_t i = 0; i <= UnreadStreams; ++i) {
+        pair.server->write(pair.streams[i], std::string(300'000, 'x'), true);
+    }
+    cr_assert(pair.waitFor([&] { return opened.back()->closeReason.has_value(); }), "%zu bytes received", opened.back()->data.size());
+    cr_assert(eq(sz, opened.back()->data.size(), 300'000));
+    cr_assert(not(opened[0]->closeReason.has_value()));
+    cr_assert(le(sz, opened[0]->data.size(), static_cast<std::size_t>(options.streamWindow)));
+}
