Bound the memory of the bodies that a node holds

Cause: nothing bounded the bodies that are read at once, and each was held three times at the ingress and twice at the sidecar.

Why it works: one budget of half of memory_mb, which the platform's template fills in, is taken before a body is read, or as it grows. A refusal by the sidecar proves that the attempt was not run. An eighth is left to bodies up to 64 KiB. Each node holds a body once: the ingress sends it in frames while the stream has room, the sidecar moves it to the worker's connection. Answers that are held until they are verified count too, and are passed on as they arrive when there is no room; kept answers are bounded by an eighth of memory_mb. Freed blocks over 1 MiB go back to the system.

--- a/programs/dandelionstall/attempt_stream.cpp
+++ b/programs/dandelionstall/attempt_stream.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr std::size_t MaxPendingBytes = 262'144; // unsent bytes of one stream above which sendBody() waits
-constexpr std::size_t BodyFrameBytes = 131'072;  // maximum payload of one body frame
 
 } // namespace
 
@@ -40,7 +39,7 @@
         if (!session || !m_open) {
             co_return;
         }
-        const std::string_view part = bytes.substr(0, BodyFrameBytes);
+        const std::string_view part = bytes.substr(0, protocol::BodyFrameBytes);
         session->write(m_stream, protocol::makeFrame(frame_type::body, part), false);
         bytes.remove_prefix(part.size());
         while (m_open && session->isOpen() && session->pendingBytes(m_stream) > MaxPendingBytes) {
@@ -60,7 +59,7 @@
     std::string out = protocol::makeFrame(frame_type::answer_head, protocol::encode(head));
     const protocol::answer_end end{head.id, body.size(), XXH3_64bits(body.data(), body.size()), std::chrono::microseconds(0)};
     while (!body.empty()) {
-        const std::string_view part = body.substr(0, BodyFrameBytes);
+        const std::string_view part = body.substr(0, protocol::BodyFrameBytes);
         protocol::appendFrame(out, frame_type::body, part);
         body.remove_prefix(part.size());
     }
@@ -102,16 +101,21 @@
 
 // [SECTION] Streams
 
-attempt_stream::attempt_stream(sidecar &owner, std::weak_ptr<transport::node_session> session, transport::stream_id stream, std::size_t maxBodyBytes)
+attempt_stream::attempt_stream(
+    sidecar &owner, std::weak_ptr<transport::node_session> session, transport::stream_id stream, std::size_t maxBodyBytes, coordination::memory_budget &memory)
     : m_sidecar(owner)
     , m_session(session)
     , m_stream(stream)
     , m_maxBodyBytes(maxBodyBytes)
+    , m_memory(memory)
     , m_writer(std::move(session), stream)
 { }
 
 void attempt_stream::onData(std::string_view bytes)
 {
+    if (m_complete) {
+        return; // the rest of a refused attempt: without credit, the peer sends no more of it
+    }
     m_decoder.feed(bytes);
     if (const auto session = m_session.lock()) {
         session->consume(m_stream, bytes.size());
@@ -135,12 +139,7 @@
 bool attempt_stream::handleFrame(const protocol::frame &frame)
 {
     if (frame.type == frame_type::attempt_head && !m_head) {
-        auto head = protocol::decodeAttemptHead(frame.payload);
-        if (!head.ok() || head->bodyBytes > m_maxBodyBytes) {
-            return false;
-        }
-        m_head = *std::move(head);
-        return true;
+        return handleHead(frame);
     }
     if (frame.type == frame_type::body && m_head) {
         m_body.append(frame.payload);
@@ -154,6 +153,22 @@
     return false;
 }
 
+bool attempt_stream::handleHead(const protocol::frame &frame)
+{
+    auto head = protocol::decodeAttemptHead(frame.payload);
+    if (!head.ok() || head->bodyBytes > m_maxBodyBytes) {
+        return false;
+    }
+    m_head = *std::move(head);
+    if (!m_memory.resize(m_head->bodyBytes)) {
+        m_complete = true;
+        m_sidecar.refuseUnread(*this);
+        return true;
+    }
+    m_body.reserve(m_head->bodyBytes);
+    return true;
+}
+
 void attempt_stream::abort()
 {
     m_complete = true;
--- a/programs/dandelionstall/attempt_stream.h
+++ b/programs/dandelionstall/attempt_stream.h
@@ -5,6 +5,7 @@
 //   [SECTION] Streams
 #pragma once
 
+#include <dandelionstall/coordination/memory_budget.h>
 #include <dandelionstall/protocol/frame.h>
 #include <dandelionstall/protocol/messages.h>
 #include <dandelionstall/transport/node_session.h>
@@ -50,7 +51,11 @@
 class attempt_stream : public transport::stream_handler, public std::enable_shared_from_this<attempt_stream>
 {
 public:
-    attempt_stream(sidecar &owner, std::weak_ptr<transport::node_session> session, transport::stream_id stream, std::size_t maxBodyBytes);
+    attempt_stream(sidecar &owner,
+                   std::weak_ptr<transport::node_session> session,
+                   transport::stream_id stream,
+                   std::size_t maxBodyBytes,
+                   coordination::memory_budget &memory);
 
     void onData(std::string_view bytes) override;
     void onPeerEnd() override;
@@ -63,12 +68,14 @@
 
 private:
     bool handleFrame(const protocol::frame &frame);
+    bool handleHead(const protocol::frame &frame);
     void abort();
 
     sidecar &m_sidecar;
     std::weak_ptr<transport::node_session> m_session;
     transport::stream_id m_stream;
     std::size_t m_maxBodyBytes;
+    coordination::memory_grant m_memory; // for the body
     protocol::frame_decoder m_decoder;
     std::optional<protocol::attempt_head> m_head;
     std::string m_body;
--- a/programs/dandelionstall/caller_connection.cpp
+++ b/programs/dandelionstall/caller_connection.cpp
@@ -18,7 +18,7 @@
 
 constexpr auto CompletionToken = asio::as_tuple(asio::use_awaitable);
 constexpr auto DrainTimeout = std::chrono::seconds(1);  // maximum time that drainInput() reads from a refused caller
-constexpr std::size_t MaxDrainedBytes = 1'048'576;      // maximum input that drainInput() discards before the connection is closed
+constexpr std::size_t MaxDrainedBytes = 16'777'216;     // maximum input that drainInput() discards before the connection is closed
 constexpr std::size_t MaxChunkHeadBytes = 65'536;       // received and not yet parsed beyond a header: bounds chunk headers and trailers
 constexpr auto WriteTimeout = std::chrono::seconds(30); // maximum time for writing one part of an answer
 
@@ -73,13 +73,17 @@
 
 } // namespace
 
+struct caller_connection::request_parser : http::request_parser<http::string_body> {
+};
+
 struct caller_connection::streamed_answer {
     http::response<http::buffer_body> message;
     std::unique_ptr<http::response_serializer<http::buffer_body>> serializer;
 };
 
-caller_connection::caller_connection(beast::tcp_stream stream)
+caller_connection::caller_connection(beast::tcp_stream stream, coordination::memory_budget &memory)
     : m_stream(std::move(stream))
+    , m_memory(memory)
 {
     beast::error_code ignored;
     m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -111,7 +115,7 @@
         }
     }
     m_stream.expires_after(limits.headerTimeout);
-    http::request_parser<http::string_body> parser;
+    request_parser parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes));
     parser.body_limit(limits.maxBodyBytes);
     const auto [headError, headBytes] = co_await http::async_read_header(m_stream, m_buffer, parser, CompletionToken);
@@ -122,6 +126,10 @@
     if (!isUnambiguous(parser.get())) {
         co_return read_result::malformed;
     }
+    request.memory = coordination::memory_grant(m_memory);
+    if (!request.memory.resize(parser.content_length().value_or(0))) {
+        co_return read_result::no_memory;
+    }
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         const http::response<http::empty_body> continueResponse(http::status::continue_, 11);
         const auto [error, bytes] = co_await http::async_write(m_stream, continueResponse, CompletionToken);
@@ -129,9 +137,8 @@
             co_return read_result::disconnected;
         }
     }
-    const auto [bodyError, bodyBytes] = co_await http::async_read(m_stream, m_buffer, parser, CompletionToken);
-    if (bodyError) {
-        co_return readResultOf(bodyError);
+    if (const read_result result = co_await readBody(parser, request); result != read_result::request) {
+        co_return result;
     }
     m_stream.expires_never();
     fillRequest(parser.get(), request);
@@ -141,6 +148,23 @@
     co_return read_result::request;
 }
 
+// A body without a stated length is granted memory as it grows.
+asio::awaitable<read_result> caller_connection::readBody(request_parser &parser, caller_request &request)
+{
+    parser.eager(true);
+    while (!parser.is_done()) {
+        const auto [error, bytes] = co_await http::async_read_some(m_stream, m_buffer, parser, CompletionToken);
+        if (error) {
+            co_return readResultOf(error);
+        }
+        const std::size_t held = parser.get().body().capacity();
+        if (held > request.memory.bytes() && !request.memory.resize(held)) {
+            co_return read_result::no_memory;
+        }
+    }
+    co_return read_result::request;
+}
+
 void caller_connection::watchForClose(std::function<void()> onClose)
 {
     if (m_buffer.size() > 0) {
--- a/programs/dandelionstall/caller_connection.h
+++ b/programs/dandelionstall/caller_connection.h
@@ -6,6 +6,7 @@
 //   [SECTION] Answers
 #pragma once
 
+#include <dandelionstall/coordination/memory_budget.h>
 #include <dandelionstall/protocol/caller_http.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -23,14 +24,15 @@
 // [SECTION] Requests
 
 struct caller_request {
-    std::string method;             // HTTP method, as sent by the caller
-    std::string target;             // request target of the request line: origin form or absolute form
-    std::string host;               // authority of the target, else the Host header; lower case, without the port
-    protocol::http_headers headers; // end-to-end headers, without the hop-by-hop ones
-    std::string body;               // complete body, with any chunked coding removed
-    state::time_point arrivedAt;    // time at which the header was complete
-    bool keepAlive = true;          // the caller keeps the connection open after the answer
-    bool chunkedAllowed = true;     // the caller speaks HTTP/1.1 or later and accepts chunked answers
+    std::string method;                // HTTP method, as sent by the caller
+    std::string target;                // request target of the request line: origin form or absolute form
+    std::string host;                  // authority of the target, else the Host header; lower case, without the port
+    protocol::http_headers headers;    // end-to-end headers, without the hop-by-hop ones
+    std::string body;                  // complete body, with any chunked coding removed
+    coordination::memory_grant memory; // for the body
+    state::time_point arrivedAt;       // time at which the header was complete
+    bool keepAlive = true;             // the caller keeps the connection open after the answer
+    bool chunkedAllowed = true;        // the caller speaks HTTP/1.1 or later and accepts chunked answers
 };
 
 struct read_limits {
@@ -46,6 +48,7 @@
     disconnected, // the connection was closed or failed, or idleTimeout expired
     malformed,    // the request is not valid HTTP, or is ambiguous
     too_large,    // the body is larger than maxBodyBytes
+    no_memory,    // the node has no memory for the body
     timed_out,    // the header or body was not complete within headerTimeout
 };
 
@@ -54,7 +57,7 @@
 class caller_connection : public std::enable_shared_from_this<caller_connection>
 {
 public:
-    explicit caller_connection(boost::beast::tcp_stream stream);
+    caller_connection(boost::beast::tcp_stream stream, coordination::memory_budget &memory);
 
     boost::asio::awaitable<read_result> read(const read_limits &limits, caller_request &request); // reads the next request
     void watchForClose(std::function<void()> onClose); // calls back once if the caller closes the connection before stopWatching()
@@ -78,6 +81,9 @@
 
 private:
     struct streamed_answer;
+    struct request_parser;
+
+    boost::asio::awaitable<read_result> readBody(request_parser &parser, caller_request &request);
 
     bool m_headRequest = false;
     bool m_retryAfterFractions = false;
@@ -85,6 +91,7 @@
     bool m_closesAfterAnswer = false;
     bool m_idle = false;
     boost::beast::tcp_stream m_stream;
+    coordination::memory_budget &m_memory;
     boost::beast::flat_buffer m_buffer;
     boost::asio::cancellation_signal m_watchSignal;
     std::shared_ptr<bool> m_watching; // set to false by stopWatching(), so that a pending callback does nothing
--- a/programs/dandelionstall/ingress.cpp
+++ b/programs/dandelionstall/ingress.cpp
@@ -20,9 +20,11 @@
 namespace {
 
 constexpr auto SweepPeriod = std::chrono::seconds(1);
-constexpr auto PoolUseReportPeriod = std::chrono::seconds(1);           // minimum interval between use reports of one pool
-constexpr double AnswerBytesSmoothing = 0.2;                            // weight of a new answer in the moving average of answer sizes
-constexpr std::size_t MaxForwardedHeaderBytes = 131'072;                // an attempt carries the header in one frame, with some bytes more for each field
+constexpr auto PoolUseReportPeriod = std::chrono::seconds(1); // minimum interval between use reports of one pool
+constexpr double AnswerBytesSmoothing = 0.2;                  // weight of a new answer in the moving average of answer sizes
+constexpr std::size_t MaxForwardedHeaderBytes = 131'072;      // an attempt carries the header in one frame, with some bytes more for each field
+constexpr std::chrono::milliseconds MinMemoryRetryAfter{500}; // Retry-After of requests whose body has no room, and its spread
+constexpr std::uint32_t MemoryRetrySpreadMs = 1000;
 constexpr std::chrono::milliseconds LastIdleTimeout{1000};              // of connections that were accepted as the ingress stopped listening
 constexpr auto CallerLimitRetryAfter = std::chrono::milliseconds(1000); // Retry-After of callers refused over the connection limit
 
@@ -34,12 +36,14 @@
                  transport::metrics &counters,
                  shared_local_runs &localRuns,
                  shared_told_signals &told,
+                 coordination::memory_budget &memory,
                  ingress_events events)
     : m_io(io)
     , m_settings(settings)
     , m_metrics(counters)
     , m_localRuns(localRuns)
     , m_told(told)
+    , m_memory(memory)
     , m_events(std::move(events))
     , m_acceptor(io)
     , m_sweepTimer(io)
@@ -85,7 +89,7 @@
 
 void ingress::startConnection(tcp::socket socket)
 {
-    auto connection = std::make_shared<caller_connection>(boost::beast::tcp_stream(std::move(socket)));
+    auto connection = std::make_shared<caller_connection>(boost::beast::tcp_stream(std::move(socket)), m_memory);
     m_connections.insert(connection);
     asio::co_spawn(m_io, serve(connection), asio::detached);
 }
@@ -110,6 +114,7 @@
     m_pathBackoff.expireEntries(state::clock::now());
     m_metrics.setGauge("caller_connections", static_cast<double>(m_connections.size()));
     m_metrics.setGauge("peer_links", static_cast<double>(m_peers.size()));
+    m_metrics.setGauge("held_body_bytes", static_cast<double>(m_memory.usedBytes()));
     m_sweepTimer.expires_after(SweepPeriod);
     m_sweepTimer.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
@@ -133,6 +138,7 @@
         caller_request request;
         const read_result result = co_await connection->read(readLimits(), request);
         if (result != read_result::request) {
+            request.memory.resize(0); // the part of the body that was read is gone
             if (co_await refuseUnreadable(*connection, result)) {
                 connection->shutdown();
                 co_await connection->drainInput();
@@ -171,10 +177,16 @@
     if (result == read_result::disconnected) {
         co_return false;
     }
-    const refusal_reason reason = result == read_result::too_large ? refusal_reason::body_too_large : refusal_reason::bad_request;
-    m_metrics.countRefusal(reason);
+    protocol::caller_refusal refusal{refusal_reason::bad_request, coordination::run_state::not_run, std::chrono::milliseconds(0)};
+    if (result == read_result::too_large) {
+        refusal.reason = refusal_reason::body_too_large;
+    } else if (result == read_result::no_memory) {
+        refusal.reason = refusal_reason::memory_full;
+        refusal.retryAfter = MinMemoryRetryAfter + std::chrono::milliseconds(m_random(MemoryRetrySpreadMs));
+    }
+    m_metrics.countRefusal(refusal.reason);
     connection.closeAfterAnswer();
-    co_return co_await connection.sendRefusal({reason, coordination::run_state::not_run, std::chrono::milliseconds(0)});
+    co_return co_await connection.sendRefusal(refusal);
 }
 
 asio::awaitable<bool> ingress::handleRequest(caller_connection &connection, caller_request &request)
@@ -344,6 +356,11 @@
     return m_metrics;
 }
 
+coordination::memory_budget &ingress::memory()
+{
+    return m_memory;
+}
+
 std::uint64_t ingress::random()
 {
     return m_random();
--- a/programs/dandelionstall/ingress.h
+++ b/programs/dandelionstall/ingress.h
@@ -49,6 +49,7 @@
             transport::metrics &counters,
             shared_local_runs &localRuns,
             shared_told_signals &told,
+            coordination::memory_budget &memory,
             ingress_events events);
 
     absl::Status listen();                                         // binds the callers' address and starts to accept connections
@@ -72,6 +73,7 @@
     bool isAvoided(const coordination::worker_view &worker) const;
     bool isAvoided(const state::node_address &node) const;
     transport::metrics &metrics();
+    coordination::memory_budget &memory();                                                                 // for bodies that this node holds
     void recordReports(const std::vector<coordination::worker_report> &reports);                           // reports that came with an answer
     void recordSignals(const coordination::worker_identity &who, const protocol::worker_signals &signals); // the head of an answer that this node passes on
     std::vector<std::string> barredWorkers(const coordination::pool_view &view); // ids of workers that leave, or whose rate limit has no room now
@@ -105,6 +107,7 @@
     transport::metrics &m_metrics;
     shared_local_runs &m_localRuns;
     shared_told_signals &m_told;
+    coordination::memory_budget &m_memory;
     ingress_events m_events;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_sweepTimer;
--- a/programs/dandelionstall/main.cpp
+++ b/programs/dandelionstall/main.cpp
@@ -15,6 +15,8 @@
 #include <iterator>
 #include <optional>
 
+#include <malloc.h>
+
 namespace options = boost::program_options;
 using namespace dandelionstall;
 
@@ -26,6 +28,8 @@
 constexpr int ExitSettings = 3; // the settings file is unreadable or invalid
 constexpr int ExitStart = 4;    // the node failed to start, e.g. an address cannot be bound
 
+constexpr int LargeBlockBytes = 1'048'576; // larger allocations return their memory to the system when they are freed
+
 constexpr const char *SettingsVariable = "DANDELIONSTALL_SETTINGS"; // path of the settings file when --config is absent
 
 struct command_line {
@@ -90,6 +94,7 @@
 
 int runNode(const state::settings &settings, const std::string &path)
 {
+    mallopt(M_MMAP_THRESHOLD, LargeBlockBytes);
     transport::configureLog(settings.logLevel, settings.name, settings.maxLogLinesPerSecond);
     node process(settings, [path] { return loadSettings(path); });
     if (const absl::Status status = process.start(); !status.ok()) {
--- a/programs/dandelionstall/request_attempt.cpp
+++ b/programs/dandelionstall/request_attempt.cpp
@@ -25,7 +25,6 @@
 
 constexpr std::size_t MaxBufferedAnswerBytes = 1'048'576;        // answers up to this size are verified before any byte is sent to the caller
 constexpr std::size_t MaxUnchunkedAnswerBytes = 4'194'304;       // answers without a length up to this size reach callers of HTTP/1.0
-constexpr std::size_t BodyFrameBytes = 131'072;                  // maximum payload of one body frame
 constexpr std::size_t MaxFailedAnswerBytes = 65'536;             // a longer answer with an error is not kept
 constexpr auto FailedAnswerTime = std::chrono::milliseconds(50); // time to receive the rest of an answer with an error before the next attempt
 
@@ -129,6 +128,7 @@
     sent.node = worker.node;
     sent.contactedNode = worker.node;
     sent.link = *link;
+    sent.answer.memory = coordination::memory_grant(m_ingress.memory());
     sent.sidecarIncarnation = head.sidecarIncarnation;
     m_reader = std::make_shared<stream_reader>(m_ingress.io().get_executor());
     sent.stream = sent.link->session->open("/attempt", m_reader);
@@ -138,15 +138,18 @@
     }
     m_reader->attach(sent.link->session, sent.stream);
 
-    std::string out = protocol::makeFrame(frame_type::attempt_head, protocol::encode(head));
-    for (std::string_view body = m_request.body; !body.empty(); body.remove_prefix(std::min(body.size(), BodyFrameBytes))) {
-        protocol::appendFrame(out, frame_type::body, body.substr(0, BodyFrameBytes));
-    }
-    protocol::appendFrame(out, frame_type::attempt_end, {});
-    sent.link->session->write(sent.stream, out, true);
+    // An outcome query replaces reader, link and stream of the attempt.
+    const std::shared_ptr<stream_reader> sending = m_reader;
+    const std::shared_ptr<peer_link> sendingLink = sent.link;
+    const transport::stream_id sendingStream = sent.stream;
+    sending->body().start(sendingLink->session, sendingStream, protocol::makeFrame(frame_type::attempt_head, protocol::encode(head)), m_request.body);
     m_current = &sent;
     attempt_outcome outcome = co_await readAnswer(sent);
     m_current = nullptr;
+    if (sending->body().isSending()) { // refused before the sidecar had the whole body
+        sending->body().stop();
+        sendingLink->session->reset(sendingStream);
+    }
     co_return outcome;
 }
 
@@ -191,7 +194,7 @@
                 co_return *std::move(outcome);
             }
         } else if (event.frame.type == frame_type::body && sent.headArrived) {
-            if (mustStayWhole(sent.answer) && sent.answer.buffered.size() + event.frame.payload.size() > MaxUnchunkedAnswerBytes) {
+            if (mustStayWhole(sent.answer) && !hasRoomFor(sent.answer, event.frame.payload.size(), MaxUnchunkedAnswerBytes)) {
                 sent.link->session->reset(sent.stream);
                 co_return makeFailureOutcome(retry_reason::none, refusal_reason::unknown_outcome, run_state::ran);
             }
@@ -277,6 +280,13 @@
     return !m_request.chunkedAllowed && protocol::findHeader(answer.head.headers, "Content-Length").empty();
 }
 
+// Reserves memory for more bytes of an answer that is held back.
+bool request_handler::hasRoomFor(answer_state &answer, std::size_t bytes, std::size_t atMost)
+{
+    const std::size_t held = answer.buffered.size() + bytes;
+    return held <= atMost && answer.memory.resize(held);
+}
+
 asio::awaitable<bool> request_handler::handleAnswerBody(sent_attempt &sent, std::string_view bytes)
 {
     answer_state &answer = sent.answer;
@@ -287,15 +297,11 @@
         answer.skipBytes -= skip;
         bytes.remove_prefix(skip);
     }
-    if (!answer.streaming && answer.buffered.size() + bytes.size() <= MaxBufferedAnswerBytes) {
+    if (!answer.streaming && (mustStayWhole(answer) || hasRoomFor(answer, bytes.size(), MaxBufferedAnswerBytes))) {
         answer.buffered.append(bytes);
         co_return true;
     }
     if (!answer.streaming) {
-        if (mustStayWhole(answer)) {
-            answer.buffered.append(bytes);
-            co_return true;
-        }
         answer.streaming = true;
         if (!co_await m_connection.sendHead(answer.head.status, answer.head.headers)) {
             co_return false;
@@ -306,7 +312,9 @@
     answer.buffered = std::string(bytes);
     if (!chunk.empty()) {
         answer.sentBytes += chunk.size();
-        co_return co_await m_connection.sendChunk(chunk);
+        const bool isSent = co_await m_connection.sendChunk(chunk);
+        answer.memory.resize(std::min(answer.memory.bytes(), answer.buffered.size()));
+        co_return isSent;
     }
     co_return true;
 }
--- a/programs/dandelionstall/request_attempt.h
+++ b/programs/dandelionstall/request_attempt.h
@@ -17,6 +17,7 @@
 struct request_handler::answer_state {
     protocol::answer_head head;                // received answer head; its status is 0 before it is received
     std::string buffered;                      // received body bytes not yet sent to the caller
+    coordination::memory_grant memory;         // for `buffered`
     std::uint64_t bodyBytes = 0;               // body bytes received on the current stream
     std::uint64_t skipBytes = 0;               // body bytes still to be skipped on the current stream, since the caller has them from an earlier one
     std::uint64_t sentBytes = 0;               // body bytes sent to the caller
--- a/programs/dandelionstall/request_handler.h
+++ b/programs/dandelionstall/request_handler.h
@@ -86,6 +86,7 @@
     boost::asio::awaitable<attempt_outcome> keepFailedAnswer(sent_attempt &sent, attempt_outcome outcome);
     bool isWhole(const sent_attempt &sent, const protocol::answer_end &end) const; // the received answer has the stated length and digest
     bool mustStayWhole(const answer_state &answer) const;                          // the caller can be given the answer in one piece only
+    static bool hasRoomFor(answer_state &answer, std::size_t bytes, std::size_t atMost);
     boost::asio::awaitable<bool> handleAnswerBody(sent_attempt &sent, std::string_view bytes);
     boost::asio::awaitable<attempt_outcome> handleAnswerEnd(sent_attempt &sent, const protocol::answer_end &end);
     attempt_outcome makeRefusalOutcome(const sent_attempt &sent, const protocol::answer_head &head);
--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -61,17 +61,19 @@
                  state::incarnation selfIncarnation,
                  transport::metrics &metrics,
                  shared_local_runs &localRuns,
+                 coordination::memory_budget &memory,
                  report_sink reports)
     : m_io(io)
     , m_settings(settings)
     , m_incarnation(selfIncarnation)
     , m_metrics(metrics)
     , m_localRuns(localRuns)
+    , m_memory(memory)
     , m_reportSink(std::move(reports))
     , m_acceptor(io)
     , m_tickTimer(io)
     , m_peers(io, settings)
-    , m_registry(state::attempt_limits{})
+    , m_registry(state::attempt_limits{.maxKeptBytes = coordination::keptAnswerMemoryOf(settings.memoryMb)})
     , m_limiter(coordination::makeOrganisationLimiter(settings.maxOrganisations, selfIncarnation))
 {
     for (const state::local_worker &worker : settings.workers) {
@@ -125,7 +127,7 @@
             session->start([this](const std::shared_ptr<transport::node_session> &from, transport::stream_id stream, std::string_view path) {
                 std::shared_ptr<transport::stream_handler> handler;
                 if (path == "/attempt") {
-                    handler = std::make_shared<attempt_stream>(*this, from, stream, maxBodyBytes());
+                    handler = std::make_shared<attempt_stream>(*this, from, stream, maxBodyBytes(), m_memory);
                 } else if (path == "/control") {
                     handler = std::make_shared<control_stream>(*this, from, stream);
                 }
--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar.h
@@ -88,6 +88,7 @@
             state::incarnation selfIncarnation,
             transport::metrics &metrics,
             shared_local_runs &localRuns,
+            coordination::memory_budget &memory,
             report_sink reports);
 
     absl::Status listen();                                         // binds the node address
@@ -97,6 +98,7 @@
     state::incarnation incarnation() const;                        // incarnation of this process
 
     void handleAttempt(const std::shared_ptr<attempt_stream> &stream); // accepts a completely received attempt
+    void refuseUnread(attempt_stream &stream);                         // there is no memory for the body of the attempt
     void handleQuery(const protocol::attempt_query &query, const std::shared_ptr<control_stream> &stream);
     boost::asio::awaitable<void> relayQuery(protocol::attempt_query query, std::shared_ptr<control_stream> stream); // forwards the query to the node in relayTo
     void handleAcknowledgement(const protocol::attempt_acknowledge &message);
@@ -172,6 +174,7 @@
     state::incarnation m_incarnation;
     transport::metrics &m_metrics;
     shared_local_runs &m_localRuns;
+    coordination::memory_budget &m_memory;
     report_sink m_reportSink;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_tickTimer;
--- a/programs/dandelionstall/sidecar_attempts.cpp
+++ b/programs/dandelionstall/sidecar_attempts.cpp
@@ -68,6 +68,12 @@
     applyActions(worker, worker.admission->offer(item, now));
 }
 
+// The frames of the body are dropped, so that the attempt cannot run later.
+void sidecar::refuseUnread(attempt_stream &stream)
+{
+    sendRefusal(stream.writer(), stream.head(), refusal_reason::memory_full, run_state::not_run);
+}
+
 // Refuses the attempt, and returns true, when the rate limit of the worker has no room for it. A repeated ticket needs no room: its
 // outcome is known.
 bool sidecar::refuseBeyondLimit(const std::shared_ptr<attempt_stream> &stream, state::time_point now)
--- a/programs/dandelionstall/sidecar_execution.cpp
+++ b/programs/dandelionstall/sidecar_execution.cpp
@@ -205,7 +205,7 @@
     sink.head = makeAnswerHead(id, worker.settings.id);
     sink.maxKeptBytes = attempt.tracked ? m_settings.maxKeptAnswerBytes : 0;
     worker.outcomeTracker->recordStart(id, stream->head().route, startedAt);
-    const transport::worker_result result = co_await worker.client->run(request, sink, call);
+    const transport::worker_result result = co_await worker.client->run(std::move(request), sink, call);
     finishAttempt(worker, id, result, sink, startedAt);
 }
 
--- a/programs/dandelionstall/stream_reader.cpp
+++ b/programs/dandelionstall/stream_reader.cpp
@@ -67,6 +67,11 @@
     m_signal.cancel();
 }
 
+body_sender &stream_reader::body()
+{
+    return m_body;
+}
+
 void stream_reader::cancel()
 {
     m_cancelled = true;
@@ -94,7 +99,9 @@
 { }
 
 void stream_reader::onWritable()
-{ }
+{
+    m_body.sendMore();
+}
 
 void stream_reader::onClosed(transport::stream_close_reason reason)
 {
--- a/programs/dandelionstall/stream_reader.h
+++ b/programs/dandelionstall/stream_reader.h
@@ -1,7 +1,9 @@
-// Requesting side of one stream to another node: decodes the received bytes into frames, which a coroutine awaits.
-// Used only on the thread of its executor.
+// Requesting side of one stream to another node: decodes the received bytes into frames, which a coroutine awaits, and sends the body of
+// an attempt meanwhile. Used only on the thread of its executor.
 #pragma once
 
+#include "body_sender.h"
+
 #include <dandelionstall/protocol/frame.h>
 #include <dandelionstall/transport/node_session.h>
 
@@ -36,6 +38,7 @@
     void attach(std::weak_ptr<transport::node_session> session, transport::stream_id stream); // call after opening the stream
     boost::asio::awaitable<read_event> next(state::time_point deadline);                      // waits for the next event; only one call at a time
     void limitDeadline(state::time_point latest);                                             // the pending call of next() and all later ones end by then
+    body_sender &body();                                                                      // sends the body of the attempt
     void cancel(); // makes the pending call of next() and all later ones return read_kind::cancelled
 
     void onData(std::string_view bytes) override;
@@ -47,6 +50,7 @@
     std::optional<read_event> consumeEvent();
 
     boost::asio::steady_timer m_signal;
+    body_sender m_body;
     std::weak_ptr<transport::node_session> m_session;
     transport::stream_id m_stream = -1;
     protocol::frame_decoder m_decoder;
--- a/protocol/include/dandelionstall/protocol/frame.h
+++ b/protocol/include/dandelionstall/protocol/frame.h
@@ -39,7 +39,8 @@
     std::string payload;                // payload of at most MaxFrameBytes
 };
 
-inline constexpr std::size_t MaxFrameBytes = 262'144; // largest payload of one frame, in bytes
+inline constexpr std::size_t MaxFrameBytes = 262'144;  // largest payload of one frame, in bytes
+inline constexpr std::size_t BodyFrameBytes = 131'072; // payload of the body frames that a longer body is divided into, in bytes
 
 void appendFrame(std::string &out, frame_type type, std::string_view payload); // appends an encoded frame; the payload must not exceed MaxFrameBytes
 std::string makeFrame(frame_type type, std::string_view payload);              // returns an encoded frame
--- a/protocol/src/admin_json.cpp
+++ b/protocol/src/admin_json.cpp
@@ -260,6 +260,7 @@
         {"limits",
          {{"max_header_bytes", settings.maxHeaderBytes},
           {"max_body_bytes", settings.maxBodyBytes},
+          {"memory_mb", settings.memoryMb},
           {"max_kept_answer_bytes", settings.maxKeptAnswerBytes},
           {"max_callers", settings.maxCallers},
           {"max_queued_per_worker", settings.maxQueuedPerWorker},
--- a/state/include/dandelionstall/state/settings.h
+++ b/state/include/dandelionstall/state/settings.h
@@ -66,6 +66,7 @@
     // [limits]
     std::size_t maxHeaderBytes = 16'384;              // largest header of one request or answer, in bytes
     std::size_t maxBodyBytes = 1'048'576;             // largest body of one request, in bytes; it stays in memory until the attempt ends
+    std::uint32_t memoryMb = 256;                     // memory that the process may use, in MiB; bounds the bodies held at once
     std::size_t maxKeptAnswerBytes = 262'144;         // largest non-idempotent answer that is kept for later delivery, in bytes
     std::uint32_t maxCallers = 2000;                  // largest number of caller connections
     std::uint32_t maxQueuedPerWorker = 64;            // largest number of requests that wait for a slot of one worker
--- a/state/src/settings.cpp
+++ b/state/src/settings.cpp
@@ -24,6 +24,8 @@
 constexpr std::uint32_t MaxIngressThreads = 16;
 constexpr std::uint64_t MaxHeaderLimit = Mebibyte;
 constexpr std::uint64_t MaxBodyLimit = 64 * Mebibyte;
+constexpr std::uint64_t MinMemoryMb = 16;
+constexpr std::uint64_t MaxMemoryMb = 1'048'576;
 constexpr std::uint64_t MaxCallerLimit = 100'000;
 constexpr std::uint64_t MaxQueueLimit = 100'000;
 constexpr std::uint64_t MaxLogLines = 1'000'000;
@@ -123,6 +125,7 @@
     section_reader reader(section, errors);
     reader.readCount("max_header_bytes", target.maxHeaderBytes, Kibibyte, MaxHeaderLimit);
     reader.readCount("max_body_bytes", target.maxBodyBytes, 0, MaxBodyLimit);
+    reader.readCount("memory_mb", target.memoryMb, MinMemoryMb, MaxMemoryMb);
     reader.readCount("max_kept_answer_bytes", target.maxKeptAnswerBytes, 0, MaxBodyLimit);
     reader.readCount("max_callers", target.maxCallers, 1, MaxCallerLimit);
     reader.readCount("max_queued_per_worker", target.maxQueuedPerWorker, 0, MaxQueueLimit);
--- a/transport/include/dandelionstall/transport/worker_client.h
+++ b/transport/include/dandelionstall/transport/worker_client.h
@@ -96,7 +96,7 @@
 public:
     worker_client(const state::node_address &address, state::header_names names);
 
-    boost::asio::awaitable<worker_result> run(const worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call);
+    boost::asio::awaitable<worker_result> run(worker_request request, worker_answer_sink &sink, std::shared_ptr<worker_call> call);
 
 private:
     struct idle_connection {
@@ -110,7 +110,7 @@
     stream_ptr popIdleConnection();                                                               // null when there is none
     boost::asio::awaitable<stream_ptr> connect(const worker_request &request, worker_call &call); // null when the connection cannot be made
     boost::asio::awaitable<worker_result>
-    runOn(stream_ptr stream, bool reused, const worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call);
+    runOn(stream_ptr stream, bool reused, worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call);
     boost::asio::awaitable<boost::system::error_code> readHead(exchange &current, const worker_request &request) const;
     boost::asio::awaitable<boost::system::error_code> dropBody(exchange &current) const;
     answer_origin originOf(const exchange &current, const worker_request &request) const;
--- a/transport/src/worker_client.cpp
+++ b/transport/src/worker_client.cpp
@@ -35,7 +35,8 @@
 
 using answer_parser = http::response_parser<http::buffer_body>;
 
-http::request<http::string_body> makeRequest(const worker_request &request, const state::header_names &names)
+// Moves the body out of the request, since it may be large.
+http::request<http::string_body> makeRequest(worker_request &request, const state::header_names &names)
 {
     http::request<http::string_body> message;
     message.version(11);
@@ -51,9 +52,9 @@
     if (!names.expectedWorker.empty() && !request.expectedWorker.empty()) {
         message.set(names.expectedWorker, request.expectedWorker);
     }
-    message.body() = request.body;
+    message.body() = std::move(request.body);
     message.keep_alive(true);
-    if (!request.body.empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH") {
+    if (!message.body().empty() || request.method == "POST" || request.method == "PUT" || request.method == "PATCH") {
         message.prepare_payload();
     }
     return message;
@@ -203,7 +204,7 @@
     co_return stream;
 }
 
-asio::awaitable<worker_result> worker_client::run(const worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call)
+asio::awaitable<worker_result> worker_client::run(worker_request request, worker_answer_sink &sink, std::shared_ptr<worker_call> call)
 {
     worker_result result;
     stream_ptr stream = popIdleConnection();
@@ -309,7 +310,7 @@
 }
 
 asio::awaitable<worker_result>
-worker_client::runOn(stream_ptr stream, bool reused, const worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call)
+worker_client::runOn(stream_ptr stream, bool reused, worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call)
 {
     constexpr auto token = asio::as_tuple(asio::use_awaitable);
     worker_result result;
