--- a/protocol/tests/test_messages.cpp
+++ b/protocol/tests/test_messages.cpp
@@ -61,6 +61,32 @@
     }));
 }
 
+// Guards against requests and answers that fail between nodes because a header, or the target, has bytes that are not UTF-8.
+Test(messages, texts_of_callers_and_workers_keep_bytes_that_are_not_utf8)
+{
+    cr_assert(rc::check("any bytes", [](const std::string &name, const std::string &value) {
+        attempt_head attempt;
+        attempt.method = name;
+        attempt.target = value;
+        attempt.headers = {{name, value}, {"X-Name", "J\xE9r\xF4me"}};
+        attempt.ticket = value;
+        attempt.organisation = value;
+        const auto parsedAttempt = decodeAttemptHead(encode(attempt));
+        RC_ASSERT(parsedAttempt.ok());
+        RC_ASSERT(parsedAttempt->headers == attempt.headers);
+        RC_ASSERT(parsedAttempt->method == name && parsedAttempt->target == value);
+        RC_ASSERT(parsedAttempt->ticket == value && parsedAttempt->organisation == value);
+        answer_head answer;
+        answer.status = 200;
+        answer.headers = attempt.headers;
+        const auto parsedAnswer = decodeAnswerHead(encode(answer));
+        RC_ASSERT(parsedAnswer.ok());
+        RC_ASSERT(parsedAnswer->headers == answer.headers);
+        const auto parsedHeaders = decodeHeaders(encodeHeaders(answer.headers));
+        RC_ASSERT(parsedHeaders.ok() && *parsedHeaders == answer.headers);
+    }));
+}
+
 Test(messages, an_answer_keeps_its_reason_and_reports)
 {
     answer_head head;
--- a/tests/integration/test_caller_input.cpp
+++ b/tests/integration/test_caller_input.cpp
@@ -97,3 +97,17 @@
     caller.join();
     cr_assert_leq(most, before + MemoryGrowth, "memory grew from %zu to %zu bytes", before, most);
 }
+
+// Guards against a request with a byte over 0x7F in a header, which was answered 504 or 503 and reached no worker.
+Test(caller_input, headers_with_bytes_that_are_not_utf8_reach_the_worker)
+{
+    fleet_plan plan = threeDataCentres();
+    plan.faultProxy = false;
+    fleet fleet(plan);
+    fleet.start();
+    for (const char *request : {"GET /lookup", "POST /book"}) {
+        const std::string text = std::string(request) + " HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nX-Name: J\xE9r\xF4me\r\nConnection: close\r\n\r\n";
+        const std::string answer = sendBytes(fleet.node(0).ip, text);
+        cr_assert(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
+    }
+}
