Give a body the time of its request, not that of the header

Cause: the timer of the header ran on until the body was complete.

Why it works: header_timeout ends with the header. The body has until the caller's stated time, at most 10 minutes, and may not stop for idle_timeout. A request whose time is over when its body is complete is refused as not run.

--- a/programs/dandelionstall/caller_connection.cpp
+++ b/programs/dandelionstall/caller_connection.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 
 namespace dandelionstall {
 
@@ -17,10 +18,11 @@
 namespace {
 
 constexpr auto CompletionToken = asio::as_tuple(asio::use_awaitable);
-constexpr auto DrainTimeout = std::chrono::seconds(1);  // maximum time that drainInput() reads from a refused caller
-constexpr std::size_t MaxDrainedBytes = 16'777'216;     // maximum input that drainInput() discards before the connection is closed
-constexpr std::size_t MaxChunkHeadBytes = 65'536;       // received and not yet parsed beyond a header: bounds chunk headers and trailers
-constexpr auto WriteTimeout = std::chrono::seconds(30); // maximum time for writing one part of an answer
+constexpr auto DrainTimeout = std::chrono::seconds(1);    // maximum time that drainInput() reads from a refused caller
+constexpr std::chrono::milliseconds MaxBodyTime{600'000}; // a body that takes longer holds memory for too long
+constexpr std::size_t MaxDrainedBytes = 16'777'216;       // maximum input that drainInput() discards before the connection is closed
+constexpr std::size_t MaxChunkHeadBytes = 65'536;         // received and not yet parsed beyond a header: bounds chunk headers and trailers
+constexpr auto WriteTimeout = std::chrono::seconds(30);   // maximum time for writing one part of an answer
 
 std::string lowerCase(std::string_view text)
 {
@@ -56,6 +58,16 @@
     return codingSupported && singleLength && request.count(http::field::transfer_encoding) <= 1;
 }
 
+// Time in which the caller can still use an answer, as it states itself; at most MaxBodyTime.
+std::chrono::milliseconds bodyTimeOf(const http::request<http::string_body> &request, std::string_view timeLeftHeader)
+{
+    const std::string_view text = timeLeftHeader.empty() ? std::string_view() : std::string_view(request[timeLeftHeader]);
+    std::int64_t milliseconds = 0;
+    const auto parsed = std::from_chars(text.begin(), text.end(), milliseconds);
+    const bool isStated = parsed.ec == std::errc() && parsed.ptr == text.end() && milliseconds >= 0 && !text.empty();
+    return isStated ? std::min(MaxBodyTime, std::chrono::milliseconds(milliseconds)) : MaxBodyTime;
+}
+
 read_result readResultOf(const beast::error_code &error)
 {
     if (error == beast::error::timeout) {
@@ -137,7 +149,7 @@
             co_return read_result::disconnected;
         }
     }
-    if (const read_result result = co_await readBody(parser, request); result != read_result::request) {
+    if (const read_result result = co_await readBody(parser, limits, request); result != read_result::request) {
         co_return result;
     }
     m_stream.expires_never();
@@ -149,10 +161,12 @@
 }
 
 // A body without a stated length is granted memory as it grows.
-asio::awaitable<read_result> caller_connection::readBody(request_parser &parser, caller_request &request)
+asio::awaitable<read_result> caller_connection::readBody(request_parser &parser, const read_limits &limits, caller_request &request)
 {
+    const state::time_point completeBy = request.arrivedAt + bodyTimeOf(parser.get(), limits.timeLeftHeader);
     parser.eager(true);
     while (!parser.is_done()) {
+        m_stream.expires_at(std::min(completeBy, state::clock::now() + limits.idleTimeout));
         const auto [error, bytes] = co_await http::async_read_some(m_stream, m_buffer, parser, CompletionToken);
         if (error) {
             co_return readResultOf(error);
--- a/programs/dandelionstall/caller_connection.h
+++ b/programs/dandelionstall/caller_connection.h
@@ -38,8 +38,9 @@
 struct read_limits {
     std::size_t maxHeaderBytes = 0;             // maximum size of the header of one request
     std::size_t maxBodyBytes = 0;               // maximum size of the body of one request
-    std::chrono::milliseconds idleTimeout{0};   // maximum wait for the first byte of a request
-    std::chrono::milliseconds headerTimeout{0}; // maximum time from the first byte until the body is complete
+    std::chrono::milliseconds idleTimeout{0};   // maximum wait for the first byte of a request, and for more of a body
+    std::chrono::milliseconds headerTimeout{0}; // maximum time from the first byte until the header is complete
+    std::string_view timeLeftHeader;            // header in which the caller states how long it waits: the body is complete by then
     bool retryAfterFractions = false;           // Retry-After is sent with fractions of a second
 };
 
@@ -49,7 +50,7 @@
     malformed,    // the request is not valid HTTP, or is ambiguous
     too_large,    // the body is larger than maxBodyBytes
     no_memory,    // the node has no memory for the body
-    timed_out,    // the header or body was not complete within headerTimeout
+    timed_out,    // the header was not complete within headerTimeout, the body stopped for idleTimeout, or its time was up
 };
 
 // [SECTION] Answers
@@ -83,7 +84,7 @@
     struct streamed_answer;
     struct request_parser;
 
-    boost::asio::awaitable<read_result> readBody(request_parser &parser, caller_request &request);
+    boost::asio::awaitable<read_result> readBody(request_parser &parser, const read_limits &limits, caller_request &request);
 
     bool m_headRequest = false;
     bool m_retryAfterFractions = false;
--- a/programs/dandelionstall/ingress.cpp
+++ b/programs/dandelionstall/ingress.cpp
@@ -157,7 +157,12 @@
 // Limits stated in the route table override those of the settings.
 read_limits ingress::readLimits() const
 {
-    read_limits limits{m_settings.maxHeaderBytes, m_settings.maxBodyBytes, m_settings.idleTimeout, m_settings.headerTimeout, m_settings.retryAfterFractions};
+    read_limits limits{m_settings.maxHeaderBytes,
+                       m_settings.maxBodyBytes,
+                       m_settings.idleTimeout,
+                       m_settings.headerTimeout,
+                       m_settings.headers.timeLeft,
+                       m_settings.retryAfterFractions};
     if (m_snapshot && m_snapshot->routes) {
         const state::caller_limits &tableLimits = m_snapshot->routes->callers;
         limits.maxHeaderBytes = tableLimits.maxHeaderBytes > 0 ? tableLimits.maxHeaderBytes : limits.maxHeaderBytes;
--- a/programs/dandelionstall/request_handler.cpp
+++ b/programs/dandelionstall/request_handler.cpp
@@ -118,6 +118,9 @@
     if (const refusal_reason reason = readTicket(); reason != refusal_reason::none) {
         co_return co_await refuse(reason, reason == refusal_reason::bad_request ? run_state::not_run : run_state::unknown, now);
     }
+    if (m_ticket.empty() && state::clock::now() >= m_deadline) { // the body took all the time of the request
+        co_return co_await refuse(refusal_reason::deadline_unreachable, run_state::not_run, now);
+    }
     co_return co_await runAttempts();
 }
 
--- a/tests/integration/test_caller_input.cpp
+++ b/tests/integration/test_caller_input.cpp
@@ -111,3 +111,40 @@
         cr_assert(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
     }
 }
+
+// Guards against an upload that takes longer than header_timeout, which was cut although it went on all the time.
+Test(caller_input, a_slow_body_is_read_until_it_stops_or_its_time_is_up)
+{
+    constexpr auto Pause = std::chrono::milliseconds(500);
+    fleet_plan plan = threeDataCentres();
+    plan.faultProxy = false;
+    for (route_plan &route : plan.routes) {
+        route.settings["timeout"] = "10s";
+    }
+    plan.nodeSettings = "[limits]\nheader_timeout = 1s\nidle_timeout = 2s\n";
+    fleet fleet(plan);
+    fleet.start();
+    const auto sendSlowly = [&](const std::string &timeLeft, int parts) {
+        boost::asio::io_context io;
+        tcp::socket socket(io);
+        socket.connect(tcp::endpoint(boost::asio::ip::make_address(fleet.node(0).ip), CallerPort));
+        boost::system::error_code error;
+        std::string bytes
+            = "POST /book HTTP/1.1\r\nHost: x\r\nX-Request-Id: slow\r\nConnection: close\r\nContent-Length: 60\r\nX-Deadline-Ms: " + timeLeft + "\r\n\r\n";
+        for (int i = 0; i < parts && !error; ++i) {
+            boost::asio::write(socket, boost::asio::buffer(bytes), error);
+            bytes = "0123456789";
+            std::this_thread::sleep_for(Pause);
+        }
+        boost::asio::write(socket, boost::asio::buffer(bytes), error);
+        std::string answer;
+        boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+        return answer;
+    };
+    const std::string whole = sendSlowly("8000", 6); // 3 s
+    cr_assert(whole.starts_with("HTTP/1.1 200"), "a body that took three times header_timeout: %s", whole.c_str());
+    const auto before = std::chrono::steady_clock::now();
+    cr_assert(sendSlowly("8000", 2).empty(), "a body that stopped was answered");
+    cr_assert(sendSlowly("1500", 6).empty(), "a body that ended after the time of its request was answered");
+    cr_assert(std::chrono::steady_clock::now() - before < std::chrono::seconds(9));
+}
