Log requests that are refused before they are read whole

Cause: only requests that reach a handler were logged.

Evidence: test_promise_memory asks for a line with the id of each upload that got 503; without this change there is none ("no line names the refusal of upload-1").

Why it works: the header is read when a body is refused, so that the line has the request's id, the stated length of the body and the memory held.

--- a/programs/dandelionstall/caller_connection.cpp
+++ b/programs/dandelionstall/caller_connection.cpp
@@ -138,6 +138,7 @@
     if (!isUnambiguous(parser.get())) {
         co_return read_result::malformed;
     }
+    fillRequest(parser.get(), request);
     request.memory = coordination::memory_grant(m_memory);
     if (!request.memory.resize(parser.content_length().value_or(0))) {
         co_return read_result::no_memory;
@@ -153,7 +154,6 @@
         co_return result;
     }
     m_stream.expires_never();
-    fillRequest(parser.get(), request);
     request.body = std::move(parser.get().body());
     m_headRequest = request.method == "HEAD";
     m_closesAfterAnswer = m_closesAfterAnswer || !request.keepAlive;
--- a/programs/dandelionstall/ingress.cpp
+++ b/programs/dandelionstall/ingress.cpp
@@ -139,7 +139,7 @@
         const read_result result = co_await connection->read(readLimits(), request);
         if (result != read_result::request) {
             request.memory.resize(0); // the part of the body that was read is gone
-            if (co_await refuseUnreadable(*connection, result)) {
+            if (co_await refuseUnreadable(*connection, request, result)) {
                 connection->shutdown();
                 co_await connection->drainInput();
             }
@@ -177,7 +177,7 @@
     return limits;
 }
 
-asio::awaitable<bool> ingress::refuseUnreadable(caller_connection &connection, read_result result)
+asio::awaitable<bool> ingress::refuseUnreadable(caller_connection &connection, const caller_request &request, read_result result)
 {
     if (result == read_result::disconnected) {
         co_return false;
@@ -190,6 +190,14 @@
         refusal.retryAfter = MinMemoryRetryAfter + std::chrono::milliseconds(m_random(MemoryRetrySpreadMs));
     }
     m_metrics.countRefusal(refusal.reason);
+    transport::logEvent(transport::event::request_refused,
+                        {{"request", std::string(protocol::findHeader(request.headers, m_settings.headers.requestId))},
+                         {"status", std::to_string(protocol::httpStatusOf(refusal))},
+                         {"reason", std::string(coordination::reasonName(refusal.reason))},
+                         {"run", std::string(coordination::runStateName(refusal.run))},
+                         {"retry_after_ms", std::to_string(refusal.retryAfter.count())},
+                         {"body_bytes", std::string(protocol::findHeader(request.headers, "Content-Length"))},
+                         {"held_body_bytes", std::to_string(m_memory.usedBytes())}});
     connection.closeAfterAnswer();
     co_return co_await connection.sendRefusal(refusal);
 }
--- a/programs/dandelionstall/ingress.h
+++ b/programs/dandelionstall/ingress.h
@@ -100,7 +100,7 @@
     boost::asio::awaitable<bool> handleRequest(caller_connection &connection, caller_request &request);
     read_limits readLimits() const;
     void endEarlierLifetimes(const state::pool_table &pools); // forgets what earlier lifetimes of workers have stated
-    boost::asio::awaitable<bool> refuseUnreadable(caller_connection &connection, read_result result);
+    boost::asio::awaitable<bool> refuseUnreadable(caller_connection &connection, const caller_request &request, read_result result);
 
     boost::asio::io_context &m_io;
     const state::settings &m_settings;
--- a/tests/integration/test_promise_memory.cpp
+++ b/tests/integration/test_promise_memory.cpp
@@ -194,7 +194,10 @@
     // At least half of the budget is put to use; the memory of a body without a stated length grows by doubling.
     const std::size_t leastServed = framing == body_framing::length ? 8 : 4;
     cr_assert_geq(statuses["200"], leastServed, "what has room is served; %s", seen.c_str());
+    const std::string refusals = fleet.linesWith("reason=memory_full");
     for (const upload &each : uploads) {
+        const bool isLogged = refusals.find("request=" + each.id + " ") != std::string::npos;
+        cr_assert(isLogged || !each.answer.starts_with("HTTP/1.1 503"), "no line names the refusal of %s: %s", each.id.c_str(), refusals.c_str());
         const std::size_t starts = startsOf(fleet, each.id);
         const bool served = each.answer.starts_with("HTTP/1.1 200");
         cr_assert_eq(starts, served ? 1 : 0, "%s was started %zu times and answered %s", each.id.c_str(), starts, each.answer.substr(0, 40).c_str());
