--- a/protocol/tests/test_gossip_codec.cpp
+++ b/protocol/tests/test_gossip_codec.cpp
@@ -15,27 +15,57 @@
 
 namespace {
 
+gossip_sender sampleSender()
+{
+    gossip_sender sender;
+    sender.address = {"10.1.2.3", 7400};
+    sender.dataCentre = "sul-curitiba";
+    sender.incarnation = 1'796'329'876'543;
+    sender.refutations = 2;
+    sender.leaving = true;
+    return sender;
+}
+
+std::vector<member> sampleUpdates()
+{
+    std::vector<member> updates(2);
+    updates[0].address = {"10.1.2.4", 7400};
+    updates[0].dataCentre = "sul-poa";
+    updates[0].incarnation = 9;
+    updates[0].refutations = 1;
+    updates[0].state = member_state::dead;
+    updates[0].leaving = true;
+    updates[1].address = {"10.1.2.5", 7400};
+    updates[1].state = member_state::listed;
+    return updates;
+}
+
+discovered_worker sampleWorker()
+{
+    discovered_worker worker;
+    worker.id = "i-7f3a";
+    worker.node = {"10.1.2.4", 7400};
+    worker.address = {"10.1.2.4", 8080};
+    worker.revision = {3, 412};
+    return worker;
+}
+
 gossip_message sample()
 {
     gossip_message message;
     message.kind = gossip_kind::config_chunk;
     message.sequence = 77;
-    message.sender = {{"10.1.2.3", 7400}, "sul-curitiba", 1'796'329'876'543, 2, true};
+    message.sender = sampleSender();
     message.tables = {table_hint{2200, 0xDEADBEEF}, table_hint{7, 1}};
     message.readers = {3, 0xFEDCBA9876543210, 128};
     message.serviceReadAge = std::chrono::milliseconds(12'345);
     message.receiverContactAge = std::chrono::milliseconds(250);
     message.subject = state::node_address{"fd00::2", 7401};
-    message.updates = {{{"10.1.2.4", 7400}, "sul-poa", 9, 1, member_state::dead, true}, {{"10.1.2.5", 7400}, "", 0, 0, member_state::listed, false}};
+    message.updates = sampleUpdates();
     message.config = config_part{table_kind::pools, {1, 2}, {3, 4}, 1100, 5000, std::string("a\0b", 3)};
     message.storeEra = 3;
     message.workersBuckets.emplace().fill(77);
-    discovered_worker worker;
-    worker.id = "i-7f3a";
-    worker.node = {"10.1.2.4", 7400};
-    worker.address = {"10.1.2.4", 8080};
-    worker.revision = {3, 412};
-    message.workers = {{worker, std::chrono::milliseconds(0)}};
+    message.workers = {{sampleWorker(), std::chrono::milliseconds(0)}};
     return message;
 }
 
