Refuse a long line that is no entry, and do not end

A node that reads such a table would end again and again.

Cause: a line longer than the library's buffer is passed on in pieces, which are appended to the section's latest entry. If the first piece has no "=", and the section has no entry yet, there is none.

Why it works: such a piece is dropped. The library reports the line of the first piece, so that the table is refused with its place, as other malformed lines are.

--- a/state/src/ini.cpp
+++ b/state/src/ini.cpp
@@ -153,7 +153,9 @@
     }
     ini_section &section = state.document.sections.back();
     if (state.continues) {
-        section.entries.back().value += value;
+        if (!section.entries.empty()) { // otherwise the begin of the line is no entry, which inih reports
+            section.entries.back().value += value;
+        }
         return 1;
     }
     if (std::strlen(name) > MaxIniKeyBytes) {
--- a/state/tests/test_ini.cpp
+++ b/state/tests/test_ini.cpp
@@ -80,6 +80,15 @@
     cr_assert(parseIni("[" + std::string(5000, 'n') + "]\nx = 1\n", "t.ini")->sections[0].name.size() == 5000);
 }
 
+// Guards against a table that ends the process: a long line without "=" in its first part, where the section has no key yet.
+Test(ini, refuses_long_lines_that_are_no_entry)
+{
+    const std::string longLine = std::string(300, 'k').append(" # Pools=x\n");
+    cr_assert(reasonFor("[s]\n" + longLine) == "t.ini:2: expected \"<key> = <value>\"");
+    cr_assert(reasonFor("[s]\na = 1\n" + longLine) == "t.ini:3: expected \"<key> = <value>\"");
+    cr_assert(reasonFor(longLine) != "");
+}
+
 Test(ini, labels_are_escaped_and_read_back)
 {
     cr_assert(escapeLabel("r-hh2b9wu_1.x") == "r-hh2b9wu_1.x");
