--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/gossip_node.cpp
@@ -329,8 +329,7 @@
         receivers = m_readers.nextInOrder();
     }
     std::ranges::sort(receivers);
-    const auto repeated = std::ranges::unique(receivers);
-    receivers.erase(repeated.begin(), repeated.end());
+    receivers.erase(std::unique(receivers.begin(), receivers.end()), receivers.end());
     for (const state::node_address &receiver : receivers) {
         out.push_back({receiver, {}});
     }
