Lines and metrics that tell the hypotheses on repeats apart

Nothing is decided otherwise. The parts of all sidecars at a moment can be added up now. - attempt_ended, attempt_broken: wait_ms, from the start of an attempt, where a repeat is counted, until it is written to the worker; handed_ms, the time that the worker is given. - loop_delay_seconds: how late the event loops of ingress and sidecar run their timers, which is how long bytes wait before they are read.

--- a/coordination/include/dandelionstall/coordination/repeat_budget.h
+++ b/coordination/include/dandelionstall/coordination/repeat_budget.h
@@ -32,6 +32,12 @@
     repeat_counts counts; // figures behind the decision
 };
 
+// A worker's part of the extra repeats of its pool.
+struct repeat_part {
+    std::uint32_t sharers = 0; // number of workers among which the extra is divided
+    double extra = 0.0;        // repeats in each window; 0 while the worker has to wait for its part
+};
+
 // Whether repeats may have reached the worker before its sidecar has begun to count.
 enum class earlier_repeats {
     possible, // the fleet was running
@@ -46,6 +52,7 @@
     void recordWorkers(std::uint32_t poolWorkers, state::time_point now);                                   // number of workers in the pool, on each change
     void recordRequest(const state::retry_allowance &allowance, state::time_point now);                     // a request was first sent to this worker
     repeat_verdict check(repeat_kind kind, const state::retry_allowance &allowance, state::time_point now); // decides without counting
+    repeat_part part(const state::retry_allowance &allowance, state::time_point now);                       // of the extra repeats
     repeat_verdict count(repeat_kind kind, const state::retry_allowance &allowance, state::time_point now); // counts the repeat if it is admitted
 
 private:
--- a/coordination/src/repeat_budget.cpp
+++ b/coordination/src/repeat_budget.cpp
@@ -65,6 +65,15 @@
     return verdict;
 }
 
+repeat_part repeat_budget::part(const state::retry_allowance &allowance, state::time_point now)
+{
+    if (allowance.extraPerWindow <= 0.0) {
+        return {};
+    }
+    advance(allowance.window, now);
+    return {m_poolWorkers.since(now - allowance.window - SettlingTime), extraPart(allowance, now)};
+}
+
 void repeat_budget::advance(std::chrono::milliseconds window, state::time_point now)
 {
     const state::duration length = std::chrono::duration_cast<state::duration>(window) / BucketsPerWindow;
--- a/programs/dandelionstall/ingress.cpp
+++ b/programs/dandelionstall/ingress.cpp
@@ -118,6 +118,8 @@
     m_sweepTimer.expires_after(SweepPeriod);
     m_sweepTimer.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
+            const auto delay = std::chrono::duration_cast<std::chrono::microseconds>(state::clock::now() - m_sweepTimer.expiry());
+            m_metrics.observeLoopDelay(transport::event_loop::ingress, delay);
             sweep();
         }
     });
--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -143,6 +143,7 @@
 void sidecar::tick()
 {
     const state::time_point now = state::clock::now();
+    m_metrics.observeLoopDelay(transport::event_loop::sidecar, std::chrono::duration_cast<std::chrono::microseconds>(now - m_nextTickAt));
     if (now - m_nextTickAt > PauseTolerance) {
         for (auto &[id, worker] : m_workers) {
             worker.outcomeTracker->recordPause(now);
@@ -164,6 +165,7 @@
     for (auto &[id, worker] : m_workers) {
         updateDraining(worker);
         configureWorker(worker);
+        logRepeatPartChange(worker, now);
     }
     publishReports();
     m_nextTickAt = now + TickPeriod;
--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar.h
@@ -71,6 +71,7 @@
     bool draining = false;                                                // the worker accepts no new work, for one of these reasons
     bool unlisted = false;                                                // the pool table no longer lists it at the service address; removed once idle
     bool loggedSuspected = false;                                         // suspicion that was logged last
+    double loggedRepeatPart = 0.0;                                        // part of the extra repeats that was logged last
     state::time_point lastProbeAt;                                        // when the latest probe was sent
     std::uint32_t runningProbes = 0;                                      // number of probes in flight
     std::uint64_t reportVersion = 0;                                      // incremented each time a report may be published
@@ -167,6 +168,7 @@
     coordination::worker_report makeReport(const served_worker &worker, state::time_point now) const;
     void publishReports();
     void logRepeat(const protocol::attempt_head &head, const coordination::repeat_verdict &verdict);
+    void logRepeatPartChange(served_worker &worker, state::time_point now);
     void logSuspicionChange(served_worker &worker, state::time_point now);
 
     boost::asio::io_context &m_io;
--- a/programs/dandelionstall/sidecar_outcomes.cpp
+++ b/programs/dandelionstall/sidecar_outcomes.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace dandelionstall {
 
@@ -88,6 +89,8 @@
 void sidecar::logAttemptEnd(const protocol::attempt_head &head, const transport::worker_result &result, state::time_point startedAt) const
 {
     const auto runTime = std::chrono::duration_cast<std::chrono::milliseconds>(state::clock::now() - startedAt);
+    const state::time_point sentAt = result.sentAt == state::time_point{} ? startedAt : result.sentAt;
+    const auto waitTime = std::chrono::duration_cast<std::chrono::milliseconds>(sentAt - startedAt);
     const auto worker = m_workers.find(head.worker);
     const double risk = worker == m_workers.end() ? -1.0 : worker->second.guard->risk(state::clock::now());
     logEvent(result.outcome == transport::worker_call_outcome::answered ? event::attempt_ended : event::attempt_broken,
@@ -97,6 +100,8 @@
               {"end", std::string(transport::outcomeName(result.outcome))},
               {"status", fmt::to_string(result.status)},
               {"run_ms", fmt::to_string(runTime.count())},
+              {"wait_ms", fmt::to_string(waitTime.count())},
+              {"handed_ms", fmt::to_string(result.handed.count())},
               {"risk", fmt::format("{:.2f}", risk)}});
 }
 
@@ -117,6 +122,19 @@
               {"allowed", fmt::format("{:.2f}", counts.allowed)}});
 }
 
+void sidecar::logRepeatPartChange(served_worker &worker, state::time_point now)
+{
+    const coordination::repeat_part part = worker.repeatBudget->part(worker.retryAllowance, now);
+    if (std::exchange(worker.loggedRepeatPart, part.extra) == part.extra) {
+        return;
+    }
+    logEvent(event::repeat_part_changed,
+             {{"pool", worker.settings.pool},
+              {"worker", worker.settings.id},
+              {"workers", fmt::to_string(part.sharers)},
+              {"part", fmt::format("{:.3f}", part.extra)}});
+}
+
 void sidecar::refuseAttempt(const state::attempt_id &id, refusal_reason reason, run_state run, state::time_point retryAt)
 {
     const auto found = m_attempts.find(id);
--- a/transport/include/dandelionstall/transport/events.h
+++ b/transport/include/dandelionstall/transport/events.h
@@ -47,6 +47,7 @@
     worker_doubtful = 3013,       // info: the guard has started or stopped keeping non-idempotent work from a worker
     repeat_counted = 3014,        // info: a repeat was counted against the retry allowance of its pool
     repeat_denied = 3015,         // warn: a repeat was denied, since the retry allowance of its pool is used up
+    repeat_part_changed = 3016,   // info: the worker's part of the extra repeats of its pool has changed
     limit_learned = 3020,         // info: a worker states a rate limit, or another rate than before
     limit_lifted = 3021,          // info: the worker states no rate limit any more, or has a new lifetime
     limit_applied = 3022,         // info: an attempt was started within the rate limit of its worker
--- a/transport/include/dandelionstall/transport/metrics.h
+++ b/transport/include/dandelionstall/transport/metrics.h
@@ -18,6 +18,12 @@
     worker,  // time of an attempt at the worker
 };
 
+// Threads of a node whose event loops are watched.
+enum class event_loop {
+    ingress,
+    sidecar,
+};
+
 enum class work_class {
     idempotent,
     non_idempotent,
@@ -36,8 +42,9 @@
     void countRetry(coordination::retry_reason reason);              // counts an attempt after the first one
     void incrementCounter(std::string_view name);                    // increments any other counter, e.g. "late_answers_dropped"
     void observe(measured_time kind, work_class workClass, std::chrono::microseconds time);
-    void setGauge(std::string_view name, double value); // sets a current value, e.g. "kept_answer_bytes"
-    std::string expose() const;                         // returns all metrics in the Prometheus text format
+    void observeLoopDelay(event_loop loop, std::chrono::microseconds delay); // how late the loop has run a timer; what arrives waits as long
+    void setGauge(std::string_view name, double value);                      // sets a current value, e.g. "kept_answer_bytes"
+    std::string expose() const;                                              // returns all metrics in the Prometheus text format
 
 private:
     struct detail;
--- a/transport/include/dandelionstall/transport/worker_client.h
+++ b/transport/include/dandelionstall/transport/worker_client.h
@@ -55,6 +55,8 @@
     worker_call_outcome outcome = worker_call_outcome::cut; // how the call ended
     std::uint32_t status = 0;                               // HTTP status; 0 when no answer header was received
     bool answerStarted = false;                             // onHead() of the sink was called
+    state::time_point sentAt;                               // when the request was written to the worker; epoch when it was not
+    std::chrono::milliseconds handed{0};                    // time left that the request stated to the worker
     std::chrono::milliseconds retryAfter{0};                // Retry-After of the worker's refusal; 0 when absent
 };
 
--- a/transport/src/events.cpp
+++ b/transport/src/events.cpp
@@ -43,6 +43,7 @@
     event_info{event::worker_doubtful, log_level::info, "worker_doubtful", "the guard has started or stopped keeping non-idempotent work from a worker"},
     event_info{event::repeat_counted, log_level::info, "repeat_counted", "a repeat was counted against the retry allowance of its pool"},
     event_info{event::repeat_denied, log_level::warn, "repeat_denied", "a repeat was denied, since the retry allowance of its pool is used up"},
+    event_info{event::repeat_part_changed, log_level::info, "repeat_part_changed", "the worker's part of the extra repeats of its pool has changed"},
     event_info{event::limit_learned, log_level::info, "limit_learned", "a worker states a rate limit, or another rate than before"},
     event_info{event::limit_lifted, log_level::info, "limit_lifted", "the worker states no rate limit any more, or has a new lifetime"},
     event_info{event::limit_applied, log_level::info, "limit_applied", "an attempt was started within the rate limit of its worker"},
--- a/transport/src/metrics.cpp
+++ b/transport/src/metrics.cpp
@@ -43,6 +43,7 @@
 }
 
 constexpr std::array WorkClasses{"idempotent", "non_idempotent"}; // label values, indexed by work_class
+constexpr std::array LoopNames{"ingress", "sidecar"};             // label values, indexed by event_loop
 constexpr std::array TimeBuckets{0.0001, 0.00025, 0.0005, 0.001, 0.0022, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0}; // seconds
 
 double toSeconds(std::chrono::microseconds time)
@@ -84,6 +85,15 @@
     return result;
 }
 
+std::array<prometheus::Histogram *, LoopNames.size()> addLoopDelays(prometheus::Registry &registry)
+{
+    const prometheus::Histogram::BucketBoundaries buckets(TimeBuckets.begin(), TimeBuckets.end());
+    auto &family = prometheus::BuildHistogram().Name("dandelionstall_loop_delay_seconds").Help("How late an event loop runs its timers.").Register(registry);
+    std::array<prometheus::Histogram *, LoopNames.size()> result{};
+    std::transform(LoopNames.begin(), LoopNames.end(), result.begin(), [&](const char *loop) { return &family.Add({{"loop", loop}}, buckets); });
+    return result;
+}
+
 } // namespace
 
 struct metrics::detail {
@@ -96,6 +106,7 @@
                                          addTimes(registry, "added_seconds", "Time of a request outside the worker."),
                                          addTimes(registry, "queue_seconds", "Time of an attempt in the queue of a worker."),
                                          addTimes(registry, "worker_seconds", "Time of an attempt at the worker.")};
+    std::array<prometheus::Histogram *, LoopNames.size()> loopDelays = addLoopDelays(registry);
     std::vector<prometheus::Counter *> refusalCounters = addReasons<refusal_reason>(refusals);
     std::vector<prometheus::Counter *> retryCounters = addReasons<retry_reason>(retries);
     series_cache<prometheus::Counter> counters;
@@ -136,6 +147,11 @@
     m_detail->times.at(static_cast<std::size_t>(kind)).at(static_cast<std::size_t>(workClass))->Observe(toSeconds(time));
 }
 
+void metrics::observeLoopDelay(event_loop loop, std::chrono::microseconds delay)
+{
+    m_detail->loopDelays.at(static_cast<std::size_t>(loop))->Observe(toSeconds(delay));
+}
+
 void metrics::setGauge(std::string_view name, double value)
 {
     const auto add = [&]() -> prometheus::Gauge & {
--- a/transport/src/worker_client.cpp
+++ b/transport/src/worker_client.cpp
@@ -36,7 +36,7 @@
 using answer_parser = http::response_parser<http::buffer_body>;
 
 // Moves the body out of the request, since it may be large.
-http::request<http::string_body> makeRequest(worker_request &request, const state::header_names &names)
+http::request<http::string_body> makeRequest(worker_request &request, const state::header_names &names, std::chrono::milliseconds timeLeft)
 {
     http::request<http::string_body> message;
     message.version(11);
@@ -47,8 +47,7 @@
             message.insert(header.name, header.value);
         }
     }
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - state::clock::now());
-    message.set(names.timeLeft, std::to_string(std::max<std::int64_t>(left.count(), 1)));
+    message.set(names.timeLeft, std::to_string(timeLeft.count()));
     if (!names.expectedWorker.empty() && !request.expectedWorker.empty()) {
         message.set(names.expectedWorker, request.expectedWorker);
     }
@@ -321,7 +320,9 @@
     current.stream = stream;
     current.reused = reused;
     current.write = std::make_shared<request_write>();
-    current.write->message = makeRequest(request, m_names);
+    result.sentAt = state::clock::now();
+    result.handed = std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - result.sentAt));
+    current.write->message = makeRequest(request, m_names, result.handed);
     http::async_write(*stream, current.write->message, [write = current.write, stream](const beast::error_code &error, std::size_t) {
         write->done = true;
         write->error = error;
