Check all three limits on repeats, and play deployments at their true size

The checker of repeats counted runs; the rule counts arrivals, also those that a worker rejects. It is replaced by retry_check, which checks three limits from what callers and workers saw: the sum of repeats in a window, the workers that one request ran at, and the time that workers were handed.

Callers may leave early or come back at once, ids of calls may name their parents or not, many processes may be killed or paused at once (--herds). It prints how near the limits it came, and the largest sum of the parts of the extra repeats.

--- a/soak/fault_plan.cpp
+++ b/soak/fault_plan.cpp
@@ -43,6 +43,9 @@
 constexpr std::uint32_t MaxSeries = 3;
 constexpr std::uint32_t MinLengthMs = 200;
 constexpr std::uint32_t MaxLengthMs = 4000;
+constexpr std::array HerdKinds{fault_kind::node_kill, fault_kind::node_pause, fault_kind::worker_kill, fault_kind::worker_pause};
+constexpr double MinHerdShare = 0.2; // of the nodes or workers
+constexpr double MaxHerdShare = 0.55;
 
 const kind_row &rowOf(fault_kind kind)
 {
@@ -69,6 +72,21 @@
     return step;
 }
 
+// Many nodes or workers with the same fault from the same moment on.
+void appendHerd(const plan_options &options, pcg64 &random, std::vector<fault_step> &steps)
+{
+    fault_step step = generateStep(options, random);
+    step.kind = HerdKinds.at(random(HerdKinds.size()));
+    step.duration = std::min(milliseconds(MinLengthMs + random(MaxLengthMs - MinLengthMs)), options.length - step.at);
+    const double share = std::uniform_real_distribution<double>(MinHerdShare, MaxHerdShare)(random);
+    for (step.target = 0; step.target < options.nodes; ++step.target) {
+        if (std::bernoulli_distribution(share)(random)) {
+            step.peer = (step.target + 1) % options.nodes;
+            steps.push_back(step);
+        }
+    }
+}
+
 using text_fields = std::map<std::string, std::string, std::less<>>;
 
 text_fields fieldsOf(const std::string &line)
@@ -145,6 +163,9 @@
             step.at += step.duration + milliseconds(MinLengthMs);
         }
     }
+    for (std::size_t i = 0; i < options.herds; ++i) {
+        appendHerd(options, random, plan.steps);
+    }
     const auto orderOf = [](const fault_step &step) {
         return std::tuple(step.at, step.kind, step.target, step.peer, step.duration);
     };
--- a/soak/fault_plan.h
+++ b/soak/fault_plan.h
@@ -63,6 +63,7 @@
     std::chrono::milliseconds length{15'000}; // time span in which all faults begin and end
     double stepsPerSecond = 0.8;
     std::vector<fault_kind> kinds{}; // faults to draw from; empty: all but worker_limit and worker_leave
+    std::size_t herds = 0;           // times at which many nodes or workers are killed or paused at the same moment
 };
 
 struct fault_plan {
--- a/soak/injector.cpp
+++ b/soak/injector.cpp
@@ -66,12 +66,16 @@
     }
 }
 
-std::string storeLines(fault_kind kind)
+// hasKeyedStore: the platform has a key-value store, which never answers with older values, but may drop its history.
+std::string storeLines(fault_kind kind, bool hasKeyedStore)
 {
     if (kind == fault_kind::store_closed) {
         return "absent=close\n";
     }
-    return kind == fault_kind::store_silent ? "silent=yes\n" : "stale=yes\n";
+    if (kind == fault_kind::store_silent) {
+        return "silent=yes\n";
+    }
+    return hasKeyedStore ? "compact=yes\n" : "stale=yes\n";
 }
 
 void addRule(json::array &rules, const std::string &from, const std::string &to, const fault_step &step)
@@ -279,6 +283,7 @@
         process.kill();
         m_pausedWorkers[step.target] = 0;
         m_killedWorkers.insert(step.target);
+        m_log.endedWorkers.insert(workerOf(step.target));
     }
 }
 
@@ -329,7 +334,7 @@
 {
     std::string lines;
     for (const fault_step &step : m_active) {
-        lines = isStoreKind(step.kind) ? storeLines(step.kind) : lines;
+        lines = isStoreKind(step.kind) ? storeLines(step.kind, m_fleet.plan().store.has_value()) : lines;
     }
     testing::command(m_fleet.configService(), "/_fault", lines);
 }
@@ -337,12 +342,7 @@
 // Each table contains the routes of all earlier tables, so a missing route shows that a node uses an older table.
 void injector::changeTable()
 {
-    const std::uint64_t revision = ++m_log.lastTable;
-    std::string text = m_fleet.routesText(revision);
-    for (std::uint64_t i = 2; i <= revision; ++i) {
-        text += fmt::format("\n[route.table-{}]\npath = /table-{}\npool = orders\nidempotent = yes\n", i, i);
-    }
-    m_fleet.publishRoutes(text);
+    m_fleet.publishTable(++m_log.lastTable);
 }
 
 } // namespace dandelionstall::soak
--- a/soak/injector.h
+++ b/soak/injector.h
@@ -30,6 +30,7 @@
     std::vector<node_span> stops;             // from SIGTERM to the end of the process
     std::vector<node_span> disturbances;      // from the kill or pause of a node until it is ready
     std::vector<std::string> unexpectedExits; // nodes that exited without a signal from the injector, or with an error
+    std::set<std::string> endedWorkers;       // workers that were killed
     std::uint64_t lastTable = 1;              // revision of the route table written last
 };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -25,7 +25,10 @@
     double rate = 80;
     double steps = 0.8;
     std::string kinds;
+    std::size_t herds = 0;
     std::optional<soak::call_options> calls;
+    std::optional<soak::deployment> played;
+    soak::behaviour how;
     std::string replay;
     std::string regressions;
     std::string report;
@@ -42,7 +45,7 @@
 
 soak::soak_result play(const soak::fault_plan &plan, const soak_command &command)
 {
-    soak::soak_result result = soak::runSoak(plan, {command.rate, command.calls});
+    soak::soak_result result = soak::runSoak(plan, {command.rate, command.calls, command.played, command.how});
     std::cout << soak::formatResult(result) << std::flush;
     if (!command.report.empty()) {
         soak::writeReport(result, command.report);
@@ -114,7 +117,8 @@
     std::vector<soak::fault_plan> plans;
     plans.reserve(command.count);
     for (std::size_t i = 0; i < command.count; ++i) {
-        plans.push_back(soak::generatePlan({command.seed + i, command.nodes, length, command.steps, kinds}));
+        const std::size_t nodes = command.played ? soak::nodesOf(*command.played) : command.nodes;
+        plans.push_back(soak::generatePlan({command.seed + i, nodes, length, command.steps, kinds, command.herds}));
     }
     return plans;
 }
@@ -160,13 +164,31 @@
     add("calls", options::value(&calls.perRun), "two services: each run of one makes this many calls to the other; the retry allowances are checked");
     add("slots", options::value(&calls.slots)->default_value(calls.slots), "slots of each worker, with --calls");
     add("extra", options::value(&calls.extra)->default_value(calls.extra), "repeats allowed beyond the share in 10 s, with --calls");
-    add("failing", options::value(&calls.failing)->default_value(calls.failing), "share of the runs that end with an error, with --calls");
+    add("failing", options::value(&calls.failing)->default_value(calls.failing), "share of the runs that end with an error, with --calls or --deployment");
+    std::string deployment;
+    add("deployment", options::value(&deployment), "INI file of a deployment, which is played at its true size and load on the platform's store");
+    add("template", options::value(&command.how.settingsTemplate)->default_value("deploy/node.ini"), "deploy template, with --deployment");
+    add("leaving", options::value(&command.how.leaving)->default_value(0), "share of the callers that leave early, with --deployment");
+    add("impatient", options::value(&command.how.impatient)->default_value(0), "share of the callers that return at once, with --deployment");
+    add("staying",
+        options::value(&command.how.staying)->default_value(command.how.staying),
+        "share of the runs that go on when their caller has gone, with --deployment");
+    add("load", options::value(&command.how.load)->default_value(1), "factor of the rates, with --deployment");
+    add("name-parents", options::value(&command.how.callsNameParents)->default_value(true), "ids of calls name the request of their run, with --deployment");
+    add("keep-settings",
+        options::bool_switch(&command.how.keepsFirstSettings),
+        "nodes that start again get the settings of their first start, with --deployment");
+    add("herds", options::value(&command.herds)->default_value(0), "times at which many nodes or workers are killed or paused at once");
     add("replay", options::value(&command.replay), "play the plan in this file");
     add("regressions", options::value(&command.regressions), "play the plans listed in this file");
     add("report", options::value(&command.report), "directory for plans, plots and logs");
     add("shrink", "search for the smallest set of faults that still breaks a promise");
     return standins::runProgram(argc, argv, description, [&](const options::variables_map &given) {
         command.calls = given.contains("calls") ? std::optional(calls) : std::nullopt;
+        if (!deployment.empty()) {
+            command.played = soak::readDeployment(deployment);
+            command.how.failing = calls.failing;
+        }
         return run(command, given.contains("shrink"));
     });
 }
--- a/soak/soak_fleet.cpp
+++ b/soak/soak_fleet.cpp
@@ -1,5 +1,7 @@
 #include "soak_fleet.h"
 
+#include <dandelionstall/state/tables.h>
+
 #include <fmt/format.h>
 
 #include <array>
@@ -21,21 +23,6 @@
         {"retry_share", fmt::to_string(calls.share)}, {"retry_extra", fmt::to_string(calls.extra)}, {"retry_window", fmt::format("{}s", calls.window.count())}};
 }
 
-// The log of all workers with the requests for one pool as its calls.
-standins::run_log logOfPool(const check_input &observed, bool isStock)
-{
-    standins::run_log log = observed.workers;
-    if (!isStock) {
-        log.calls.clear();
-    }
-    for (const standins::call_record &call : observed.calls) {
-        if ((call.requestClass == StockClass) == isStock) {
-            log.calls.push_back({call.id, "-", {}, call.sent});
-        }
-    }
-    return log;
-}
-
 } // namespace
 
 testing::fleet_plan planFleet(const fault_plan &plan, const std::optional<call_options> &calls)
@@ -73,33 +60,28 @@
              "[class.book_again]\nshare=0.2\npath=/book\nmethod=POST\nidempotent=no\nticket=yes\nretries=2\ncost_ms=20\ndeadline_ms=2000\nworth=5\n";
 }
 
-std::vector<standins::violation> findExcessRepeats(const testing::fleet_plan &plan, const check_input &observed, const call_options &calls, std::string &usage)
+standins::repeat_limit limitOf(const call_options &calls)
 {
-    const standins::repeat_limit limit{calls.share, calls.extra, calls.window};
-    std::vector<standins::violation> found;
-    usage.clear();
-    for (const char *pool : {"orders", "stock"}) {
-        std::set<std::string> workers;
-        for (const testing::node_plan &node : plan.nodes) {
-            for (const testing::worker_plan &worker : node.workers) {
-                if (worker.pool == pool) {
-                    workers.insert(worker.id);
-                }
-            }
-        }
-        const standins::repeat_usage worst = standins::findWorstWindow(logOfPool(observed, std::string_view(pool) == "stock"), workers, limit);
-        const std::string text = fmt::format("{}: {} repeats of {:.1f} allowed, {} of them calls of repeated runs, {} requests",
-                                             pool,
-                                             worst.repeats,
-                                             worst.allowed,
-                                             worst.calls,
-                                             worst.requests);
-        usage += text + "\n";
-        if (static_cast<double>(worst.repeats) > worst.allowed) {
-            found.push_back({"retry_allowance", "-", text});
+    return {calls.share, calls.extra, calls.window};
+}
+
+standins::retry_traffic trafficOf(const testing::fleet_plan &plan, const check_input &observed)
+{
+    standins::retry_traffic traffic;
+    for (const testing::node_plan &node : plan.nodes) {
+        for (const testing::worker_plan &worker : node.workers) {
+            traffic.pool[worker.id] = worker.pool;
         }
     }
-    return found;
+    for (const standins::call_record &call : observed.calls) {
+        const std::string pool = call.requestClass == StockClass ? "stock" : "orders";
+        traffic.requests.push_back({call.id, pool, state::route().maxAttempts, false, "", "", call.sent, call.deadline});
+    }
+    for (const standins::call_of_run &call : observed.workers.calls) {
+        traffic.requests.push_back({call.id, "stock", state::route().maxAttempts, false, call.parent, call.worker, call.sent, call.timeLeft});
+    }
+    traffic.workers = observed.workers;
+    return traffic;
 }
 
 } // namespace dandelionstall::soak
--- a/soak/soak_fleet.h
+++ b/soak/soak_fleet.h
@@ -1,13 +1,13 @@
 // The fleets that a soak can run, and their load.
 //
 //   one service    every node has a worker of "orders"
-//   two services   the runs of "orders" call "stock", five nodes of seven have a worker of "orders"; both pools have a retry allowance
+//   two services   (call_options) the runs of "orders" call "stock", five nodes of seven have a worker of "orders"; both pools have a retry allowance
 #pragma once
 
 #include "fault_plan.h"
 
 #include <fleet.h>
-#include <repeat_count.h>
+#include <retry_check.h>
 
 #include <optional>
 
@@ -26,8 +26,9 @@
 testing::fleet_plan planFleet(const fault_plan &plan, const std::optional<call_options> &calls);
 std::string loadText(std::chrono::seconds length, double rate, bool hasCalls); // load profile, without its head
 
-// One line for each pool of two services whose repeats exceeded the allowance in some window. usage: gets the worst window of each pool.
-std::vector<standins::violation>
-findExcessRepeats(const testing::fleet_plan &plan, const standins::check_input &observed, const call_options &calls, std::string &usage);
+standins::repeat_limit limitOf(const call_options &calls);
+
+// What callers and workers of two services have seen.
+standins::retry_traffic trafficOf(const testing::fleet_plan &plan, const standins::check_input &observed);
 
 } // namespace dandelionstall::soak
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -1,5 +1,7 @@
 #include "soak_run.h"
 
+#include "repeat_parts.h"
+
 #include <http_call.h>
 #include <load_report.h>
 
@@ -30,7 +32,7 @@
 public:
     soak_run(const fault_plan &plan, const soak_options &options)
         : m_options(options)
-        , m_fleet(planFleet(plan, options.calls))
+        , m_fleet(options.played ? planDeployment(*options.played, options.how, plan.seed) : planFleet(plan, options.calls))
         , m_injector(m_fleet, plan)
     {
         m_result.plan = plan;
@@ -42,10 +44,13 @@
         for (std::size_t i = 0; i < m_fleet.nodeCount(); ++i) {
             m_evidence.callers.push_back(m_fleet.node(i).callers);
         }
+        if (m_options.played) {
+            std::this_thread::sleep_until(m_fleet.startedAt() + m_options.played->lead);
+        }
         m_startedAt = state::clock::now();
         const auto start = standins::steadyNow();
         while (elapsed() < m_result.plan.length && check()) {
-            playLoad(LoadTime);
+            playLoad(m_options.played ? std::chrono::ceil<std::chrono::seconds>(m_result.plan.length) : LoadTime);
         }
         if (m_result.broken.empty()) {
             recover();
@@ -68,7 +73,7 @@
     std::vector<standins::call_record> playLoad(std::chrono::seconds length)
     {
         failRuns();
-        testing::load_job load = m_fleet.startLoad(loadText(length, m_options.rate, m_options.calls.has_value()));
+        testing::load_job load = m_fleet.startLoad(profileOf(length));
         while (load.running()) {
             m_injector.advance(elapsed());
             checkNextTable();
@@ -79,12 +84,29 @@
         return calls;
     }
 
+    std::string profileOf(std::chrono::seconds length) const
+    {
+        if (m_options.played) {
+            return deploymentLoad(*m_options.played, m_options.how, elapsed(), length);
+        }
+        return loadText(length, m_options.rate, m_options.calls.has_value());
+    }
+
+    // Share of the runs that end with an error at all workers, so that there is much to repeat.
+    double failingShare() const
+    {
+        if (m_options.played) {
+            return m_options.how.failing;
+        }
+        return m_options.calls ? m_options.calls->failing : 0.0;
+    }
+
     // Makes all workers fail some of their runs. A worker fault that ends in between clears it until the next load.
     void failRuns()
     {
-        for (std::size_t i = 0; m_options.calls && i < m_fleet.nodeCount(); ++i) {
+        for (std::size_t i = 0; failingShare() > 0.0 && i < m_fleet.nodeCount(); ++i) {
             testing::fleet_worker &worker = m_fleet.node(i).workers.front();
-            testing::callHttp({worker.address, "/_fault", "PUT", fmt::format("fail={}", m_options.calls->failing)}, WorkerCommandTimeout);
+            testing::callHttp({worker.address, "/_fault", "PUT", fmt::format("fail={}", failingShare())}, WorkerCommandTimeout);
         }
     }
 
@@ -107,7 +129,7 @@
             m_evidence.tables.push_back(fmt::format("table_late revision {} is not in force on all nodes", m_injector.log().lastTable));
         }
         std::vector<standins::call_record> calls = playLoad(AfterRecoveryTime);
-        if (!m_options.calls) { // with workers that fail their runs, nothing can be as good as before
+        if (!m_options.calls && !m_options.played) { // with workers that fail their runs, nothing can be as good as before
             m_evidence.callsAfterRecovery = std::move(calls);
         }
         check();
@@ -118,13 +140,26 @@
         m_evidence.observed.workers = m_fleet.evidence({}).workers;
         m_evidence.injected = m_injector.log();
         m_result.broken = findBrokenPromises(m_evidence);
-        if (m_options.calls) {
-            const auto excess = findExcessRepeats(m_fleet.plan(), m_evidence.observed, *m_options.calls, m_result.repeats);
-            m_result.broken.insert(m_result.broken.end(), excess.begin(), excess.end());
+        if (m_options.calls || m_options.played) {
+            checkRetries();
         }
         return m_result.broken.empty();
     }
 
+    void checkRetries()
+    {
+        const standins::check_input &observed = m_evidence.observed;
+        standins::retry_traffic traffic = m_options.played ? trafficOf(*m_options.played, m_fleet.plan(), observed) : trafficOf(m_fleet.plan(), observed);
+        traffic.excusedWorkers = m_evidence.injected.endedWorkers;
+        const standins::retry_verdict verdict = standins::judgeRetries(traffic, m_options.played ? m_options.played->allowance : limitOf(*m_options.calls));
+        const std::vector<standins::violation> found = standins::violationsOf(verdict);
+        m_result.broken.insert(m_result.broken.end(), found.begin(), found.end());
+        m_result.repeats = standins::describeRetries(verdict);
+        for (const auto &[pool, sum] : largestSumOfParts(m_fleet.logsByNode())) {
+            m_result.repeats += fmt::format("{}: parts of the extra repeats add up to {:.1f} at most\n", pool, sum);
+        }
+    }
+
     // ---- Tables ----
 
     bool hasTable(std::size_t node, std::uint64_t revision)
@@ -132,7 +167,7 @@
         if (revision < 2) {
             return true;
         }
-        const testing::http_outcome outcome = testing::callHttp({m_fleet.node(node).callers, fmt::format("/table-{}", revision), "GET", {}}, TableCheckTimeout);
+        const testing::http_outcome outcome = testing::callHttp({m_fleet.node(node).callers, m_fleet.tablePath(revision), "GET", {}}, TableCheckTimeout);
         return outcome.status != 0 && outcome.body.find("no_route") == std::string::npos && outcome.body.find("not_ready") == std::string::npos;
     }
 
@@ -169,7 +204,7 @@
             return;
         }
         const testing::http_outcome highestTable
-            = testing::callHttp({m_fleet.node(node).callers, fmt::format("/table-{}", observed.highest), "GET", {}}, TableCheckTimeout);
+            = testing::callHttp({m_fleet.node(node).callers, m_fleet.tablePath(observed.highest), "GET", {}}, TableCheckTimeout);
         if (observed.highest >= 2 && highestTable.body.find("no_route") != std::string::npos) {
             m_evidence.tables.push_back(
                 fmt::format("table_back {} no longer serves revision {}, which it had served", m_fleet.node(node).name, observed.highest));
--- a/soak/verdict.cpp
+++ b/soak/verdict.cpp
@@ -33,7 +33,8 @@
 {
     for (const call_record &call : evidence.observed.calls) {
         const auto calledNode = std::find(evidence.callers.begin(), evidence.callers.end(), call.node);
-        const bool cut = call.status == 0 && call.run.empty() && call.reason != "timeout";
+        const bool endedByCaller = call.reason == "timeout" || call.reason == "left";
+        const bool cut = call.status == 0 && call.run.empty() && !endedByCaller;
         if (!cut || calledNode == evidence.callers.end()) {
             continue;
         }
--- a/tests/integration/support/fleet.h
+++ b/tests/integration/support/fleet.h
@@ -20,10 +20,13 @@
 #include "check.h"
 #include "http_call.h"
 #include "process.h"
+#include "store_platform.h"
 #include "worker_calls.h"
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,6 +40,7 @@
     double floor = 0.5;
     std::map<std::string, std::string> settings; // additional keys of the pool's section, e.g. ejector
     standins::worker_call_plan calls = {};       // calls made by each run of a worker of this pool; its node is that of the worker
+    std::vector<std::string> arguments = {};     // further arguments of the pool's stand-in workers
 };
 
 struct route_plan {
@@ -62,11 +66,13 @@
     std::vector<pool_plan> pools;
     std::vector<route_plan> routes;
     std::vector<node_plan> nodes;
-    bool proxyCallers = true; // callers connect to nodes through the fault proxy
-    bool faultProxy = true;   // nodes connect to each other through the fault proxy
-    bool probes = true;       // nodes probe the health path of their workers
-    std::string nodeSettings; // additional INI lines for the settings of every node
-    std::uint64_t seed = 1;   // random seed of the stand-ins
+    bool proxyCallers = true;        // callers connect to nodes through the fault proxy
+    bool faultProxy = true;          // nodes connect to each other through the fault proxy
+    bool probes = true;              // nodes probe the health path of their workers
+    std::string nodeSettings;        // additional INI lines for the settings of every node
+    std::string loadSettings;        // additional lines for the section [load] of every load profile
+    std::optional<store_plan> store; // the platform with a key-value store, in place of the configuration service and the VM list
+    std::uint64_t seed = 1;          // random seed of the stand-ins
 };
 
 // Three data centres with two nodes each, one worker of 3 slots on each node, all in pool "orders". Routes are /lookup
@@ -121,14 +127,17 @@
     void startWorker(fleet_worker &worker); // also restarts one that has ended; its log is appended to
     fleet_node &node(std::size_t index);
     std::size_t nodeCount() const;
+    state::time_point startedAt() const;         // when start() began to start the nodes
     fleet_worker &worker(const std::string &id); // throws when the id is unknown
     std::string ip(unsigned host) const;         // 127.A.B.host
     const std::string &configService() const;    // ip:port
     void stopConfigService();
     void startConfigService(); // serves the tables and VM list last published or preset
 
-    void publishRoutes(const std::string &text); // publishes the text unchanged
-    void presetRoutes(const std::string &text);  // used from the next start of the configuration service
+    void publishTable(std::uint64_t revision);           // publishes the routes of the plan, and a route table-N for each revision N from 2 on
+    std::string tablePath(std::uint64_t revision) const; // path of the route table-N
+    void publishRoutes(const std::string &text);         // publishes the text unchanged
+    void presetRoutes(const std::string &text);          // used from the next start of the configuration service
     void publishPools(const std::string &text);
     void publishNodes(const std::map<std::string, std::string> &states = {}); // VM list; states by node name, e.g. leaving, default live
     std::string routesText(std::uint64_t revision) const;                     // route table of the plan
@@ -143,6 +152,7 @@
     std::size_t runCount() const;           // number of runs that workers have started so far
     void awaitRuns(std::size_t more) const; // waits until that many more runs have started; throws otherwise
     standins::check_input evidence(std::vector<standins::call_record> calls) const;
+    std::vector<std::string> logsByNode() const;
     std::string nodeLogs() const; // logs of all nodes, for messages of failed tests
 
 private:
@@ -150,6 +160,10 @@
     void startWorkers();
     void startProxy();
     std::string settingsText(const fleet_node &node) const;
+    std::string storeSettingsText(const fleet_node &node);
+    void startStore();
+    const fleet_node &nodeOf(const fleet_worker &worker) const;
+    void appendStoreArguments(const fleet_node &node, const fleet_worker &worker, std::vector<std::string> &arguments) const;
     std::string proxied(const fleet_node &node, unsigned port) const;
 
     fleet_plan m_plan;
@@ -163,6 +177,8 @@
     child_process m_proxy;
     std::string m_proxyCommands; // ip:port of the fault proxy's command interface
     std::vector<fleet_node> m_nodes;
+    state::time_point m_startedAt;
+    std::set<std::string> m_startedNodes; // names of the nodes that have been started before
     unsigned m_loads = 0;
 };
 
--- /dev/null
+++ b/tests/integration/support/store_platform.h
@@ -0,0 +1,34 @@
+// Texts of a fleet on a platform with a key-value store: the settings that the platform makes from the deploy template. No side effects.
+//
+// Usage:
+//   fleet_plan plan;
+//   plan.store = store_plan{readFile("deploy/node.ini"), {{"retryBudgetSlack", "62"}}, documentOf};
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace dandelionstall::testing {
+
+// The platform of a fleet whose workers announce themselves in the platform's store.
+struct store_plan {
+    std::string settingsTemplate;                          // text of the deploy template
+    std::map<std::string, std::string> bounds;             // figures that the platform states
+    std::function<std::string(std::uint64_t)> document;    // configuration document of a version
+    std::chrono::milliseconds lapseAfter{4500};            // entries of workers that are not written for this long are removed
+    bool keepsFirstSettings = false;                       // a node that is started again gets the settings of its first start
+    std::map<std::string, std::string> settingsLines = {}; // lines to be replaced, by their beginning, e.g. "admin ="
+};
+
+// Values of the template for one process, by the names of its placeholders. An empty value counts as none.
+using template_values = std::map<std::string, std::string>;
+
+// Fills in a template: {{name}}, sections {{#name}}...{{/name}} for a name with a value and {{^name}}...{{/name}} for one without. The section
+// "bounds" is repeated for each bound, with {{@}} for its name and {{.}} for its value. Throws std::invalid_argument for a section without end.
+std::string fillTemplate(std::string text, const template_values &values, const std::map<std::string, std::string> &bounds);
+
+std::string replaceLines(const std::string &text, const std::map<std::string, std::string> &lines); // lines that begin with a key become its value
+
+} // namespace dandelionstall::testing
--- a/tests/standins/load_profile.cpp
+++ b/tests/standins/load_profile.cpp
@@ -21,6 +21,8 @@
     profile.source = values.consume("source", profile.source);
     profile.idPrefix = values.consume("id_prefix", profile.idPrefix);
     profile.maxOpen = values.consume("max_open", profile.maxOpen);
+    profile.idHeader = values.consume("id_header", profile.idHeader);
+    profile.timeLeftHeader = values.consume("time_left_header", profile.timeLeftHeader);
 }
 
 load_phase readPhase(const std::string &name, key_values &values)
@@ -51,9 +53,21 @@
     each.deadline = values.consumeMillis("deadline_ms", each.deadline);
     each.organisations = values.consume("organisations", each.organisations);
     each.retries = values.consume("retries", each.retries);
+    each.calls = values.consume("calls", each.calls);
+    each.callsShare = values.consume("calls_share", each.callsShare);
+    each.leaveShare = values.consume("leave_share", each.leaveShare);
+    each.leaveAfter = values.consumeMillis("leave_ms", each.leaveAfter);
+    each.again = values.consume("again", each.again);
+    each.againShare = values.consume("again_share", each.againShare);
     return each;
 }
 
+// Draws only for classes with the feature, so that the plans of other profiles stay the same.
+bool drawIf(bool hasFeature, double share, std::mt19937_64 &random)
+{
+    return hasFeature && std::bernoulli_distribution(share)(random);
+}
+
 std::chrono::milliseconds drawCost(const request_class &each, std::mt19937_64 &random)
 {
     double cost = static_cast<double>(each.cost.count());
@@ -118,6 +132,9 @@
             request.cost = drawCost(kind, random);
             const std::uint32_t last = std::max(kind.organisations, 1U) - 1;
             request.organisation = fmt::format("outlet-{}", std::uniform_int_distribution<std::uint32_t>(0, last)(random));
+            request.calls = drawIf(kind.calls > 0, kind.callsShare, random) ? kind.calls : 0;
+            request.leaves = drawIf(kind.leaveShare > 0.0, kind.leaveShare, random);
+            request.comesAgain = drawIf(kind.again > 0, kind.againShare, random);
             plan.push_back(std::move(request));
         }
         start = end;
--- a/tests/standins/load_profile.h
+++ b/tests/standins/load_profile.h
@@ -7,6 +7,8 @@
 //   source=127.9.0.1                       source IP address; chosen by the kernel when absent
 //   id_prefix=a                            prefix of each request id
 //   max_open=2000                          limit of requests in flight; those beyond it are recorded as caller_overload
+//   id_header=X-Request-Id                 name of the header with the id
+//   time_left_header=X-Deadline-Ms         name of the header with the milliseconds left
 //   [phase.quiet]                          phases run one after another in file order
 //   seconds=5
 //   rate=100                               requests per second, Poisson arrivals
@@ -18,6 +20,11 @@
 //   bytes=500  worth=1  deadline_ms=1000
 //   organisations=50                       drawn uniformly: outlet-0, outlet-1, ...
 //   retries=0                              retries at other nodes after a missing answer or an unknown outcome
+//   calls=2  calls_share=0.7               calls that the run makes, in this share of the requests
+//   leave_share=0.2  leave_ms=300          this share of the callers closes the connection after this time
+//   again=3  again_share=0.3               this share of the callers sends the request again at once, up to this number of times, each time with
+//                                          an id of its own: idempotent work after any failure, other work after an answer that says
+//                                          it was not run
 #pragma once
 
 #include <dandelionstall/state/types.h>
@@ -50,6 +57,12 @@
     std::chrono::milliseconds deadline{2000};
     std::uint32_t organisations = 20;
     std::uint32_t retries = 0;
+    std::uint32_t calls = 0;
+    double callsShare = 1.0;
+    double leaveShare = 0.0;
+    std::chrono::milliseconds leaveAfter{300};
+    std::uint32_t again = 0;
+    double againShare = 0.0;
 };
 
 struct load_profile {
@@ -58,6 +71,8 @@
     std::string source;
     std::string idPrefix = "r";
     std::size_t maxOpen = 2000;
+    std::string idHeader = "X-Request-Id";
+    std::string timeLeftHeader = "X-Deadline-Ms";
     std::vector<load_phase> phases;
     std::vector<request_class> classes;
 };
@@ -70,6 +85,9 @@
     std::size_t node = 0;             // index into the profile's nodes
     std::chrono::milliseconds cost{0};
     std::string organisation;
+    std::uint32_t calls = 0; // made by its run
+    bool leaves = false;     // the caller closes the connection after request_class::leaveAfter
+    bool comesAgain = false; // the caller sends it again at once, up to request_class::again times
 };
 
 load_profile readLoadProfile(const std::string &path);              // throws std::invalid_argument
--- a/tests/standins/run_log.h
+++ b/tests/standins/run_log.h
@@ -3,6 +3,7 @@
 
 #include <dandelionstall/state/types.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,10 +17,11 @@
 
 // A call that a worker made while it ran a request.
 struct call_of_run {
-    std::string id;                    // X-Request-Id of the call
-    std::string parent;                // X-Request-Id of the request that was run
-    std::string worker;                // worker that made the call
-    std::chrono::microseconds sent{0}; // on the steady clock
+    std::string id;                        // X-Request-Id of the call
+    std::string parent;                    // X-Request-Id of the request that was run
+    std::string worker;                    // worker that made the call
+    std::chrono::microseconds sent{0};     // on the steady clock
+    std::chrono::milliseconds timeLeft{0}; // stated by the call
 };
 
 // Start of draining. The worker must start no run more than LeavingLimit after this time.
@@ -33,7 +35,8 @@
     std::string id;   // X-Request-Id; "-" when absent
     std::string path; // request target
     std::string worker;
-    std::chrono::microseconds at{0}; // on the steady clock
+    std::chrono::microseconds at{0};                      // on the steady clock
+    std::optional<std::chrono::milliseconds> handed = {}; // time left that the request states
 };
 
 // A change of what a worker states in its answers.
--- a/tests/standins/worker_service.h
+++ b/tests/standins/worker_service.h
@@ -5,11 +5,14 @@
 //   X-Test-Cost-Ms     run time in the slot
 //   X-Test-Bytes       size of the answer
 //   X-Test-Idempotent  "yes" or "no"; only logged
+//   X-Test-Calls       number of calls of the run, in place of that of the call plan
 //   X-Deadline-Ms      milliseconds left; a run that would take longer is aborted at that time with status 504
+// The names of the headers with the id and the milliseconds left are options.
 // Each run is logged to standard output as "start <request id> <idempotent> <steady us>" and "end <request id> <outcome>
 // <steady us>"; "draining <name> yes <steady us>" marks the start of draining, and "states <header text> <kind> <steady us>" each
-// change of a stated rate limit or leaving. Each request is logged as "arrival <request id> <path> <steady us>" before it waits. When the caller closes the
-// connection, the run is aborted and its slot released. A worker with a call plan makes its calls at the end of each run, in the slot of the run; a run whose
+// change of a stated rate limit or leaving. Each request is logged as "arrival <request id> <path> <steady us> <milliseconds left>" before it
+// waits; without the last field when the request states none. When the caller closes the connection, the run is aborted and its slot released,
+// but for the share of the runs that goes on. A worker with a call plan makes its calls at the end of each run, in the slot of the run; a run whose
 // call fails ends with status 500. The body of PUT /_fault sets the faults of worker_faults.h; an empty body clears them.
 #pragma once
 
@@ -31,6 +34,11 @@
     std::uint64_t seed = 1;                              // seed of the random draws of faults
     std::string echoHeader;                              // name of the request header that each answer repeats; empty repeats none
     std::string sealHeader;                              // name of the header set on each answer; empty sets none
+    std::size_t maxWaiting = 0;                          // requests that wait for a slot; more are refused as not run; 0: any number
+    double stayShare = 0.0;                              // share of the runs that go on when their caller has gone
+    double errorShare = 0.0;                             // share of the runs that end with status 500, besides the faults
+    std::string idHeader = "X-Request-Id";               // name of the request header with the id
+    std::string timeLeftHeader = "X-Deadline-Ms";        // name of the request header with the milliseconds left
     std::string identityHeader;                          // name of the request header with the intended worker; requests for another worker get status 421
     std::string notRunHeader = "X-Worker-Refused";       // name of the header set on refusals
     std::string rateLimitHeader = "X-Worker-Rate-Limit"; // name of the header that states the rate limit
@@ -55,6 +63,8 @@
     http_reply describeHealth() const;
     http_reply describeLoad() const;
     worker_faults faultsNow() const;
+    std::string requestIdOf(const http_request &request) const; // "-" without one
+    asio::awaitable<void> awaitAbort(tcp::socket &peer);        // returns when the caller has gone, unless the run goes on then
     bool draw(double share);
 
     worker_options m_options;
