Failing test: nodes that start again with their first settings repeat too much

A node takes the word of its settings (first_start = yes) that no repeats went before it. When all processes are killed and started again while the same settings stand, each sidecar uses its part of the extra repeats 6 s later for a second time within one window.

--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -21,7 +21,6 @@
 constexpr std::chrono::milliseconds WaveStep{1000}; // the rate of a wave is constant for this long
 constexpr std::uint32_t Returns = 3;                // times that an impatient caller sends a request again
 constexpr std::chrono::milliseconds LeaveAfter{300};
-constexpr std::string_view Host = "service.example";
 
 std::chrono::seconds consumeSeconds(key_values &values, const std::string &key, std::chrono::seconds otherwise)
 {
@@ -115,7 +114,7 @@
                                        "--call-longest-ms",
                                        std::to_string(played.call.deadline.count()),
                                        "--call-host",
-                                       std::string(Host)};
+                                       std::string(CallerHost)};
     if (played.call.together) {
         arguments.emplace_back("--calls-together");
     }
@@ -129,7 +128,7 @@
                                    each.rate,
                                    prefixOf(each),
                                    each.kind == "non_idempotent" ? "POST" : "GET",
-                                   Host,
+                                   CallerHost,
                                    each.kind == "non_idempotent" ? "no" : "yes",
                                    each.work.count(),
                                    each.workSigma,
@@ -205,7 +204,7 @@
     }
     const json::object limits{{"maxHeaderBytes", 16384}, {"maxBodyBytes", 67108864}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}};
     return json::serialize(json::object{
-        {"version", version}, {"services", services}, {"limits", limits}, {"virtualHosts", json::array{json::object{{"host", ""}, {"paths", paths}}}}});
+        {"version", version}, {"services", services}, {"limits", limits}, {"virtualHosts", json::array{json::object{{"host", CallerHost}, {"paths", paths}}}}});
 }
 
 testing::fleet_plan planDeployment(const deployment &played, const behaviour &how, std::uint64_t seed)
@@ -213,6 +212,7 @@
     testing::fleet_plan plan;
     plan.seed = seed;
     plan.proxyCallers = false; // the fault proxy cannot pass on refused connections
+    plan.faultProxy = !how.direct;
     plan.loadSettings = "id_header=Attempt-Id\ntime_left_header=Deadline-Remaining\n";
     plan.routes = {{played.classes.front().name, prefixOf(played.classes.front()), played.classes.front().pool, true, 1.0, {}}};
     for (const deployed_pool &pool : played.pools) {
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -15,6 +15,8 @@
 
 namespace dandelionstall::soak {
 
+inline constexpr std::string_view CallerHost = "service.example"; // Host header of all requests
+
 struct deployed_pool {
     std::string name;
     std::vector<std::pair<std::string, std::size_t>> nodes; // data centres, and the number of nodes there
@@ -62,6 +64,7 @@
     double staying = 0.2;   // share of the runs that go on when their caller has gone
     double load = 1.0;      // factor of all rates
     bool callsNameParents = true;
+    bool direct = false;             // nodes reach each other without the fault proxy, so that paths have no faults
     bool keepsFirstSettings = false; // nodes that start again get the settings of their first start
     std::string settingsTemplate;    // path of the deploy template
 };
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -178,6 +178,7 @@
     add("keep-settings",
         options::bool_switch(&command.how.keepsFirstSettings),
         "nodes that start again get the settings of their first start, with --deployment");
+    add("direct", options::bool_switch(&command.how.direct), "nodes reach each other without the fault proxy, with --deployment and kinds without paths");
     add("herds", options::value(&command.herds)->default_value(0), "times at which many nodes or workers are killed or paused at once");
     add("replay", options::value(&command.replay), "play the plan in this file");
     add("regressions", options::value(&command.regressions), "play the plans listed in this file");
--- a/soak/soak_run.cpp
+++ b/soak/soak_run.cpp
@@ -167,7 +167,8 @@
         if (revision < 2) {
             return true;
         }
-        const testing::http_outcome outcome = testing::callHttp({m_fleet.node(node).callers, m_fleet.tablePath(revision), "GET", {}}, TableCheckTimeout);
+        const testing::http_outcome outcome
+            = testing::callHttp({m_fleet.node(node).callers, m_fleet.tablePath(revision), "GET", {}, std::string(CallerHost)}, TableCheckTimeout);
         return outcome.status != 0 && outcome.body.find("no_route") == std::string::npos && outcome.body.find("not_ready") == std::string::npos;
     }
 
@@ -204,7 +205,7 @@
             return;
         }
         const testing::http_outcome highestTable
-            = testing::callHttp({m_fleet.node(node).callers, m_fleet.tablePath(observed.highest), "GET", {}}, TableCheckTimeout);
+            = testing::callHttp({m_fleet.node(node).callers, m_fleet.tablePath(observed.highest), "GET", {}, std::string(CallerHost)}, TableCheckTimeout);
         if (observed.highest >= 2 && highestTable.body.find("no_route") != std::string::npos) {
             m_evidence.tables.push_back(
                 fmt::format("table_back {} no longer serves revision {}, which it had served", m_fleet.node(node).name, observed.highest));
--- a/tests/integration/support/http_call.h
+++ b/tests/integration/support/http_call.h
@@ -11,6 +11,7 @@
     std::string target = "/";
     std::string method = "GET";
     std::string body;
+    std::string host = {}; // Host header; the address when empty
 };
 
 struct http_outcome {
--- a/tests/integration/support/store_platform.cpp
+++ b/tests/integration/support/store_platform.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/algorithm/string/replace.hpp>
 
+#include <fstream>
+#include <iterator>
 #include <sstream>
 #include <stdexcept>
 
@@ -50,6 +52,16 @@
 
 } // namespace
 
+std::string readDeployTemplate()
+{
+    const std::string path = std::string(DANDELIONSTALL_DEPLOY_DIR) + "/node.ini";
+    std::ifstream file(path);
+    if (!file) {
+        throw std::runtime_error("cannot read " + path);
+    }
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
 std::string fillTemplate(std::string text, const template_values &values, const std::map<std::string, std::string> &bounds)
 {
     for (const std::string_view mark : {"{{#", "{{^"}) {
--- a/tests/integration/support/store_platform.h
+++ b/tests/integration/support/store_platform.h
@@ -2,7 +2,7 @@
 //
 // Usage:
 //   fleet_plan plan;
-//   plan.store = store_plan{readFile("deploy/node.ini"), {{"retryBudgetSlack", "62"}}, documentOf};
+//   plan.store = store_plan{readDeployTemplate(), {{"retryBudgetSlack", "62"}}, documentOf};
 #pragma once
 
 #include <chrono>
@@ -22,6 +22,8 @@
     std::map<std::string, std::string> settingsLines = {}; // lines to be replaced, by their beginning, e.g. "admin ="
 };
 
+std::string readDeployTemplate(); // the one of this project; throws std::runtime_error when it cannot be read
+
 // Values of the template for one process, by the names of its placeholders. An empty value counts as none.
 using template_values = std::map<std::string, std::string>;
 
--- a/tests/integration/test_promise_retry_allowance.cpp
+++ b/tests/integration/test_promise_retry_allowance.cpp
@@ -88,6 +88,41 @@
     cr_assert(broken.empty(), "%s", describeViolations(broken).c_str());
 }
 
+constexpr repeat_limit StoreAllowance{0.2, 60.0, std::chrono::seconds(10)};
+
+// Six nodes on the platform's store, which begin with the settings of the fleet's first start and keep them.
+fleet_plan nodesThatKeepTheirFirstSettings()
+{
+    fleet_plan plan;
+    plan.pools = {{"orders", 6, 0.5, {}}};
+    plan.routes = {{"lookup", "/lookup/", "orders", true, 1.0, {}}};
+    for (unsigned i = 0; i < 6; ++i) {
+        plan.nodes.push_back({i % 2 == 0 ? "kiambu" : "thika", {{fmt::format("orders-{}", i), "orders"}}});
+    }
+    plan.loadSettings = "id_header=Attempt-Id\ntime_left_header=Deadline-Remaining\n";
+    plan.proxyCallers = false;
+    plan.faultProxy = false;
+    store_plan store;
+    store.settingsTemplate = readDeployTemplate();
+    store.bounds = {{"graceS", "6"}, {"retryBudgetRatio", "0.2"}, {"retryWindowS", "10"}, {"retryBudgetSlack", "60"}, {"floorShare", "0.7"}};
+    store.keepsFirstSettings = true;
+    store.document = [](std::uint64_t version) {
+        return fmt::format(R"({{"version":{},"services":[{{"name":"orders"}}],"virtualHosts":[{{"host":"service.example","paths":[)"
+                           R"({{"name":"lookup","prefix":"/lookup/","kind":"idempotent","timeoutMs":2000,"service":"orders","maxAttempts":4}}]}}]}})",
+                           version);
+    };
+    plan.store = std::move(store);
+    return plan;
+}
+
+std::vector<call_record> failMostLookups(fleet &played)
+{
+    for (const node_plan &node : played.plan().nodes) {
+        played.setFault(node.workers.front().id, "fail=0.8");
+    }
+    return played.startLoad(phase(2, 50) + "[class.lookup]\nshare=1\npath=/lookup/x\nidempotent=yes\ncost_ms=10\ndeadline_ms=1500\n").finish();
+}
+
 } // namespace
 
 Test(retry_allowance, calls_of_repeated_runs_do_not_exceed_the_allowance_of_the_called_pool)
@@ -100,6 +135,31 @@
     expectCallsWithinAllowance(false);
 }
 
+// A supervisor may start a process again with the settings that stand from the fleet's first start, which say that no repeats went before.
+Test(retry_allowance, nodes_that_start_again_with_their_first_settings_get_no_second_part_of_the_extra_repeats)
+{
+    constexpr std::chrono::seconds FirstStartTime{6}; // from which the extra repeats may be used, see repeat_budget.h
+    constexpr std::chrono::milliseconds Margin{1000};
+    fleet fleet(nodesThatKeepTheirFirstSettings());
+    fleet.start();
+    std::this_thread::sleep_until(fleet.startedAt() + FirstStartTime + Margin);
+    std::vector<call_record> calls = failMostLookups(fleet);
+    for (std::size_t i = 0; i < fleet.nodeCount(); ++i) {
+        fleet.node(i).process.kill();
+        fleet.startNode(i);
+    }
+    const auto restartedAt = std::chrono::steady_clock::now();
+    for (std::size_t i = 0; i < fleet.nodeCount(); ++i) {
+        cr_assert(fleet.awaitReady(i), "node %zu did not become ready", i);
+    }
+    std::this_thread::sleep_until(restartedAt + FirstStartTime + Margin / 2);
+    const std::vector<call_record> later = failMostLookups(fleet);
+    calls.insert(calls.end(), later.begin(), later.end());
+    const repeat_usage worst = findWorstWindow(trafficOf(fleet, fleet.evidence(calls)), "orders", StoreAllowance);
+    cr_log_info("worst window: %zu repeats, %.1f allowed for %zu requests", worst.repeats, worst.allowed, worst.requests);
+    cr_assert_leq(static_cast<double>(worst.repeats), worst.allowed, "%zu repeats of %.1f allowed, %zu requests", worst.repeats, worst.allowed, worst.requests);
+}
+
 // The ingress learns from the sidecars that no repeat is left after a worker has answered with an error. The caller gets that answer
 // and not one made up by the node.
 Test(retry_allowance, a_denied_repeat_leaves_the_caller_the_failed_answer_of_the_worker)
--- a/tests/standins/retry_check.h
+++ b/tests/standins/retry_check.h
@@ -71,6 +71,7 @@
     std::size_t generous = 0;           // those with more time than is left
     std::size_t unstated = 0;           // of them, without any time
     std::chrono::milliseconds worst{0}; // largest excess over what is left, also of requests that are not generous
+    std::string worstId;                // of the request with this excess
 };
 
 struct retry_verdict {
