Wait for a window before repeats for a worker that is older than the process

Cause: first_start promises that no repeats went before the process. Settings are a file that may outlive the process that they were true for, and the sidecar took its word, so that the part of the extra repeats was used by the killed process and, 6 s later, by the one after it.

Why this works: on the platform a worker announces its start. One that is more than 5 s older than the process was served by another process, so that its part waits for the window, as after any other restart.

Not covered: all VMs lose power, workers included, and the settings of the first start stand.

--- a/coordination/include/dandelionstall/coordination/repeat_budget.h
+++ b/coordination/include/dandelionstall/coordination/repeat_budget.h
@@ -13,7 +13,8 @@
 //     pool together at its beginning, and each of them divides by at least their number.
 //   - A sidecar that starts again knows nothing of earlier repeats, and gets no part of the extra for one window either. In a fleet
 //     that is started for the first time there are no earlier repeats: those who serve a worker from then on use their parts as
-//     soon as they know the others. A worker that is added later waits for a window, so that the parts add up to the extra.
+//     soon as they know the others. A worker that is added later waits for a window, so that the parts add up to the extra. So does
+//     one that is older than the process, whatever the settings say of the start: another process has served it.
 // The pool can get more repeats than its allowance in two cases only. Workers that the others no longer know, because they are cut
 // off from them for longer than a window, still use their parts: at most once the extra more, in all. And the calls of repeated
 // runs that began before a sidecar was started are not recognised: at most the slots of its workers times the calls of a run.
@@ -49,6 +50,7 @@
 public:
     explicit repeat_budget(state::time_point startedAt, earlier_repeats earlier = earlier_repeats::possible); // startedAt: since when it is served
 
+    void expectEarlierRepeats(); // repeats may have reached the worker before: its part of the extra is used only after a window
     void recordWorkers(std::uint32_t poolWorkers, state::time_point now);                                   // number of workers in the pool, on each change
     void recordRequest(const state::retry_allowance &allowance, state::time_point now);                     // a request was first sent to this worker
     repeat_verdict check(repeat_kind kind, const state::retry_allowance &allowance, state::time_point now); // decides without counting
--- a/coordination/src/repeat_budget.cpp
+++ b/coordination/src/repeat_budget.cpp
@@ -23,6 +23,11 @@
     , m_earlier(earlier)
 { }
 
+void repeat_budget::expectEarlierRepeats()
+{
+    m_earlier = earlier_repeats::possible;
+}
+
 void repeat_budget::recordWorkers(std::uint32_t poolWorkers, state::time_point now)
 {
     m_poolWorkers.record(poolWorkers, now);
--- a/coordination/tests/test_repeat_budget.cpp
+++ b/coordination/tests/test_repeat_budget.cpp
@@ -361,6 +361,10 @@
     repeat_budget restarted(Start, earlier_repeats::possible);
     restarted.recordWorkers(Workers, Start);
     cr_assert(not(restarted.count(repeat_kind::retry, Allowance, Start + 8s).admitted), "nothing is known of the window before its start");
+    repeat_budget preceded(Start, earlier_repeats::none);
+    preceded.recordWorkers(Workers, Start);
+    preceded.expectEarlierRepeats();
+    cr_assert(not(preceded.count(repeat_kind::retry, Allowance, Start + 8s).admitted), "there is a sign of an earlier process");
     repeat_budget early(Start, earlier_repeats::none);
     early.recordWorkers(Workers, Start);
     cr_assert(not(early.count(repeat_kind::retry, Allowance, Start + 3s).admitted), "the workers may not all be known yet");
--- a/programs/dandelionstall/sidecar.cpp
+++ b/programs/dandelionstall/sidecar.cpp
@@ -189,6 +189,7 @@
         if (wasLeaving && !m_leaving) {
             worker.admissionName.clear(); // a drained policy is replaced once no attempt uses it
         }
+        checkFirstStart(worker);
         configureWorker(worker);
     }
     if (m_leaving && !wasLeaving) {
@@ -229,6 +230,14 @@
     }
 }
 
+void sidecar::checkFirstStart(served_worker &worker)
+{
+    constexpr std::uint64_t FirstWorkersMs = std::chrono::milliseconds(FirstWorkersTime).count();
+    if (worker.lifetime != 0 && worker.lifetime + FirstWorkersMs < m_incarnation) { // both are times of this VM's clock
+        worker.repeatBudget->expectEarlierRepeats();
+    }
+}
+
 void sidecar::removeUnlistedWorkers()
 {
     std::erase_if(m_workers, [this](const auto &entry) {
--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar.h
@@ -119,7 +119,8 @@
     boost::asio::awaitable<void> probe(served_worker &worker);
     bool mayProbe(const served_worker &worker, state::time_point now) const;
     void configureWorker(served_worker &worker);
-    void updateDraining(served_worker &worker);                        // applies a change of the reasons for which the worker accepts no new work
+    void updateDraining(served_worker &worker);  // applies a change of the reasons for which the worker accepts no new work
+    void checkFirstStart(served_worker &worker); // settings that stand from the first start of the fleet are true for the first process only
     void beginLifetime(served_worker &worker, std::uint64_t lifetime); // the entry of the worker names another start: what it stated before has ended
     bool statesLeaving(const served_worker &worker) const;
     void recordSignals(served_worker &worker, const protocol::worker_signals &signals, bool mayLift, state::time_point requestedAt);
