Take retry_extra = 0 for a limit without extra repeats, not for no limit

What callers and workers see: on a platform, or with a table, that allows a share of repeats and no extra ones, every request is repeated up to the attempts of its route, at any load: 79 runs of 20 requests in the test.

The same class as the allowance of unknown size: a limit that is not in force looks like one that is kept.

Why this works: whether a table states a limit is a value of its own, isLimited, set by the presence of the key; budget and retry policy ask for it.

Evidence: retry_allowance::an_allowance_without_extra_repeats_is_not_taken_for_none failed on (79 runs of 20 requests) and passes.

--- a/coordination/src/repeat_budget.cpp
+++ b/coordination/src/repeat_budget.cpp
@@ -35,7 +35,7 @@
 
 void repeat_budget::recordRequest(const state::retry_allowance &allowance, state::time_point now)
 {
-    if (allowance.extraPerWindow <= 0.0) {
+    if (!allowance.isLimited) {
         return;
     }
     advance(allowance.window, now);
@@ -44,7 +44,7 @@
 
 repeat_verdict repeat_budget::check(repeat_kind kind, const state::retry_allowance &allowance, state::time_point now)
 {
-    if (kind == repeat_kind::none || allowance.extraPerWindow <= 0.0) {
+    if (kind == repeat_kind::none || !allowance.isLimited) {
         return {};
     }
     advance(allowance.window, now);
@@ -64,7 +64,7 @@
 repeat_verdict repeat_budget::count(repeat_kind kind, const state::retry_allowance &allowance, state::time_point now)
 {
     const repeat_verdict verdict = check(kind, allowance, now);
-    if (verdict.admitted && kind != repeat_kind::none && allowance.extraPerWindow > 0.0) {
+    if (verdict.admitted && kind != repeat_kind::none && allowance.isLimited) {
         ++m_buckets.back().repeats;
     }
     return verdict;
@@ -72,7 +72,7 @@
 
 repeat_part repeat_budget::part(const state::retry_allowance &allowance, state::time_point now)
 {
-    if (allowance.extraPerWindow <= 0.0) {
+    if (!allowance.isLimited) {
         return {};
     }
     advance(allowance.window, now);
--- a/coordination/tests/test_repeat_budget.cpp
+++ b/coordination/tests/test_repeat_budget.cpp
@@ -18,7 +18,7 @@
 
 using times = std::vector<state::time_point>; // in order of time
 
-const state::retry_allowance Allowance{0.2, 56.0, 10s};
+const state::retry_allowance Allowance{0.2, 56.0, 10s, true};
 const state::time_point Start{1h};
 
 double countBetween(const times &sorted, state::time_point from, state::time_point until)
@@ -333,6 +333,22 @@
     cr_assert(eq(u32, workers.since(Start + 12s), 4));
 }
 
+Test(retry_allowance, without_extra_repeats_only_the_share_may_be_repeated)
+{
+    constexpr int Requests = 200;
+    const state::retry_allowance share{0.2, 0.0, 10s, true};
+    repeat_budget budget(Start - 1h);
+    budget.recordWorkers(1, Start - 1h);
+    for (int i = 0; i < Requests; ++i) {
+        budget.recordRequest(share, Start + i * 10ms);
+    }
+    int repeats = 0;
+    while (repeats < Requests && budget.count(repeat_kind::retry, share, Start + Requests * 10ms).admitted) {
+        ++repeats;
+    }
+    cr_assert(0 < repeats && repeats <= share.share * Requests, "%d repeats", repeats);
+}
+
 // A fleet starts for the first time, and its callers come some seconds later, when unhealthy workers are still unknown.
 Test(retry_allowance, the_extra_can_be_used_soon_after_the_first_start_of_a_fleet)
 {
--- a/programs/dandelionstall/request_outcome.cpp
+++ b/programs/dandelionstall/request_outcome.cpp
@@ -140,7 +140,7 @@
     outcome.failure.expectedCost = m_route->costHint;
     outcome.failure.arrivals = m_arrivals;
     outcome.failure.maxArrivals = m_route->maxAttempts;
-    outcome.failure.hasAllowance = m_pool->retryAllowance.extraPerWindow > 0.0;
+    outcome.failure.hasAllowance = m_pool->retryAllowance.isLimited;
     outcome.failure.budgetRefusals = m_budgetRefusals + (reason == refusal_reason::retry_budget_empty ? 1 : 0);
     return outcome;
 }
--- a/state/include/dandelionstall/state/tables.h
+++ b/state/include/dandelionstall/state/tables.h
@@ -99,8 +99,9 @@
 // it or of the one that begins half a window earlier, whichever has most.
 struct retry_allowance {
     double share = 0.5;                      // repeats allowed per request, 0..1
-    double extraPerWindow = 0.0;             // additional repeats in each window; 0: there is no such limit
+    double extraPerWindow = 0.0;             // additional repeats in each window
     std::chrono::milliseconds window{10000}; // length of the window, from 100 ms to 1 h
+    bool isLimited = false;                  // the table states the additional repeats, if only that there are none; else there is no such limit
 
     friend bool operator==(const retry_allowance &, const retry_allowance &) = default;
 };
--- a/state/src/tables_pools.cpp
+++ b/state/src/tables_pools.cpp
@@ -95,7 +95,7 @@
     reader.readCount("slots", row.slots, 1, MaxSlots);
     reader.readFlag("discovered", row.hasDiscoveredWorkers);
     reader.readNumber("retry_share", row.retryAllowance.share, 0, 1);
-    reader.readNumber("retry_extra", row.retryAllowance.extraPerWindow, 0, MaxRetryExtra);
+    row.retryAllowance.isLimited = reader.readNumber("retry_extra", row.retryAllowance.extraPerWindow, 0, MaxRetryExtra);
     reader.readDuration("retry_window", row.retryAllowance.window, MinRetryWindow, MaxPoolDuration);
     reader.readNumber("floor", row.floor, 0, 1);
     reader.readChoice("balancer", row.balancer, BalancerNames);
--- a/tests/integration/test_promise_retry_allowance.cpp
+++ b/tests/integration/test_promise_retry_allowance.cpp
@@ -123,6 +123,25 @@
     return played.startLoad(phase(2, 50) + "[class.lookup]\nshare=1\npath=/lookup/x\nidempotent=yes\ncost_ms=10\ndeadline_ms=1500\n").finish();
 }
 
+void expectNoRepeats(const std::string &extra)
+{
+    constexpr int Requests = 20;
+    fleet_plan plan = threeDataCentres();
+    plan.pools.front().settings.merge(std::map<std::string, std::string>{{"retry_share", "0"}, {"retry_extra", extra}, {"guard", "off"}});
+    fleet fleet(plan);
+    fleet.start();
+    for (const char *worker : {"kiambu-0", "kiambu-1", "thika-0", "thika-1", "ruiru-0", "ruiru-1"}) {
+        fleet.setFault(worker, "fail=1");
+    }
+    const std::size_t runsBefore = fleet.runCount();
+    for (int i = 0; i < Requests; ++i) {
+        const http_outcome outcome = getHttp(fleet.node(0).callers, "/lookup");
+        cr_assert_eq(outcome.status, 500, "status %u: %s", outcome.status, outcome.body.c_str());
+        cr_assert(outcome.body.starts_with("failed "), "body: %s", outcome.body.c_str());
+    }
+    cr_assert_eq(fleet.runCount() - runsBefore, static_cast<std::size_t>(Requests), "%zu runs of %d requests", fleet.runCount() - runsBefore, Requests);
+}
+
 } // namespace
 
 Test(retry_allowance, calls_of_repeated_runs_do_not_exceed_the_allowance_of_the_called_pool)
@@ -164,19 +183,10 @@
 // and not one made up by the node.
 Test(retry_allowance, a_denied_repeat_leaves_the_caller_the_failed_answer_of_the_worker)
 {
-    constexpr int Requests = 20;
-    fleet_plan plan = threeDataCentres();
-    plan.pools.front().settings.merge(std::map<std::string, std::string>{{"retry_share", "0"}, {"retry_extra", "0.5"}, {"guard", "off"}});
-    fleet fleet(plan);
-    fleet.start();
-    for (const char *worker : {"kiambu-0", "kiambu-1", "thika-0", "thika-1", "ruiru-0", "ruiru-1"}) {
-        fleet.setFault(worker, "fail=1");
-    }
-    const std::size_t runsBefore = fleet.runCount();
-    for (int i = 0; i < Requests; ++i) {
-        const http_outcome outcome = getHttp(fleet.node(0).callers, "/lookup");
-        cr_assert_eq(outcome.status, 500, "status %u: %s", outcome.status, outcome.body.c_str());
-        cr_assert(outcome.body.starts_with("failed "), "body: %s", outcome.body.c_str());
-    }
-    cr_assert_eq(fleet.runCount() - runsBefore, static_cast<std::size_t>(Requests), "%zu runs of %d requests", fleet.runCount() - runsBefore, Requests);
+    expectNoRepeats("0.5");
+}
+
+Test(retry_allowance, an_allowance_without_extra_repeats_is_not_taken_for_none)
+{
+    expectNoRepeats("0");
 }
