Refuse requests that a stopping node could only cut

Cause: the stop shortens the time of a request, but accepted any that could still be read, however little was left.

Why this works: from 3 s after SIGTERM on, a request is passed on only if its caller waits no longer than the stop lasts, so that the stop cuts none; others are refused at once as not run, with Retry-After. Bodies that are still arriving 1.25 s before the end of stop_grace are refused as well, where the connection was closed without an answer.

Evidence: test_promise_late_requests_of_a_stop, two of its three checks failed on (4 requests run and ended with 504 at 5,501 ms) and pass now; the third, that short requests are still served, passed before too.

--- a/programs/dandelionstall/caller_connection.cpp
+++ b/programs/dandelionstall/caller_connection.cpp
@@ -150,8 +150,11 @@
             co_return read_result::disconnected;
         }
     }
-    if (const read_result result = co_await readBody(parser, limits, request); result != read_result::request) {
-        co_return result;
+    m_readingBody = true;
+    const read_result bodyResult = co_await readBody(parser, limits, request);
+    m_readingBody = false;
+    if (bodyResult != read_result::request) {
+        co_return bodyResult;
     }
     m_stream.expires_never();
     request.body = std::move(parser.get().body());
@@ -166,9 +169,12 @@
     const state::time_point completeBy = request.arrivedAt + bodyTimeOf(parser.get(), limits.timeLeftHeader);
     parser.eager(true);
     while (!parser.is_done()) {
+        if (m_bodyReadCancelled) {
+            co_return read_result::stopping;
+        }
         m_stream.expires_at(std::min(completeBy, state::clock::now() + limits.idleTimeout));
         const auto [error, bytes] = co_await http::async_read_some(m_stream, m_buffer, parser, CompletionToken);
-        if (error) {
+        if (error && !m_bodyReadCancelled) {
             co_return readResultOf(error);
         }
         const std::size_t held = parser.get().body().capacity();
@@ -347,6 +353,14 @@
     }
 }
 
+void caller_connection::cancelBodyRead()
+{
+    if (m_readingBody) {
+        m_bodyReadCancelled = true;
+        m_stream.cancel();
+    }
+}
+
 bool caller_connection::isIdle() const
 {
     return m_idle;
--- a/programs/dandelionstall/caller_connection.h
+++ b/programs/dandelionstall/caller_connection.h
@@ -50,6 +50,7 @@
     malformed,    // the request is not valid HTTP, or is ambiguous
     too_large,    // the body is larger than maxBodyBytes
     no_memory,    // the node has no memory for the body
+    stopping,     // cancelBodyRead() was called before the body was complete
     timed_out,    // the header was not complete within headerTimeout, the body stopped for idleTimeout, or its time was up
 };
 
@@ -78,6 +79,7 @@
     boost::asio::awaitable<void> drainInput(); // after shutdown(): discards input still arriving, so that the caller can read the answer
     void abort();                              // resets the connection, so that the caller sees a truncated answer
     void cancelIdleRead();                     // cancels a read() that has not received a byte yet
+    void cancelBodyRead();                     // ends a read() whose body is still arriving
     bool isIdle() const;                       // true while read() waits for the first byte of a request
 
 private:
@@ -91,6 +93,8 @@
     bool m_answerStarted = false;
     bool m_closesAfterAnswer = false;
     bool m_idle = false;
+    bool m_readingBody = false;
+    bool m_bodyReadCancelled = false;
     boost::beast::tcp_stream m_stream;
     coordination::memory_budget &m_memory;
     boost::beast::flat_buffer m_buffer;
--- a/programs/dandelionstall/ingress.cpp
+++ b/programs/dandelionstall/ingress.cpp
@@ -187,6 +187,9 @@
     protocol::caller_refusal refusal{refusal_reason::bad_request, coordination::run_state::not_run, std::chrono::milliseconds(0)};
     if (result == read_result::too_large) {
         refusal.reason = refusal_reason::body_too_large;
+    } else if (result == read_result::stopping) {
+        refusal.reason = refusal_reason::draining;
+        refusal.retryAfter = StoppingRetryAfter;
     } else if (result == read_result::no_memory) {
         refusal.reason = refusal_reason::memory_full;
         refusal.retryAfter = MinMemoryRetryAfter + std::chrono::milliseconds(m_random(MemoryRetrySpreadMs));
@@ -287,10 +290,11 @@
 
 // [SECTION] Shutdown
 
-void ingress::beginShutdown(state::time_point answersBy)
+void ingress::beginShutdown(state::time_point answersBy, state::time_point lateFrom)
 {
     m_stopping = true;
     m_answersBy = answersBy;
+    m_lateFrom = lateFrom;
     for (const auto &connection : m_connections) {
         connection->closeAfterAnswer();
     }
@@ -301,6 +305,9 @@
     for (request_handler *handler : m_handlers) {
         handler->withdraw();
     }
+    for (const auto &connection : m_connections) {
+        connection->cancelBodyRead();
+    }
 }
 
 state::time_point ingress::answersBy() const
@@ -308,6 +315,11 @@
     return m_answersBy;
 }
 
+bool ingress::isTooLate(state::time_point deadline) const
+{
+    return state::clock::now() >= m_lateFrom && deadline > m_answersBy;
+}
+
 void ingress::stopListening()
 {
     for (const auto &connection : m_connections) {
--- a/programs/dandelionstall/ingress.h
+++ b/programs/dandelionstall/ingress.h
@@ -40,6 +40,8 @@
 
 class request_handler;
 
+inline constexpr std::chrono::milliseconds StoppingRetryAfter{1000}; // Retry-After of requests that come too late in a stop
+
 class ingress
 {
 public:
@@ -54,11 +56,12 @@
 
     absl::Status listen();                                         // binds the callers' address and starts to accept connections
     void applySnapshot(coordination::fleet_snapshot_ptr snapshot); // replaces the configuration and the pool views
-    void beginShutdown(state::time_point answersBy);               // answers carry Connection: close from now on; new connections are still served
-    void withdrawWaiting();                                        // withdraws attempts that wait for a worker; no request waits longer than answersBy
-    void stopListening();                                          // accepts what is waiting, stops listening and closes idle connections
-    bool isIdle() const;                                           // true when no connection is open
-    std::size_t busyConnections() const;                           // number of connections with a request in flight
+    void beginShutdown(state::time_point answersBy,
+                       state::time_point lateFrom); // answers carry Connection: close from now on; new connections are still served
+    void withdrawWaiting();                         // withdraws attempts that wait for a worker, reads no more bodies; no request waits longer than answersBy
+    void stopListening();                           // accepts what is waiting, stops listening and closes idle connections
+    bool isIdle() const;                            // true when no connection is open
+    std::size_t busyConnections() const;            // number of connections with a request in flight
 
     // Access for request_handler.
     const state::settings &settings() const;
@@ -89,6 +92,7 @@
     std::uint32_t &inFlight(const std::string &worker);                        // number of this ingress' in-flight attempts at the worker
     bool isCallOfRepeat(std::string_view request, state::time_point deadline); // see coordination/local_runs.h
     state::time_point answersBy() const;                                       // latest deadline of a request while this node stops; else max()
+    bool isTooLate(state::time_point deadline) const; // a request that is read now and has time until then may be cut by the stop of this node
     boost::asio::io_context &io();
 
 private:
@@ -128,6 +132,7 @@
     std::set<std::shared_ptr<caller_connection>> m_connections;
     std::set<request_handler *> m_handlers; // of the requests in progress
     state::time_point m_answersBy = state::time_point::max();
+    state::time_point m_lateFrom = state::time_point::max(); // requests that are read from then on are late
     bool m_stopping = false;
 };
 
--- a/programs/dandelionstall/node.cpp
+++ b/programs/dandelionstall/node.cpp
@@ -207,10 +207,10 @@
     });
 }
 
-void node::beginIngressShutdown(state::time_point answersBy)
+void node::beginIngressShutdown(state::time_point answersBy, state::time_point lateFrom)
 {
     for (const auto &entry : m_ingresses) {
-        asio::post(entry->io, [server = entry->server.get(), answersBy] { server->beginShutdown(answersBy); });
+        asio::post(entry->io, [server = entry->server.get(), answersBy, lateFrom] { server->beginShutdown(answersBy, lateFrom); });
     }
 }
 
@@ -262,8 +262,8 @@
     const bool bounded = m_settings.stopGrace.count() > 0;
     const state::time_point startedAt = state::clock::now();
     const state::time_point endsAt = bounded ? startedAt + m_settings.stopGrace - StopMargin : state::time_point::max();
-    beginIngressShutdown(bounded ? endsAt - AnswerMargin : state::time_point::max());
     const state::time_point withdrawAt = bounded ? endsAt - WithdrawTime : state::time_point::max();
+    beginIngressShutdown(bounded ? endsAt - AnswerMargin : state::time_point::max(), std::min(startedAt + LeaveGrace, withdrawAt));
     asio::steady_timer pause(m_controlIo, std::min(startedAt + HandoverTime, withdrawAt));
     co_await pause.async_wait(asio::use_awaitable);
     beginSidecarShutdown();
--- a/programs/dandelionstall/node.h
+++ b/programs/dandelionstall/node.h
@@ -51,10 +51,10 @@
     void checkSettings(); // validates a changed settings file without applying it
     void publish(const coordination::fleet_snapshot_ptr &snapshot);
     void waitForSignal();
-    void beginIngressShutdown(state::time_point answersBy); // answers carry Connection: close, so callers reconnect elsewhere
-    void withdrawWaiting();                                 // requests that wait for a worker elsewhere are answered before the stop ends
-    void beginSidecarShutdown();                            // announces that this node is leaving; its sidecar accepts no new work
-    void stopListening();                                   // the ingresses stop listening
+    void beginIngressShutdown(state::time_point answersBy, state::time_point lateFrom); // answers carry Connection: close, so callers reconnect elsewhere
+    void withdrawWaiting();      // requests that wait for a worker elsewhere are answered before the stop ends
+    void beginSidecarShutdown(); // announces that this node is leaving; its sidecar accepts no new work
+    void stopListening();        // the ingresses stop listening
     boost::asio::awaitable<void> shutdown();
     boost::asio::awaitable<void> waitUntilIdle(state::time_point deadline);
 
--- a/programs/dandelionstall/request_handler.cpp
+++ b/programs/dandelionstall/request_handler.cpp
@@ -113,6 +113,9 @@
     if (!timeLeft) {
         co_return co_await refuse(refusal_reason::bad_request, run_state::not_run, now);
     }
+    if (m_ingress.isTooLate(m_request.arrivedAt + *timeLeft)) {
+        co_return co_await refuse(refusal_reason::draining, run_state::not_run, now + StoppingRetryAfter);
+    }
     m_deadline = std::min(m_request.arrivedAt + *timeLeft, m_ingress.answersBy());
     m_isCallOfRepeat = m_ingress.isCallOfRepeat(protocol::findHeader(m_request.headers, m_ingress.settings().headers.requestId), m_deadline);
     if (const refusal_reason reason = readTicket(); reason != refusal_reason::none) {
