--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -6,8 +6,6 @@
 #include <fmt/format.h>
 
 #include <cmath>
-#include <fstream>
-#include <iterator>
 #include <numbers>
 #include <sstream>
 
@@ -92,15 +90,6 @@
             {"maxAttempts", each.attempts}};
 }
 
-std::string readText(const std::string &path)
-{
-    std::ifstream file(path);
-    if (!file) {
-        throw std::invalid_argument("cannot read " + path);
-    }
-    return {std::istreambuf_iterator<char>(file), {}};
-}
-
 std::vector<std::string> workerArguments(const deployment &played, const behaviour &how, const deployed_pool &pool)
 {
     std::vector<std::string> arguments{"--max-waiting",
@@ -227,7 +216,7 @@
         }
     }
     testing::store_plan store;
-    store.settingsTemplate = readText(how.settingsTemplate);
+    store.settingsTemplate = how.settingsTemplate;
     store.bounds = {{"drainMs", std::to_string(played.drainTime.count())},
                     {"graceS", std::to_string(played.stopGrace.count())},
                     {"retryBudgetRatio", fmt::to_string(played.allowance.share)},
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -66,7 +66,7 @@
     bool callsNameParents = true;
     bool direct = false;             // nodes reach each other without the fault proxy, so that paths have no faults
     bool keepsFirstSettings = false; // nodes that start again get the settings of their first start
-    std::string settingsTemplate;    // path of the deploy template
+    std::string settingsTemplate;    // text of the deploy template
 };
 
 deployment readDeployment(const std::string &path); // throws std::invalid_argument
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -167,7 +167,8 @@
     add("failing", options::value(&calls.failing)->default_value(calls.failing), "share of the runs that end with an error, with --calls or --deployment");
     std::string deployment;
     add("deployment", options::value(&deployment), "INI file of a deployment, which is played at its true size and load on the platform's store");
-    add("template", options::value(&command.how.settingsTemplate)->default_value("deploy/node.ini"), "deploy template, with --deployment");
+    std::string settingsTemplate;
+    add("template", options::value(&settingsTemplate), "deploy template of another version, with --deployment");
     add("leaving", options::value(&command.how.leaving)->default_value(0), "share of the callers that leave early, with --deployment");
     add("impatient", options::value(&command.how.impatient)->default_value(0), "share of the callers that return at once, with --deployment");
     add("staying",
@@ -189,6 +190,7 @@
         if (!deployment.empty()) {
             command.played = soak::readDeployment(deployment);
             command.how.failing = calls.failing;
+            command.how.settingsTemplate = settingsTemplate.empty() ? dandelionstall::testing::readDeployTemplate() : standins::readFile(settingsTemplate);
         }
         return run(command, given.contains("shrink"));
     });
