Mend two findings of the linter in the soak

The linter refuses std::stable_sort of g++ 12 (it uses a deprecated function) and the concatenation of an error text. Changes of parts are kept in a multimap now, where equal times stay in the order of the lines.

--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -156,7 +156,7 @@
         } else if (name.starts_with("call.")) {
             played.call = readClass(name.substr(5), values);
         } else {
-            throw std::invalid_argument(path + ": unknown section " + name);
+            throw std::invalid_argument(std::string(path).append(": unknown section ").append(name));
         }
         values.expectAllConsumed();
     }
--- a/soak/repeat_parts.cpp
+++ b/soak/repeat_parts.cpp
@@ -7,14 +7,15 @@
 
 namespace {
 
-// The part that a worker has from a time on, as text that sorts by time.
+// The part that a worker has from a time on.
 struct part_change {
-    std::string at;
     std::string pool;
     std::string worker;
     double part = 0.0;
 };
 
+using changes_by_time = std::multimap<std::string, part_change>; // times as text that sorts by time; equal ones in the order of the lines
+
 std::string fieldOf(const std::string &line, const std::string &name)
 {
     const std::size_t found = line.find(" " + name + "=");
@@ -26,7 +27,7 @@
 }
 
 // A process that starts has no part; the parts of the one before it have ended.
-void appendChanges(const std::string &log, std::vector<part_change> &changes)
+void insertChanges(const std::string &log, changes_by_time &changes)
 {
     std::map<std::string, std::string> poolOfWorker;
     std::istringstream lines(log);
@@ -35,11 +36,12 @@
         const std::string at = line.substr(0, line.find(' '));
         if (name == "node_started") {
             for (const auto &[worker, pool] : poolOfWorker) {
-                changes.push_back({at, pool, worker, 0.0});
+                changes.insert({at, {pool, worker, 0.0}});
             }
         } else if (name == "repeat_part_changed") {
-            changes.push_back({at, fieldOf(line, "pool"), fieldOf(line, "worker"), std::stod(fieldOf(line, "part"))});
-            poolOfWorker[changes.back().worker] = changes.back().pool;
+            const part_change change{fieldOf(line, "pool"), fieldOf(line, "worker"), std::stod(fieldOf(line, "part"))};
+            changes.insert({at, change});
+            poolOfWorker[change.worker] = change.pool;
         }
     }
 }
@@ -48,15 +50,14 @@
 
 std::map<std::string, double> largestSumOfParts(const std::vector<std::string> &logs)
 {
-    std::vector<part_change> changes;
+    changes_by_time changes;
     for (const std::string &log : logs) {
-        appendChanges(log, changes);
+        insertChanges(log, changes);
     }
-    std::stable_sort(changes.begin(), changes.end(), [](const part_change &left, const part_change &right) { return left.at < right.at; });
     std::map<std::string, double> parts; // by worker
     std::map<std::string, double> sums;  // by pool
     std::map<std::string, double> largest;
-    for (const part_change &change : changes) {
+    for (const auto &[at, change] : changes) {
         sums[change.pool] += change.part - parts[change.worker];
         parts[change.worker] = change.part;
         largest[change.pool] = std::max(largest[change.pool], sums[change.pool]);
