--- a/bench/bench_admission.cpp
+++ b/bench/bench_admission.cpp
@@ -5,8 +5,8 @@
 // Prints a table, or an array of JSON rows with --json.
 #include "bench_admission_model.h"
 
-#include <dandelionstall/coordination/limits.h>
-#include <dandelionstall/coordination/retry.h>
+#include <dandelionstall/coordination/limits/limits.h>
+#include <dandelionstall/coordination/repeats/retry.h>
 
 #include <boost/json.hpp>
 #include <boost/program_options.hpp>
--- a/bench/bench_admission_cost.cpp
+++ b/bench/bench_admission_cost.cpp
@@ -3,9 +3,9 @@
 //
 // Usage: bench_admission_cost [--json]
 // Prints a table, or an array of JSON rows with --json.
-#include <dandelionstall/coordination/admission.h>
-#include <dandelionstall/coordination/cost.h>
-#include <dandelionstall/coordination/limits.h>
+#include <dandelionstall/coordination/admission/admission.h>
+#include <dandelionstall/coordination/admission/cost.h>
+#include <dandelionstall/coordination/limits/limits.h>
 
 #include <boost/json.hpp>
 #include <boost/program_options.hpp>
--- a/bench/bench_admission_model.h
+++ b/bench/bench_admission_model.h
@@ -10,7 +10,7 @@
 //   [SECTION] Achievable worth
 #pragma once
 
-#include <dandelionstall/coordination/admission.h>
+#include <dandelionstall/coordination/admission/admission.h>
 
 #include <pcg_random.hpp>
 
--- a/bench/bench_health_fleet.h
+++ b/bench/bench_health_fleet.h
@@ -8,9 +8,9 @@
 
 #include "bench_health_requests.h"
 
-#include <dandelionstall/coordination/balancer.h>
-#include <dandelionstall/coordination/pool_tracker.h>
-#include <dandelionstall/coordination/worker_outcome_tracker.h>
+#include <dandelionstall/coordination/balancing/balancer.h>
+#include <dandelionstall/coordination/health/pool_tracker.h>
+#include <dandelionstall/coordination/health/worker_outcome_tracker.h>
 
 #include <fmt/format.h>
 #include <pcg_random.hpp>
--- a/bench/bench_health_options.h
+++ b/bench/bench_health_options.h
@@ -1,7 +1,7 @@
 // Deployments, faults and settings of the runs of bench_health.
 #pragma once
 
-#include <dandelionstall/coordination/pool_view.h>
+#include <dandelionstall/coordination/health/pool_view.h>
 
 #include <chrono>
 #include <string>
--- a/bench/bench_pool_size.cpp
+++ b/bench/bench_pool_size.cpp
@@ -3,9 +3,9 @@
 // no limits.
 //
 // Usage: bench_pool_size
-#include <dandelionstall/coordination/balancer.h>
-#include <dandelionstall/coordination/gossip_node.h>
-#include <dandelionstall/coordination/pool_tracker.h>
+#include <dandelionstall/coordination/balancing/balancer.h>
+#include <dandelionstall/coordination/health/pool_tracker.h>
+#include <dandelionstall/coordination/membership/gossip_node.h>
 
 #include <fmt/format.h>
 #include <pcg_random.hpp>
--- a/bench/bench_spread_fleet.h
+++ b/bench/bench_spread_fleet.h
@@ -2,7 +2,7 @@
 // complete list of members.
 #pragma once
 
-#include "../coordination/tests/gossip_simulation.h"
+#include "../coordination/tests/membership/gossip_simulation.h"
 
 #include <boost/json.hpp>
 
--- a/bench/bench_start.cpp
+++ b/bench/bench_start.cpp
@@ -3,9 +3,9 @@
 // messages, like the control thread. It only prints results and checks no limits.
 //
 // Usage: bench_start [NODES]
-#include "../coordination/tests/gossip_simulation.h"
+#include "../coordination/tests/membership/gossip_simulation.h"
 
-#include <dandelionstall/coordination/pool_tracker.h>
+#include <dandelionstall/coordination/health/pool_tracker.h>
 #include <dandelionstall/protocol/gossip_codec.h>
 
 #include <iostream>
--- a/bench/bench_tracker.cpp
+++ b/bench/bench_tracker.cpp
@@ -2,7 +2,7 @@
 // carries reports, and the tracker evaluates and publishes every 100 ms. It only prints results and checks no limits.
 //
 // Usage: bench_tracker [--json]
-#include <dandelionstall/coordination/pool_tracker.h>
+#include <dandelionstall/coordination/health/pool_tracker.h>
 
 #include <boost/json.hpp>
 #include <fmt/format.h>
--- a/coordination/include/dandelionstall/coordination/failure_guard.h
+++ b/coordination/include/dandelionstall/coordination/admission/failure_guard.h
@@ -16,7 +16,7 @@
 //   [SECTION] Risk
 #pragma once
 
-#include <dandelionstall/coordination/pool_view.h>
+#include <dandelionstall/coordination/health/pool_view.h>
 
 #include <memory>
 #include <string_view>
--- a/coordination/include/dandelionstall/coordination/balancer.h
+++ b/coordination/include/dandelionstall/coordination/balancing/balancer.h
@@ -2,7 +2,7 @@
 // clock.
 #pragma once
 
-#include <dandelionstall/coordination/pool_view.h>
+#include <dandelionstall/coordination/health/pool_view.h>
 
 #include <memory>
 #include <span>
--- a/coordination/include/dandelionstall/coordination/config_dissemination.h
+++ b/coordination/include/dandelionstall/coordination/configuration/config_dissemination.h
@@ -19,8 +19,8 @@
 //   [SECTION] Dissemination
 #pragma once
 
-#include <dandelionstall/coordination/config_store.h>
-#include <dandelionstall/coordination/gossip.h>
+#include <dandelionstall/coordination/configuration/config_store.h>
+#include <dandelionstall/coordination/membership/gossip.h>
 
 #include <array>
 #include <deque>
--- a/coordination/include/dandelionstall/coordination/worker_directory.h
+++ b/coordination/include/dandelionstall/coordination/configuration/worker_directory.h
@@ -28,7 +28,7 @@
 //   [SECTION] Merging
 #pragma once
 
-#include <dandelionstall/coordination/store_revision.h>
+#include <dandelionstall/coordination/configuration/store_revision.h>
 #include <dandelionstall/state/tables.h>
 
 #include <array>
--- a/coordination/include/dandelionstall/coordination/worker_dissemination.h
+++ b/coordination/include/dandelionstall/coordination/configuration/worker_dissemination.h
@@ -13,8 +13,8 @@
 //   send(dissemination.receive(message, now));  // any message
 #pragma once
 
-#include <dandelionstall/coordination/gossip.h>
-#include <dandelionstall/coordination/worker_directory.h>
+#include <dandelionstall/coordination/configuration/worker_directory.h>
+#include <dandelionstall/coordination/membership/gossip.h>
 
 #include <optional>
 
--- a/coordination/include/dandelionstall/coordination/fleet_snapshot.h
+++ b/coordination/include/dandelionstall/coordination/fleet_snapshot.h
@@ -2,7 +2,7 @@
 // immutable; an update replaces it as a whole.
 #pragma once
 
-#include <dandelionstall/coordination/pool_view.h>
+#include <dandelionstall/coordination/health/pool_view.h>
 
 #include <map>
 #include <memory>
--- a/coordination/include/dandelionstall/coordination/ejector.h
+++ b/coordination/include/dandelionstall/coordination/health/ejector.h
@@ -6,7 +6,7 @@
 //   - a node that suspects a fault of its own ejects no further worker.
 #pragma once
 
-#include <dandelionstall/coordination/pool_view.h>
+#include <dandelionstall/coordination/health/pool_view.h>
 
 #include <map>
 #include <memory>
--- a/coordination/include/dandelionstall/coordination/pool_tracker.h
+++ b/coordination/include/dandelionstall/coordination/health/pool_tracker.h
@@ -19,7 +19,7 @@
 //   [SECTION] Tracker
 #pragma once
 
-#include <dandelionstall/coordination/ejector.h>
+#include <dandelionstall/coordination/health/ejector.h>
 
 #include <map>
 #include <memory>
--- a/coordination/include/dandelionstall/coordination/told_signals.h
+++ b/coordination/include/dandelionstall/coordination/limits/told_signals.h
@@ -15,8 +15,8 @@
 //   if (told.mayUse(worker, now)) { told.recordSent(worker, now); ... told.recordRefused(worker); }
 #pragma once
 
-#include <dandelionstall/coordination/pool_view.h>
-#include <dandelionstall/coordination/rate_gate.h>
+#include <dandelionstall/coordination/health/pool_view.h>
+#include <dandelionstall/coordination/limits/rate_gate.h>
 
 #include <map>
 #include <optional>
--- a/coordination/include/dandelionstall/coordination/worker_limit.h
+++ b/coordination/include/dandelionstall/coordination/limits/worker_limit.h
@@ -5,8 +5,8 @@
 // sidecar was started. It ends with an answer without it, or with the worker's lifetime. It does not end by time.
 #pragma once
 
-#include <dandelionstall/coordination/pool_view.h>
-#include <dandelionstall/coordination/rate_gate.h>
+#include <dandelionstall/coordination/health/pool_view.h>
+#include <dandelionstall/coordination/limits/rate_gate.h>
 
 #include <optional>
 
--- a/coordination/include/dandelionstall/coordination/gossip.h
+++ b/coordination/include/dandelionstall/coordination/membership/gossip.h
@@ -4,11 +4,11 @@
 // configuration. Updates about members and reports of workers are piggybacked as far as the size of the datagram allows.
 #pragma once
 
-#include <dandelionstall/coordination/config_store.h>
-#include <dandelionstall/coordination/member.h>
-#include <dandelionstall/coordination/pool_view.h>
-#include <dandelionstall/coordination/reader_choice.h>
-#include <dandelionstall/coordination/worker_directory.h>
+#include <dandelionstall/coordination/configuration/config_store.h>
+#include <dandelionstall/coordination/configuration/reader_choice.h>
+#include <dandelionstall/coordination/configuration/worker_directory.h>
+#include <dandelionstall/coordination/health/pool_view.h>
+#include <dandelionstall/coordination/membership/member.h>
 
 #include <array>
 #include <optional>
--- a/coordination/include/dandelionstall/coordination/gossip_node.h
+++ b/coordination/include/dandelionstall/coordination/membership/gossip_node.h
@@ -10,10 +10,10 @@
 //   if (reads(node.serviceRole(now))) ... // keep watches of the platform's service open
 #pragma once
 
-#include <dandelionstall/coordination/config_dissemination.h>
-#include <dandelionstall/coordination/membership.h>
-#include <dandelionstall/coordination/reader_choice.h>
-#include <dandelionstall/coordination/worker_dissemination.h>
+#include <dandelionstall/coordination/configuration/config_dissemination.h>
+#include <dandelionstall/coordination/configuration/reader_choice.h>
+#include <dandelionstall/coordination/configuration/worker_dissemination.h>
+#include <dandelionstall/coordination/membership/membership.h>
 
 #include <map>
 #include <string>
--- a/coordination/include/dandelionstall/coordination/member_update_queue.h
+++ b/coordination/include/dandelionstall/coordination/membership/member_update_queue.h
@@ -5,7 +5,7 @@
 // Pushes are limited by a byte budget that refills over time.
 #pragma once
 
-#include <dandelionstall/coordination/member.h>
+#include <dandelionstall/coordination/membership/member.h>
 
 #include <map>
 #include <vector>
--- a/coordination/include/dandelionstall/coordination/membership.h
+++ b/coordination/include/dandelionstall/coordination/membership/membership.h
@@ -23,8 +23,8 @@
 //   [SECTION] Membership
 #pragma once
 
-#include <dandelionstall/coordination/gossip.h>
-#include <dandelionstall/coordination/member_update_queue.h>
+#include <dandelionstall/coordination/membership/gossip.h>
+#include <dandelionstall/coordination/membership/member_update_queue.h>
 
 #include <deque>
 #include <functional>
@@ -51,7 +51,7 @@
 
 // [SECTION] Observations
 
-// Result of probing the network path between this node and another one; input of coordination/pool_tracker.h.
+// Result of probing the network path between this node and another one; input of coordination/health/pool_tracker.h.
 struct path_observation {
     state::node_address node;
     bool inboundUp = true;  // messages of the other node arrive at this node
--- a/coordination/include/dandelionstall/coordination/local_runs.h
+++ b/coordination/include/dandelionstall/coordination/repeats/local_runs.h
@@ -9,7 +9,7 @@
 // Calls of runs that began before this process are unknown.
 #pragma once
 
-#include <dandelionstall/coordination/repeats.h>
+#include <dandelionstall/coordination/repeats/repeats.h>
 
 #include <set>
 #include <string>
--- a/coordination/include/dandelionstall/coordination/repeat_budget.h
+++ b/coordination/include/dandelionstall/coordination/repeats/repeat_budget.h
@@ -20,8 +20,8 @@
 // runs that began before a sidecar was started are not recognised: at most the slots of its workers times the calls of a run.
 #pragma once
 
-#include <dandelionstall/coordination/recent_maximum.h>
-#include <dandelionstall/coordination/repeats.h>
+#include <dandelionstall/coordination/repeats/recent_maximum.h>
+#include <dandelionstall/coordination/repeats/repeats.h>
 #include <dandelionstall/state/tables.h>
 
 #include <array>
--- a/coordination/src/admission.cpp
+++ b/coordination/src/admission/admission.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/admission.h>
+#include <dandelionstall/coordination/admission/admission.h>
 
 #include "admission_slots.h"
 
--- a/coordination/src/admission_slots.h
+++ b/coordination/src/admission/admission_slots.h
@@ -3,8 +3,8 @@
 // A policy derives from slot_queue and decides in processQueue() which waiting items start and which are refused.
 #pragma once
 
-#include <dandelionstall/coordination/admission.h>
-#include <dandelionstall/coordination/cost.h>
+#include <dandelionstall/coordination/admission/admission.h>
+#include <dandelionstall/coordination/admission/cost.h>
 
 #include <pcg_random.hpp>
 
--- a/coordination/src/cost.cpp
+++ b/coordination/src/admission/cost.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/cost.h>
+#include <dandelionstall/coordination/admission/cost.h>
 
 #include <xxhash.h>
 
--- a/coordination/src/failure_guard.cpp
+++ b/coordination/src/admission/failure_guard.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/failure_guard.h>
+#include <dandelionstall/coordination/admission/failure_guard.h>
 
 #include <dandelionstall/coordination/errors.h>
 
--- a/coordination/src/memory_budget.cpp
+++ b/coordination/src/admission/memory_budget.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/memory_budget.h>
+#include <dandelionstall/coordination/admission/memory_budget.h>
 
 #include <algorithm>
 #include <utility>
--- a/coordination/src/balancer.cpp
+++ b/coordination/src/balancing/balancer.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/balancer.h>
+#include <dandelionstall/coordination/balancing/balancer.h>
 
 #include <dandelionstall/coordination/errors.h>
 
--- a/coordination/src/balancer_least_wait.cpp
+++ b/coordination/src/balancing/balancer_least_wait.cpp
@@ -1,6 +1,6 @@
 #include "balancer_policies.h"
 
-#include <dandelionstall/coordination/failure_guard.h>
+#include <dandelionstall/coordination/admission/failure_guard.h>
 
 #include <algorithm>
 #include <pcg_random.hpp>
--- a/coordination/src/balancer_policies.h
+++ b/coordination/src/balancing/balancer_policies.h
@@ -1,7 +1,7 @@
 // Balancer implementations used by makeBalancer(), and helper functions that they share.
 #pragma once
 
-#include <dandelionstall/coordination/balancer.h>
+#include <dandelionstall/coordination/balancing/balancer.h>
 
 namespace dandelionstall::coordination::detail {
 
--- a/coordination/src/path_backoff.cpp
+++ b/coordination/src/balancing/path_backoff.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/path_backoff.h>
+#include <dandelionstall/coordination/balancing/path_backoff.h>
 
 #include <algorithm>
 
--- a/coordination/src/pool_choice.cpp
+++ b/coordination/src/balancing/pool_choice.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/pool_choice.h>
+#include <dandelionstall/coordination/balancing/pool_choice.h>
 
 namespace dandelionstall::coordination {
 
--- a/coordination/src/worker_subset.cpp
+++ b/coordination/src/balancing/worker_subset.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/worker_subset.h>
+#include <dandelionstall/coordination/balancing/worker_subset.h>
 
 #include <xxhash.h>
 
--- a/coordination/src/config_delta.cpp
+++ b/coordination/src/configuration/config_delta.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/config_delta.h>
+#include <dandelionstall/coordination/configuration/config_delta.h>
 
 #include <fmt/format.h>
 #include <xxhash.h>
--- a/coordination/src/config_dissemination.cpp
+++ b/coordination/src/configuration/config_dissemination.cpp
@@ -1,6 +1,6 @@
-#include <dandelionstall/coordination/config_dissemination.h>
+#include <dandelionstall/coordination/configuration/config_dissemination.h>
 
-#include <dandelionstall/coordination/config_delta.h>
+#include <dandelionstall/coordination/configuration/config_delta.h>
 
 #include "config_compression.h"
 
--- a/coordination/src/config_store.cpp
+++ b/coordination/src/configuration/config_store.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/config_store.h>
+#include <dandelionstall/coordination/configuration/config_store.h>
 
 #include <dandelionstall/coordination/errors.h>
 
--- a/coordination/src/reader_choice.cpp
+++ b/coordination/src/configuration/reader_choice.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/reader_choice.h>
+#include <dandelionstall/coordination/configuration/reader_choice.h>
 
 #include <algorithm>
 #include <tuple>
--- a/coordination/src/worker_directory.cpp
+++ b/coordination/src/configuration/worker_directory.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/worker_directory.h>
+#include <dandelionstall/coordination/configuration/worker_directory.h>
 
 #include <xxhash.h>
 
--- a/coordination/src/worker_dissemination.cpp
+++ b/coordination/src/configuration/worker_dissemination.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/worker_dissemination.h>
+#include <dandelionstall/coordination/configuration/worker_dissemination.h>
 
 #include <algorithm>
 #include <iterator>
--- a/coordination/src/ejector.cpp
+++ b/coordination/src/health/ejector.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/ejector.h>
+#include <dandelionstall/coordination/health/ejector.h>
 
 #include <dandelionstall/coordination/errors.h>
 
--- a/coordination/src/ejector_findings.h
+++ b/coordination/src/health/ejector_findings.h
@@ -1,7 +1,7 @@
 // Finds the most severe fault of a worker by comparing it with its peers. Used by the "peer_outlier" ejector.
 #pragma once
 
-#include <dandelionstall/coordination/ejector.h>
+#include <dandelionstall/coordination/health/ejector.h>
 
 namespace dandelionstall::coordination::detail {
 
--- a/coordination/src/ejector_peer_outlier.cpp
+++ b/coordination/src/health/ejector_peer_outlier.cpp
@@ -1,7 +1,7 @@
 #include "ejector_findings.h"
 #include "ejector_policies.h"
 
-#include <dandelionstall/coordination/failure_guard.h>
+#include <dandelionstall/coordination/admission/failure_guard.h>
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/src/ejector_policies.h
+++ b/coordination/src/health/ejector_policies.h
@@ -1,7 +1,7 @@
 // Factories of the policies that makeEjector() returns.
 #pragma once
 
-#include <dandelionstall/coordination/ejector.h>
+#include <dandelionstall/coordination/health/ejector.h>
 
 namespace dandelionstall::coordination::detail {
 
--- a/coordination/src/pool_tracker.cpp
+++ b/coordination/src/health/pool_tracker.cpp
@@ -1,7 +1,7 @@
 // Tables, reports, paths and conditions of nodes, and queries. The evaluation of a pool is in pool_tracker_evaluation.cpp.
-#include <dandelionstall/coordination/pool_tracker.h>
+#include <dandelionstall/coordination/health/pool_tracker.h>
 
-#include <dandelionstall/coordination/worker_subset.h>
+#include <dandelionstall/coordination/balancing/worker_subset.h>
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/coordination/src/pool_tracker_evaluation.cpp
+++ b/coordination/src/health/pool_tracker_evaluation.cpp
@@ -1,5 +1,5 @@
 // Evaluation of one pool: when it is due, its input for the ejector, and the view that comes of it. The rest is in pool_tracker.cpp.
-#include <dandelionstall/coordination/pool_tracker.h>
+#include <dandelionstall/coordination/health/pool_tracker.h>
 
 #include <algorithm>
 
--- a/coordination/src/pool_view.cpp
+++ b/coordination/src/health/pool_view.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/pool_view.h>
+#include <dandelionstall/coordination/health/pool_view.h>
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/src/worker_outcome_tracker.cpp
+++ b/coordination/src/health/worker_outcome_tracker.cpp
@@ -1,6 +1,6 @@
-#include <dandelionstall/coordination/worker_outcome_tracker.h>
+#include <dandelionstall/coordination/health/worker_outcome_tracker.h>
 
-#include "route_costs.h"
+#include "admission/route_costs.h"
 
 #include <algorithm>
 #include <cmath>
--- a/coordination/src/limits.cpp
+++ b/coordination/src/limits/limits.cpp
@@ -5,7 +5,7 @@
 // the inherited one, so that eviction never lets a pair exceed its rate. A new pair may be refused because it inherits
 // the use of another pair, by at most the burst of the new pair, and only while there are more active pairs than table
 // entries.
-#include <dandelionstall/coordination/limits.h>
+#include <dandelionstall/coordination/limits/limits.h>
 
 #include <boost/multi_index/hashed_index.hpp>
 #include <boost/multi_index/member.hpp>
--- a/coordination/src/rate_gate.cpp
+++ b/coordination/src/limits/rate_gate.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/rate_gate.h>
+#include <dandelionstall/coordination/limits/rate_gate.h>
 
 #include <algorithm>
 
--- a/coordination/src/told_signals.cpp
+++ b/coordination/src/limits/told_signals.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/told_signals.h>
+#include <dandelionstall/coordination/limits/told_signals.h>
 
 #include <algorithm>
 #include <tuple>
--- a/coordination/src/worker_limit.cpp
+++ b/coordination/src/limits/worker_limit.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/worker_limit.h>
+#include <dandelionstall/coordination/limits/worker_limit.h>
 
 #include <limits>
 
--- a/coordination/src/gossip_node.cpp
+++ b/coordination/src/membership/gossip_node.cpp
@@ -1,5 +1,5 @@
 // Time and messages, configuration, discovered workers and members. Pools and reports of the local workers: gossip_node_reports.cpp.
-#include <dandelionstall/coordination/gossip_node.h>
+#include <dandelionstall/coordination/membership/gossip_node.h>
 
 #include <algorithm>
 #include <iterator>
--- a/coordination/src/gossip_node_reports.cpp
+++ b/coordination/src/membership/gossip_node_reports.cpp
@@ -1,7 +1,7 @@
 // Pools of the local workers, and the reports about these workers that go to other nodes. The rest is in gossip_node.cpp.
-#include <dandelionstall/coordination/gossip_node.h>
+#include <dandelionstall/coordination/membership/gossip_node.h>
 
-#include <dandelionstall/coordination/worker_subset.h>
+#include <dandelionstall/coordination/balancing/worker_subset.h>
 
 #include <algorithm>
 #include <iterator>
--- a/coordination/src/member.cpp
+++ b/coordination/src/membership/member.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/member.h>
+#include <dandelionstall/coordination/membership/member.h>
 
 namespace dandelionstall::coordination {
 
--- a/coordination/src/member_update_queue.cpp
+++ b/coordination/src/membership/member_update_queue.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/member_update_queue.h>
+#include <dandelionstall/coordination/membership/member_update_queue.h>
 
 #include <algorithm>
 
--- a/coordination/src/membership.cpp
+++ b/coordination/src/membership/membership.cpp
@@ -1,6 +1,6 @@
 // Member records, handling of messages, and the sources of member addresses (seeds, VM list).
 // Probes are in membership_probe.cpp, read-only queries in membership_views.cpp.
-#include <dandelionstall/coordination/membership.h>
+#include <dandelionstall/coordination/membership/membership.h>
 
 #include <algorithm>
 #include <bit>
--- a/coordination/src/membership_probe.cpp
+++ b/coordination/src/membership/membership_probe.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/membership.h>
+#include <dandelionstall/coordination/membership/membership.h>
 
 #include <algorithm>
 #include <array>
--- a/coordination/src/membership_views.cpp
+++ b/coordination/src/membership/membership_views.cpp
@@ -1,5 +1,5 @@
 // Read-only queries and collected changes of membership. Updates of member records are in membership.cpp.
-#include <dandelionstall/coordination/membership.h>
+#include <dandelionstall/coordination/membership/membership.h>
 
 #include <algorithm>
 #include <utility>
--- a/coordination/src/local_runs.cpp
+++ b/coordination/src/repeats/local_runs.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/local_runs.h>
+#include <dandelionstall/coordination/repeats/local_runs.h>
 
 #include <algorithm>
 #include <cctype>
--- a/coordination/src/recent_maximum.cpp
+++ b/coordination/src/repeats/recent_maximum.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/recent_maximum.h>
+#include <dandelionstall/coordination/repeats/recent_maximum.h>
 
 #include <algorithm>
 
--- a/coordination/src/repeat_budget.cpp
+++ b/coordination/src/repeats/repeat_budget.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/repeat_budget.h>
+#include <dandelionstall/coordination/repeats/repeat_budget.h>
 
 #include <algorithm>
 
--- a/coordination/src/repeats.cpp
+++ b/coordination/src/repeats/repeats.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/repeats.h>
+#include <dandelionstall/coordination/repeats/repeats.h>
 
 #include <algorithm>
 #include <array>
--- a/coordination/src/retry.cpp
+++ b/coordination/src/repeats/retry.cpp
@@ -1,4 +1,4 @@
-#include <dandelionstall/coordination/retry.h>
+#include <dandelionstall/coordination/repeats/retry.h>
 
 #include <dandelionstall/coordination/errors.h>
 
--- a/coordination/tests/test_admission.cpp
+++ b/coordination/tests/admission/test_admission.cpp
@@ -1,5 +1,5 @@
-// Tests of coordination/admission.h.
-#include <dandelionstall/coordination/admission.h>
+// Tests of coordination/admission/admission.h.
+#include <dandelionstall/coordination/admission/admission.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_admission_overload.cpp
+++ b/coordination/tests/admission/test_admission_overload.cpp
@@ -1,6 +1,6 @@
 // Tests of admission under overload and with long work. Several of them also show that the fifo baseline fails where
 // worth_density passes.
-#include <dandelionstall/coordination/admission.h>
+#include <dandelionstall/coordination/admission/admission.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_cost.cpp
+++ b/coordination/tests/admission/test_cost.cpp
@@ -1,5 +1,5 @@
-// Tests of coordination/cost.h.
-#include <dandelionstall/coordination/cost.h>
+// Tests of coordination/admission/cost.h.
+#include <dandelionstall/coordination/admission/cost.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_failure_guard.cpp
+++ b/coordination/tests/admission/test_failure_guard.cpp
@@ -1,6 +1,6 @@
-// Tests of coordination/failure_guard.h. Replays of workers that fail part of their work compare the guard with the
+// Tests of coordination/admission/failure_guard.h. Replays of workers that fail part of their work compare the guard with the
 // baseline that admits everything.
-#include <dandelionstall/coordination/failure_guard.h>
+#include <dandelionstall/coordination/admission/failure_guard.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_memory_budget.cpp
+++ b/coordination/tests/admission/test_memory_budget.cpp
@@ -1,5 +1,5 @@
-// Tests of coordination/memory_budget.h.
-#include <dandelionstall/coordination/memory_budget.h>
+// Tests of coordination/admission/memory_budget.h.
+#include <dandelionstall/coordination/admission/memory_budget.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_balancer.cpp
+++ b/coordination/tests/balancing/test_balancer.cpp
@@ -1,5 +1,5 @@
-// Tests of coordination/balancer.h.
-#include <dandelionstall/coordination/balancer.h>
+// Tests of coordination/balancing/balancer.h.
+#include <dandelionstall/coordination/balancing/balancer.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_worker_subset.cpp
+++ b/coordination/tests/balancing/test_worker_subset.cpp
@@ -1,6 +1,6 @@
-// Tests of coordination/worker_subset.h.
-#include <dandelionstall/coordination/balancer.h>
-#include <dandelionstall/coordination/worker_subset.h>
+// Tests of coordination/balancing/worker_subset.h.
+#include <dandelionstall/coordination/balancing/balancer.h>
+#include <dandelionstall/coordination/balancing/worker_subset.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/reader_simulation.h
+++ b/coordination/tests/configuration/reader_simulation.h
@@ -1,7 +1,7 @@
 // Drives gossip_node instances that read a store, which serves, refuses or ignores each node, in virtual time.
 #pragma once
 
-#include "gossip_simulation.h"
+#include "membership/gossip_simulation.h"
 
 #include <algorithm>
 
--- a/coordination/tests/test_config_delta.cpp
+++ b/coordination/tests/configuration/test_config_delta.cpp
@@ -1,5 +1,5 @@
-// Tests of coordination/config_delta.h.
-#include <dandelionstall/coordination/config_delta.h>
+// Tests of coordination/configuration/config_delta.h.
+#include <dandelionstall/coordination/configuration/config_delta.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_config_dissemination.cpp
+++ b/coordination/tests/configuration/test_config_dissemination.cpp
@@ -1,7 +1,7 @@
-// Tests of coordination/config_dissemination.h and gossip_node.h: several nodes in one simulation loop with fixed seeds and
+// Tests of coordination/configuration/config_dissemination.h and gossip_node.h: several nodes in one simulation loop with fixed seeds and
 // injected network faults.
-#include "../src/config_compression.h"
-#include "gossip_simulation.h"
+#include "configuration/config_compression.h"
+#include "membership/gossip_simulation.h"
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_config_store.cpp
+++ b/coordination/tests/configuration/test_config_store.cpp
@@ -1,5 +1,5 @@
-// Tests of coordination/config_store.h.
-#include "gossip_simulation.h"
+// Tests of coordination/configuration/config_store.h.
+#include "membership/gossip_simulation.h"
 
 #include <dandelionstall/state/text.h>
 
--- a/coordination/tests/test_reader_choice.cpp
+++ b/coordination/tests/configuration/test_reader_choice.cpp
@@ -1,5 +1,5 @@
-// Tests of coordination/reader_choice.h.
-#include "gossip_simulation.h"
+// Tests of coordination/configuration/reader_choice.h.
+#include "membership/gossip_simulation.h"
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_worker_directory.cpp
+++ b/coordination/tests/configuration/test_worker_directory.cpp
@@ -1,7 +1,7 @@
-// Tests of coordination/worker_directory.h, worker_dissemination.h, pool_choice.h and path_backoff.h.
-#include <dandelionstall/coordination/path_backoff.h>
-#include <dandelionstall/coordination/pool_choice.h>
-#include <dandelionstall/coordination/worker_dissemination.h>
+// Tests of coordination/configuration/worker_directory.h, worker_dissemination.h, pool_choice.h and path_backoff.h.
+#include <dandelionstall/coordination/balancing/path_backoff.h>
+#include <dandelionstall/coordination/balancing/pool_choice.h>
+#include <dandelionstall/coordination/configuration/worker_dissemination.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_ejector.cpp
+++ b/coordination/tests/health/test_ejector.cpp
@@ -1,5 +1,5 @@
-// Tests of coordination/ejector.h. Several of them would fail with the baseline policy; see baseline_misses_faults_and_ignores_the_floor.
-#include <dandelionstall/coordination/ejector.h>
+// Tests of coordination/health/ejector.h. Several of them would fail with the baseline policy; see baseline_misses_faults_and_ignores_the_floor.
+#include <dandelionstall/coordination/health/ejector.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_health_fleet.cpp
+++ b/coordination/tests/health/test_health_fleet.cpp
@@ -1,7 +1,7 @@
 // Properties of several nodes with different views of one pool: which workers stay usable for callers after any sequence
 // of events at each node.
-#include <dandelionstall/coordination/balancer.h>
-#include <dandelionstall/coordination/pool_tracker.h>
+#include <dandelionstall/coordination/balancing/balancer.h>
+#include <dandelionstall/coordination/health/pool_tracker.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_health_paths.cpp
+++ b/coordination/tests/health/test_health_paths.cpp
@@ -1,5 +1,5 @@
-// Tests of ejection by path events in coordination/pool_tracker.h.
-#include <dandelionstall/coordination/pool_tracker.h>
+// Tests of ejection by path events in coordination/health/pool_tracker.h.
+#include <dandelionstall/coordination/health/pool_tracker.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_pool_tracker.cpp
+++ b/coordination/tests/health/test_pool_tracker.cpp
@@ -1,5 +1,5 @@
-// Tests of coordination/pool_tracker.h.
-#include <dandelionstall/coordination/pool_tracker.h>
+// Tests of coordination/health/pool_tracker.h.
+#include <dandelionstall/coordination/health/pool_tracker.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_pool_view.cpp
+++ b/coordination/tests/health/test_pool_view.cpp
@@ -1,6 +1,6 @@
-// Tests of coordination/pool_view.h.
-#include <dandelionstall/coordination/limits.h>
-#include <dandelionstall/coordination/pool_view.h>
+// Tests of coordination/health/pool_view.h.
+#include <dandelionstall/coordination/health/pool_view.h>
+#include <dandelionstall/coordination/limits/limits.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_worker_outcome_tracker.cpp
+++ b/coordination/tests/health/test_worker_outcome_tracker.cpp
@@ -1,5 +1,5 @@
-// Tests of coordination/worker_outcome_tracker.h.
-#include <dandelionstall/coordination/worker_outcome_tracker.h>
+// Tests of coordination/health/worker_outcome_tracker.h.
+#include <dandelionstall/coordination/health/worker_outcome_tracker.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_limits.cpp
+++ b/coordination/tests/limits/test_limits.cpp
@@ -1,5 +1,5 @@
-// Tests of coordination/limits.h.
-#include <dandelionstall/coordination/limits.h>
+// Tests of coordination/limits/limits.h.
+#include <dandelionstall/coordination/limits/limits.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_told_signals.cpp
+++ b/coordination/tests/limits/test_told_signals.cpp
@@ -1,5 +1,5 @@
-// Tests of coordination/told_signals.h.
-#include <dandelionstall/coordination/told_signals.h>
+// Tests of coordination/limits/told_signals.h.
+#include <dandelionstall/coordination/limits/told_signals.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_worker_limit.cpp
+++ b/coordination/tests/limits/test_worker_limit.cpp
@@ -1,5 +1,5 @@
-// Tests of coordination/rate_gate.h and coordination/worker_limit.h.
-#include <dandelionstall/coordination/worker_limit.h>
+// Tests of coordination/limits/rate_gate.h and coordination/limits/worker_limit.h.
+#include <dandelionstall/coordination/limits/worker_limit.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/gossip_simulation.h
+++ b/coordination/tests/membership/gossip_simulation.h
@@ -1,7 +1,7 @@
 // Drives several gossip_node instances in one thread over simulated links that lose, delay, duplicate and block messages.
 #pragma once
 
-#include <dandelionstall/coordination/gossip_node.h>
+#include <dandelionstall/coordination/membership/gossip_node.h>
 
 #include <fmt/format.h>
 
--- a/coordination/tests/test_gossip_at_size.cpp
+++ b/coordination/tests/membership/test_gossip_at_size.cpp
@@ -1,7 +1,7 @@
 // Tests of gossip in fleets of hundreds of nodes that start at once, as after a loss of power. Each node has read the list of VMs.
 #include "gossip_simulation.h"
 
-#include <dandelionstall/coordination/worker_subset.h>
+#include <dandelionstall/coordination/balancing/worker_subset.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_membership.cpp
+++ b/coordination/tests/membership/test_membership.cpp
@@ -1,4 +1,4 @@
-// Tests of coordination/membership.h: several nodes in one simulation loop with fixed seeds and injected network faults.
+// Tests of coordination/membership/membership.h: several nodes in one simulation loop with fixed seeds and injected network faults.
 #include "gossip_simulation.h"
 
 #include <criterion/criterion.h>
--- a/coordination/tests/test_local_runs.cpp
+++ b/coordination/tests/repeats/test_local_runs.cpp
@@ -1,5 +1,5 @@
-// Tests of coordination/local_runs.h and coordination/repeats.h.
-#include <dandelionstall/coordination/local_runs.h>
+// Tests of coordination/repeats/local_runs.h and coordination/repeats/repeats.h.
+#include <dandelionstall/coordination/repeats/local_runs.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_repeat_budget.cpp
+++ b/coordination/tests/repeats/test_repeat_budget.cpp
@@ -1,5 +1,5 @@
-// Tests of coordination/repeat_budget.h: the budgets of all workers of a pool together keep the pool's retry allowance.
-#include <dandelionstall/coordination/repeat_budget.h>
+// Tests of coordination/repeats/repeat_budget.h: the budgets of all workers of a pool together keep the pool's retry allowance.
+#include <dandelionstall/coordination/repeats/repeat_budget.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/coordination/tests/test_retry.cpp
+++ b/coordination/tests/repeats/test_retry.cpp
@@ -1,5 +1,5 @@
-// Tests of coordination/retry.h.
-#include <dandelionstall/coordination/retry.h>
+// Tests of coordination/repeats/retry.h.
+#include <dandelionstall/coordination/repeats/retry.h>
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
--- a/programs/dandelionstall/consul_source.h
+++ b/programs/dandelionstall/control/consul_source.h
@@ -6,8 +6,8 @@
 
 #include "platform_watch.h"
 
-#include <dandelionstall/coordination/config_store.h>
-#include <dandelionstall/coordination/member.h>
+#include <dandelionstall/coordination/configuration/config_store.h>
+#include <dandelionstall/coordination/membership/member.h>
 #include <dandelionstall/state/settings.h>
 #include <dandelionstall/transport/config_source.h>
 
--- a/programs/dandelionstall/control.h
+++ b/programs/dandelionstall/control/control.h
@@ -11,9 +11,9 @@
 //   std::thread thread([&] { io.run(); });
 #pragma once
 
-#include <dandelionstall/coordination/config_store.h>
+#include <dandelionstall/coordination/configuration/config_store.h>
 #include <dandelionstall/coordination/fleet_snapshot.h>
-#include <dandelionstall/coordination/member.h>
+#include <dandelionstall/coordination/membership/member.h>
 #include <dandelionstall/protocol/admin_json.h>
 #include <dandelionstall/state/settings.h>
 #include <dandelionstall/transport/metrics.h>
--- a/programs/dandelionstall/control_detail.h
+++ b/programs/dandelionstall/control/control_detail.h
@@ -4,8 +4,8 @@
 #include "consul_source.h"
 #include "control.h"
 
-#include <dandelionstall/coordination/gossip_node.h>
-#include <dandelionstall/coordination/pool_tracker.h>
+#include <dandelionstall/coordination/health/pool_tracker.h>
+#include <dandelionstall/coordination/membership/gossip_node.h>
 #include <dandelionstall/transport/gossip_socket.h>
 
 #include <boost/asio/steady_timer.hpp>
--- a/programs/dandelionstall/caller_connection.h
+++ b/programs/dandelionstall/ingress/caller_connection.h
@@ -6,7 +6,7 @@
 //   [SECTION] Answers
 #pragma once
 
-#include <dandelionstall/coordination/memory_budget.h>
+#include <dandelionstall/coordination/admission/memory_budget.h>
 #include <dandelionstall/protocol/caller_http.h>
 
 #include <boost/asio/awaitable.hpp>
--- a/programs/dandelionstall/ingress.h
+++ b/programs/dandelionstall/ingress/ingress.h
@@ -7,13 +7,13 @@
 #pragma once
 
 #include "caller_connection.h"
-#include "peer_directory.h"
+#include "links/peer_directory.h"
 #include "shared_state.h"
 
-#include <dandelionstall/coordination/balancer.h>
+#include <dandelionstall/coordination/balancing/balancer.h>
+#include <dandelionstall/coordination/balancing/path_backoff.h>
 #include <dandelionstall/coordination/fleet_snapshot.h>
-#include <dandelionstall/coordination/path_backoff.h>
-#include <dandelionstall/coordination/retry.h>
+#include <dandelionstall/coordination/repeats/retry.h>
 #include <dandelionstall/protocol/worker_signals.h>
 #include <dandelionstall/state/settings.h>
 #include <dandelionstall/state/tables_index.h>
@@ -90,7 +90,7 @@
     std::size_t expectedAnswerBytes(const std::string &route) const; // moving average of the route; 0 without a recorded answer
     void recordAnswerBytes(const std::string &route, std::size_t bytes);
     std::uint32_t &inFlight(const std::string &worker);                        // number of this ingress' in-flight attempts at the worker
-    bool isCallOfRepeat(std::string_view request, state::time_point deadline); // see coordination/local_runs.h
+    bool isCallOfRepeat(std::string_view request, state::time_point deadline); // see coordination/repeats/local_runs.h
     state::time_point answersBy() const;                                       // latest deadline of a request while this node stops; else max()
     bool isTooLate(state::time_point deadline) const; // a request that is read now and has time until then may be cut by the stop of this node
     boost::asio::io_context &io();
--- a/programs/dandelionstall/request_handler.cpp
+++ b/programs/dandelionstall/ingress/request_handler.cpp
@@ -2,8 +2,8 @@
 #include "request_attempt.h"
 #include "wall_clock.h"
 
-#include <dandelionstall/coordination/failure_guard.h>
-#include <dandelionstall/coordination/pool_choice.h>
+#include <dandelionstall/coordination/admission/failure_guard.h>
+#include <dandelionstall/coordination/balancing/pool_choice.h>
 #include <dandelionstall/protocol/caller_http.h>
 
 #include <dandelionstall/transport/events.h>
--- a/programs/dandelionstall/request_handler.h
+++ b/programs/dandelionstall/ingress/request_handler.h
@@ -9,7 +9,7 @@
 
 #include "ingress.h"
 
-#include <dandelionstall/coordination/retry.h>
+#include <dandelionstall/coordination/repeats/retry.h>
 #include <dandelionstall/state/attempts.h>
 
 #include <map>
--- a/programs/dandelionstall/node.h
+++ b/programs/dandelionstall/node.h
@@ -6,9 +6,9 @@
 //   process.run();   // returns after SIGTERM or SIGINT, once no work is in flight or stop_grace is about to expire
 #pragma once
 
-#include "control.h"
-#include "ingress.h"
-#include "sidecar.h"
+#include "control/control.h"
+#include "ingress/ingress.h"
+#include "sidecar/sidecar.h"
 
 #include <dandelionstall/state/settings.h>
 #include <dandelionstall/transport/admin_server.h>
--- a/programs/dandelionstall/shared_state.h
+++ b/programs/dandelionstall/shared_state.h
@@ -2,8 +2,8 @@
 // threads of the ingresses, and what answers have told the ingresses about workers.
 #pragma once
 
-#include <dandelionstall/coordination/local_runs.h>
-#include <dandelionstall/coordination/told_signals.h>
+#include <dandelionstall/coordination/limits/told_signals.h>
+#include <dandelionstall/coordination/repeats/local_runs.h>
 
 #include <mutex>
 
--- a/programs/dandelionstall/attempt_stream.h
+++ b/programs/dandelionstall/sidecar/attempt_stream.h
@@ -5,7 +5,7 @@
 //   [SECTION] Streams
 #pragma once
 
-#include <dandelionstall/coordination/memory_budget.h>
+#include <dandelionstall/coordination/admission/memory_budget.h>
 #include <dandelionstall/protocol/frame.h>
 #include <dandelionstall/protocol/messages.h>
 #include <dandelionstall/transport/node_session.h>
--- a/programs/dandelionstall/sidecar.h
+++ b/programs/dandelionstall/sidecar/sidecar.h
@@ -7,16 +7,16 @@
 #pragma once
 
 #include "attempt_stream.h"
-#include "peer_directory.h"
+#include "links/peer_directory.h"
 #include "shared_state.h"
 
-#include <dandelionstall/coordination/admission.h>
-#include <dandelionstall/coordination/failure_guard.h>
+#include <dandelionstall/coordination/admission/admission.h>
+#include <dandelionstall/coordination/admission/failure_guard.h>
 #include <dandelionstall/coordination/fleet_snapshot.h>
-#include <dandelionstall/coordination/limits.h>
-#include <dandelionstall/coordination/repeat_budget.h>
-#include <dandelionstall/coordination/worker_limit.h>
-#include <dandelionstall/coordination/worker_outcome_tracker.h>
+#include <dandelionstall/coordination/health/worker_outcome_tracker.h>
+#include <dandelionstall/coordination/limits/limits.h>
+#include <dandelionstall/coordination/limits/worker_limit.h>
+#include <dandelionstall/coordination/repeats/repeat_budget.h>
 #include <dandelionstall/state/attempts.h>
 #include <dandelionstall/state/settings.h>
 #include <dandelionstall/transport/metrics.h>
--- a/programs/dandelionstall/sidecar_outcomes.cpp
+++ b/programs/dandelionstall/sidecar/sidecar_outcomes.cpp
@@ -1,7 +1,7 @@
 // Sidecar: refusals, outcome queries, acknowledgements, lost streams and answer heads.
 #include "sidecar.h"
 
-#include <dandelionstall/coordination/failure_guard.h>
+#include <dandelionstall/coordination/admission/failure_guard.h>
 #include <dandelionstall/protocol/caller_http.h>
 #include <dandelionstall/transport/events.h>
 
--- a/protocol/include/dandelionstall/protocol/admin_json.h
+++ b/protocol/include/dandelionstall/protocol/admin_json.h
@@ -11,9 +11,9 @@
 //   [SECTION] Fleet
 #pragma once
 
-#include <dandelionstall/coordination/config_store.h>
+#include <dandelionstall/coordination/configuration/config_store.h>
 #include <dandelionstall/coordination/fleet_snapshot.h>
-#include <dandelionstall/coordination/member.h>
+#include <dandelionstall/coordination/membership/member.h>
 #include <dandelionstall/state/settings.h>
 
 #include <absl/status/statusor.h>
--- a/protocol/include/dandelionstall/protocol/consul_api.h
+++ b/protocol/include/dandelionstall/protocol/consul_api.h
@@ -7,7 +7,7 @@
 // with the key of each part and the digest of its text. The table is the text of the parts in this order.
 #pragma once
 
-#include <dandelionstall/coordination/member.h>
+#include <dandelionstall/coordination/membership/member.h>
 
 #include <absl/status/statusor.h>
 
--- a/protocol/include/dandelionstall/protocol/gossip_codec.h
+++ b/protocol/include/dandelionstall/protocol/gossip_codec.h
@@ -5,7 +5,7 @@
 //   absl::StatusOr<gossip_message> message = decodeGossip(bytes);
 #pragma once
 
-#include <dandelionstall/coordination/gossip.h>
+#include <dandelionstall/coordination/membership/gossip.h>
 
 #include <absl/status/statusor.h>
 
--- a/protocol/include/dandelionstall/protocol/keyed_store.h
+++ b/protocol/include/dandelionstall/protocol/keyed_store.h
@@ -9,7 +9,7 @@
 //   [SECTION] Dialect
 #pragma once
 
-#include <dandelionstall/coordination/worker_directory.h>
+#include <dandelionstall/coordination/configuration/worker_directory.h>
 #include <dandelionstall/protocol/messages.h>
 
 #include <string>
@@ -61,9 +61,10 @@
     virtual absl::StatusOr<store_page> decodePage(std::string_view body) const = 0;
     virtual absl::StatusOr<store_page> decodeChanges(std::string_view body) const = 0;
 
-    virtual absl::StatusOr<std::uint64_t> readEra(const http_headers &headers) const = 0; // see coordination/store_revision.h; 0 when the answer names none
-    virtual std::string configPrefix() const = 0;                                         // key prefix of the item with the configuration
-    virtual std::string workerPrefix() const = 0;                                         // key prefix of the items that announce workers
+    virtual absl::StatusOr<std::uint64_t> readEra(const http_headers &headers) const
+        = 0;                                      // see coordination/configuration/store_revision.h; 0 when the answer names none
+    virtual std::string configPrefix() const = 0; // key prefix of the item with the configuration
+    virtual std::string workerPrefix() const = 0; // key prefix of the items that announce workers
     virtual absl::StatusOr<store_tables> decodeTables(const store_item &item) const = 0;
     virtual absl::StatusOr<coordination::discovered_worker> decodeWorker(const store_item &item, state::time_point now) const = 0;
 };
--- a/protocol/include/dandelionstall/protocol/messages.h
+++ b/protocol/include/dandelionstall/protocol/messages.h
@@ -14,9 +14,9 @@
 //   [SECTION] Encoding
 #pragma once
 
-#include <dandelionstall/coordination/pool_view.h>
+#include <dandelionstall/coordination/health/pool_view.h>
 #include <dandelionstall/coordination/reasons.h>
-#include <dandelionstall/coordination/repeats.h>
+#include <dandelionstall/coordination/repeats/repeats.h>
 #include <dandelionstall/protocol/errors.h>
 
 #include <optional>
--- a/protocol/include/dandelionstall/protocol/report_codec.h
+++ b/protocol/include/dandelionstall/protocol/report_codec.h
@@ -1,7 +1,7 @@
 // Converts worker reports to and from their wire form, which answers and gossip messages share.
 #pragma once
 
-#include <dandelionstall/coordination/pool_view.h>
+#include <dandelionstall/coordination/health/pool_view.h>
 
 #include <node.pb.h>
 
--- a/protocol/tests/test_gossip_codec.cpp
+++ b/protocol/tests/test_gossip_codec.cpp
@@ -1,5 +1,5 @@
 // Tests of protocol/gossip_codec.h.
-#include <dandelionstall/coordination/worker_dissemination.h>
+#include <dandelionstall/coordination/configuration/worker_dissemination.h>
 #include <dandelionstall/protocol/gossip_codec.h>
 
 #include <criterion/criterion.h>
--- a/state/include/dandelionstall/state/tables.h
+++ b/state/include/dandelionstall/state/tables.h
@@ -94,7 +94,7 @@
     friend bool operator==(const pool_worker &, const pool_worker &) = default;
 };
 
-// Limit of the repeats at the workers of one pool, see coordination/repeats.h and coordination/repeat_budget.h. In any window, their
+// Limit of the repeats at the workers of one pool, see coordination/repeats/repeats.h and coordination/repeats/repeat_budget.h. In any window, their
 // number is at most a share of the pool's requests plus a fixed number. The requests are those of this window, of the one before
 // it or of the one that begins half a window earlier, whichever has most.
 struct retry_allowance {
@@ -112,11 +112,11 @@
     std::uint32_t slots = 1;                    // number of slots of each worker whose row gives none
     bool hasDiscoveredWorkers = false;          // its workers announce themselves in the platform's store; the table has no rows for them
     double floor = 0.5;                         // smallest share of the pool's workers that ejection leaves in use, 0..1
-    std::string balancer = "least_wait";        // one of BalancerNames, see coordination/balancer.h
-    std::string ejector = "peer_outlier";       // one of EjectorNames, see coordination/ejector.h
-    std::string admission = "worth_density";    // one of AdmissionNames, see coordination/admission.h
-    std::string retry = "budgeted";             // one of RetryNames, see coordination/retry.h
-    std::string guard = "belief";               // one of GuardNames, see coordination/failure_guard.h
+    std::string balancer = "least_wait";        // one of BalancerNames, see coordination/balancing/balancer.h
+    std::string ejector = "peer_outlier";       // one of EjectorNames, see coordination/health/ejector.h
+    std::string admission = "worth_density";    // one of AdmissionNames, see coordination/admission/admission.h
+    std::string retry = "budgeted";             // one of RetryNames, see coordination/repeats/retry.h
+    std::string guard = "belief";               // one of GuardNames, see coordination/admission/failure_guard.h
     std::chrono::milliseconds drainTime{30000}; // time that a leaving worker has to end its running requests
     retry_allowance retryAllowance;             // limit of the retries of the whole fleet in this pool
     std::vector<pool_worker> workers;           // workers in table order
--- a/tests/integration/test_promise_memory.cpp
+++ b/tests/integration/test_promise_memory.cpp
@@ -2,7 +2,7 @@
 //
 // Promise: a node stays within `memory_mb`. A body without room is refused at once as not run; small requests are served meanwhile.
 //
-// Mechanism: one budget for the bodies that a node holds (coordination/memory_budget.h), taken before a body is read, and one copy of
+// Mechanism: one budget for the bodies that a node holds (coordination/admission/memory_budget.h), taken before a body is read, and one copy of
 // each body at a node.
 #include "store_fleet.h"
 
--- a/transport/include/dandelionstall/transport/config_source.h
+++ b/transport/include/dandelionstall/transport/config_source.h
@@ -4,10 +4,10 @@
 // chosen as readers keep watches of the platform's service open; the other nodes receive the data by gossip.
 #pragma once
 
-#include <dandelionstall/coordination/config_store.h>
-#include <dandelionstall/coordination/member.h>
-#include <dandelionstall/coordination/reader_choice.h>
-#include <dandelionstall/coordination/worker_directory.h>
+#include <dandelionstall/coordination/configuration/config_store.h>
+#include <dandelionstall/coordination/configuration/reader_choice.h>
+#include <dandelionstall/coordination/configuration/worker_directory.h>
+#include <dandelionstall/coordination/membership/member.h>
 
 #include <functional>
 #include <string>
