--- a/state/include/dandelionstall/state/settings.h
+++ b/state/include/dandelionstall/state/settings.h
@@ -8,6 +8,7 @@
 
 #include <dandelionstall/state/types.h>
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,7 @@
     // [platform]
     std::string platformKind = "consul";             // "consul" or "keyed_store", see docs/SETTINGS.md
     std::string platformBounds;                      // bounds that the platform states, "name=value,name=value"; see platform/store_adapter.h
+    std::string platformContracts;                   // names of the contracts that the platform has in force, separated by commas
     node_address configService;                      // address of the key-value service that stores the two tables
     std::string routesKey = "dandelionstall/routes"; // key of the route table
     std::string poolsKey = "dandelionstall/pools";   // key of the pool table
@@ -80,6 +82,9 @@
     // [headers]
     header_names headers;
 
+    // [regions]
+    std::map<std::string, std::string, std::less<>> regions; // region of each data centre; empty when the deployment has only one region
+
     // [log]
     std::string logLevel = "info";            // lowest level that is logged: trace, debug, info, warn or error
     std::uint32_t maxLogLinesPerSecond = 500; // limit for lines about ordinary successes; the limit for other lines is twice as high
@@ -93,6 +98,9 @@
     friend bool operator==(const settings &, const settings &) = default;
 };
 
+std::string_view regionOf(const settings &settings, std::string_view dataCentre); // empty when the region of the data centre is not stated
+std::size_t countRegions(const settings &settings);                               // different regions in [regions]
+
 absl::StatusOr<settings> parseSettings(std::string_view text, std::string_view source); // error: "<source>:<line>: <reason>"
 
 } // namespace dandelionstall::state
--- a/state/src/settings.cpp
+++ b/state/src/settings.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace dandelionstall::state {
 
@@ -15,7 +16,7 @@
 
 constexpr std::string_view WorkerPrefix = "worker.";
 constexpr std::string_view BoundPrefix = "bound.";
-constexpr std::array<std::string_view, 7> SectionNames{"node", "platform", "limits", "headers", "log", "discovered_worker", WorkerPrefix};
+constexpr std::array<std::string_view, 8> SectionNames{"node", "platform", "limits", "headers", "regions", "log", "discovered_worker", WorkerPrefix};
 constexpr std::array<std::string_view, 2> PlatformKinds{"consul", "keyed_store"};
 constexpr std::array<std::string_view, 5> LogLevels{"trace", "debug", "info", "warn", "error"};
 
@@ -108,6 +109,9 @@
     reader.readAddress("config_service", target.configService);
     reader.readChoice("kind", target.platformKind, PlatformKinds);
     readBounds(section, target);
+    if (const ini_entry *contracts = reader.findEntry("contracts")) { // empty when the platform has none in force
+        target.platformContracts = contracts->value;
+    }
     reader.readText("routes_key", target.routesKey);
     reader.readText("pools_key", target.poolsKey);
     if (!reader.readAddress("vm_list", target.vmList)) {
@@ -160,6 +164,17 @@
     reader.reportUnknownKeys();
 }
 
+// Each line is "<data centre> = <region>".
+void readRegions(const ini_section &section, parse_errors &errors, settings &target)
+{
+    for (const ini_entry &entry : section.entries) {
+        if (!isLabel(entry.key) || !isLabel(entry.value)) {
+            errors.add(state_error::malformed, entry.line, fmt::format("expected a data centre and its region, got \"{} = {}\"", entry.key, entry.value));
+        }
+        target.regions.emplace(entry.key, entry.value);
+    }
+}
+
 void readLog(const ini_section &section, parse_errors &errors, settings &target)
 {
     section_reader reader(section, errors);
@@ -209,12 +224,14 @@
         readHeaders(section, errors, target.headers);
     } else if (section.name == "discovered_worker") {
         readDiscoveredWorker(section, errors, target);
+    } else if (section.name == "regions") {
+        readRegions(section, errors, target);
     } else if (section.name == "log") {
         readLog(section, errors, target);
     } else if (section.name.starts_with(WorkerPrefix)) {
         readWorker(section, errors, target);
     } else {
-        const std::string expected = "expected [node], [platform], [limits], [headers], [log], [discovered_worker] or [worker.<id>]";
+        const std::string expected = "expected [node], [platform], [limits], [headers], [regions], [log], [discovered_worker] or [worker.<id>]";
         const std::string hint = suggestName(section.name, SectionNames);
         errors.add(state_error::unknown_key, section.line, fmt::format("unknown section [{}], {}{}", section.name, expected, hint));
     }
@@ -222,6 +239,21 @@
 
 } // namespace
 
+std::string_view regionOf(const settings &settings, std::string_view dataCentre)
+{
+    const auto found = settings.regions.find(dataCentre);
+    return found == settings.regions.end() ? std::string_view() : std::string_view(found->second);
+}
+
+std::size_t countRegions(const settings &settings)
+{
+    std::set<std::string_view> names;
+    for (const auto &[dataCentre, region] : settings.regions) {
+        names.insert(region);
+    }
+    return names.size();
+}
+
 absl::StatusOr<settings> parseSettings(std::string_view text, std::string_view source)
 {
     const absl::StatusOr<ini_document> document = parseIni(text, source);
--- a/state/tests/test_settings.cpp
+++ b/state/tests/test_settings.cpp
@@ -47,9 +47,10 @@
 Test(settings, reports_line_and_reason_of_an_error)
 {
     cr_assert(reasonFor("[limits]\nmax_caller = 7\n") == "node.ini:9: unknown key \"max_caller\" in [limits]; did you mean \"max_callers\"?");
-    cr_assert(reasonFor("[limit]\n")
-              == "node.ini:8: unknown section [limit], expected [node], [platform], [limits], [headers], [log], [discovered_worker] or [worker.<id>]; did you "
-                 "mean \"limits\"?");
+    cr_assert(
+        reasonFor("[limit]\n")
+        == "node.ini:8: unknown section [limit], expected [node], [platform], [limits], [headers], [regions], [log], [discovered_worker] or [worker.<id>]; "
+           "did you mean \"limits\"?");
     cr_assert(reasonFor("[limits]\nmax_callers = 0\n") == "node.ini:9: max_callers: expected a whole number from 1 to 100000, got \"0\"");
     cr_assert(reasonFor("[log]\nlevel = inf\n") == "node.ini:9: level: expected one of trace, debug, info, warn, error, got \"inf\"; did you mean \"info\"?");
     cr_assert(reasonFor("[worker.d-1]\naddress = localhost:1\n") == "node.ini:8: [worker.d-1] needs the key \"pool\"");
@@ -63,3 +64,15 @@
     constexpr std::string_view Worker = "]\npool = p\naddress = 127.0.0.1:9000\n";
     cr_assert(not(parseWith("[worker.a" + std::string(Worker) + "[worker.b" + std::string(Worker)).ok()));
 }
+
+// Guards against data centres of other regions being taken for near ones, and against a region for a data centre that has none.
+Test(settings, reads_the_region_of_each_data_centre)
+{
+    const auto parsed = parseWith("contracts = base,pressure\n[regions]\nthika = ke-central\nruiru = ke-central\nkisumu = ke-west\n");
+    cr_assert(parsed.ok());
+    cr_assert(parsed->platformContracts == "base,pressure");
+    cr_assert(regionOf(*parsed, "ruiru") == "ke-central" && regionOf(*parsed, "kisumu") == "ke-west" && regionOf(*parsed, "voi").empty());
+    cr_assert(parseWith("contracts =\n").ok());
+    cr_assert(countRegions(*parsed) == 2 && countRegions(*parseWith("")) == 0);
+    cr_assert(reasonFor("[regions]\nthika =\n") == "node.ini:9: expected a data centre and its region, got \"thika = \"");
+}
--- a/tests/integration/support/fleet_store.cpp
+++ b/tests/integration/support/fleet_store.cpp
@@ -48,6 +48,7 @@
     const template_values values{{"nodeName", node.name},
                                  {"zone", node.plan.dataCentre},
                                  {"region", "test"},
+                                 {"contracts", m_plan.store->contracts},
                                  {"ip", node.ip},
                                  {"internalPorts.0", std::to_string(PeerPort)},
                                  {"listen.outbound", fmt::format("{}:{}", node.ip, CallerPort)},
@@ -57,9 +58,10 @@
                                  {"platform.address", m_configService},
                                  {"appAddress", worker.address},
                                  {"limits.memoryMb", "256"}};
+    const template_tables tables{{"bounds", m_plan.store->bounds}, {"zones", m_plan.store->regions}};
     std::map<std::string, std::string> lines = m_plan.store->settingsLines;
     lines["admin ="] = fmt::format("admin = {}\nadvertise = {}", node.admin, node.peers);
-    return replaceLines(fillTemplate(m_plan.store->settingsTemplate, values, m_plan.store->bounds), lines) + "\n" + m_plan.nodeSettings;
+    return replaceLines(fillTemplate(m_plan.store->settingsTemplate, values, tables), lines) + "\n" + m_plan.nodeSettings;
 }
 
 void fleet::appendStoreArguments(const fleet_node &node, const fleet_worker &worker, std::vector<std::string> &arguments) const
--- a/tests/integration/support/store_platform.cpp
+++ b/tests/integration/support/store_platform.cpp
@@ -11,10 +11,10 @@
 
 namespace {
 
-std::string repeatForBounds(const std::string &body, const std::map<std::string, std::string> &bounds)
+std::string repeatForEntries(const std::string &body, const std::map<std::string, std::string> &table)
 {
     std::string text;
-    for (const auto &[name, value] : bounds) {
+    for (const auto &[name, value] : table) {
         std::string each = body;
         boost::replace_all(each, "{{@}}", name);
         boost::replace_all(each, "{{.}}", value);
@@ -24,7 +24,7 @@
 }
 
 // Replaces the first section that opens with the mark, "{{#" or "{{^". Returns false when there is none.
-bool replaceSection(std::string &text, std::string_view mark, const template_values &values, const std::map<std::string, std::string> &bounds)
+bool replaceSection(std::string &text, std::string_view mark, const template_values &values, const template_tables &tables)
 {
     const std::size_t open = text.find(mark);
     if (open == std::string::npos) {
@@ -41,8 +41,8 @@
     const auto value = values.find(name);
     const bool hasValue = value != values.end() && !value->second.empty();
     std::string replacement;
-    if (name == "bounds") {
-        replacement = repeatForBounds(inside, bounds);
+    if (const auto table = tables.find(name); table != tables.end()) {
+        replacement = repeatForEntries(inside, table->second);
     } else if (hasValue == (mark == "{{#")) {
         replacement = inside;
     }
@@ -62,10 +62,10 @@
     return {std::istreambuf_iterator<char>(file), {}};
 }
 
-std::string fillTemplate(std::string text, const template_values &values, const std::map<std::string, std::string> &bounds)
+std::string fillTemplate(std::string text, const template_values &values, const template_tables &tables)
 {
     for (const std::string_view mark : {"{{#", "{{^"}) {
-        while (replaceSection(text, mark, values, bounds)) { }
+        while (replaceSection(text, mark, values, tables)) { }
     }
     for (const auto &[name, value] : values) {
         boost::replace_all(text, "{{" + name + "}}", value);
