--- a/review/standins-2/lab.cpp
+++ b/review/standins-2/lab.cpp
@@ -125,6 +125,18 @@
     text.replace(open, close + closing.size() - open, render(inside));
 }
 
+// Returns the text of an entry without its sequence: an entry changes when more than that changes.
+std::string withoutSequence(const std::string &entry)
+{
+    constexpr std::string_view Name = "\"sequence\":";
+    const std::size_t begin = entry.find(Name);
+    if (begin == std::string::npos) {
+        return entry;
+    }
+    const std::size_t end = std::min(entry.find_first_not_of("0123456789", begin + Name.size()), entry.size());
+    return entry.substr(0, begin) + entry.substr(end);
+}
+
 std::string readFile(const std::string &path)
 {
     std::ifstream file(path);
@@ -349,6 +361,13 @@
 
 std::uint64_t store::put(const std::string &key, const std::string &value)
 {
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto last = std::find_if(m_log.rbegin(), m_log.rend(), [&](const change &each) { return each.key == key; });
+        if (last != m_log.rend() && last->value && withoutSequence(*last->value) == withoutSequence(value)) {
+            return m_revision;
+        }
+    }
     return append(key, value);
 }
 
--- a/review/standins-2/lab.h
+++ b/review/standins-2/lab.h
@@ -99,7 +99,7 @@
 public:
     store(const std::string &ip, std::uint16_t port);
 
-    std::uint64_t put(const std::string &key, const std::string &value); // returns after the change is acknowledged
+    std::uint64_t put(const std::string &key, const std::string &value); // changes nothing when only the sequence of an entry differs
     std::uint64_t remove(const std::string &key);
     std::size_t cutWatches();                                     // cuts the watches that are waiting now
     void setStale(const std::string &ip, std::uint64_t revision); // serializable reads of this caller show the store at this revision; 0 ends it
