Review: name the sources of the cases from 6 on scenario.cpp

review/build.sh builds each case.cpp under review/ with the stand-ins of the earlier cases, which those from 6 on don't use.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,8 +6,7 @@
 mkdir -p "$out"
 compile=("${CXX:-g++}" -std=c++20 -O1 -g -Wall -Wextra -pthread)
 "${compile[@]}" -c review/standins-2/lab.cpp -o "$out/lab.o"
-for case in review/*/case.cpp; do
-  number=$(basename "$(dirname "$case")")
-  [ "$number" -ge 6 ] || continue
-  "${compile[@]}" "$case" "$out/lab.o" -o "$out/case-$number"
+for scenario in review/*/scenario.cpp; do
+  number=$(basename "$(dirname "$scenario")")
+  "${compile[@]}" "$scenario" "$out/lab.o" -o "$out/case-$number"
 done
