Fix: a reset during an upload made part of an answer pass for the whole

What callers saw: a worker answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the request is written and the answer is read side by side on one socket, and the kernel reports a reset once, to whichever operation asks first. When the write had taken it, the read saw a plain end of the stream, which completes an answer without a length.

Evidence: broken_answers::without_a_length_are_not_whole_when_the_upload_is_reset failed before with its first case ("HTTP/1.1 200 OK, end 0 after 0 ms: answered, status 200, body 'half'"). Early answers with a clean end, those with a length or in chunks, and answers after the whole upload passed before and pass now.

Why this works: at the end of such a stream, a failed write, or a socket that is closed in both directions though the node has closed neither, shows the reset, also when another operation got its error. A worker that ends its side and reads on, or stays, is answered as before.

--- a/tests/integration/support/store_fleet.cpp
+++ b/tests/integration/support/store_fleet.cpp
@@ -99,15 +99,21 @@
     awaitPort(m_workers[index]);
 }
 
+void store_fleet::stopWorker(std::size_t index)
+{
+    m_workers[index].kill();
+}
+
 // [SECTION] Platform
 
-void store_fleet::announce(std::size_t index, const std::string &id, const std::string &state, std::uint64_t born)
+void store_fleet::announce(std::size_t index, const std::string &id, const std::string &state, std::uint64_t born, std::size_t slots)
 {
     const std::string entry = fmt::format(
-        R"({{"service":"orders","address":"{}:{}","zone":"dc-{}","version":"v1","slots":3,"state":"{}","coldRemainingMs":0,"sequence":1,"born":{}}})",
+        R"({{"service":"orders","address":"{}:{}","zone":"dc-{}","version":"v1","slots":{},"state":"{}","coldRemainingMs":0,"sequence":1,"born":{}}})",
         nodeIp(index),
         WorkerPort,
         index % m_dataCentres,
+        slots,
         state,
         born);
     command(m_storeAddress, "/_put/servers/" + id, entry);
@@ -265,6 +271,11 @@
     return m_directory.path(fmt::format("node-{}.log", index));
 }
 
+state::node_address store_fleet::workerAddress(std::size_t index) const
+{
+    return {nodeIp(index), WorkerPort};
+}
+
 child_process &store_fleet::node(std::size_t index)
 {
     return m_nodes[index];
--- a/tests/integration/support/store_fleet.h
+++ b/tests/integration/support/store_fleet.h
@@ -11,6 +11,8 @@
 #include "http_call.h"
 #include "process.h"
 
+#include <dandelionstall/state/types.h>
+
 #include <string>
 #include <vector>
 
@@ -29,7 +31,12 @@
     void startNode(std::size_t index);     // also restarts one that has ended
     bool isReady(std::size_t index) const; // the ready address answers 200
     void startWorker(std::size_t index, const std::string &id);
-    void announce(std::size_t index, const std::string &id, const std::string &state = "ready", std::uint64_t born = 1); // writes the worker's entry
+    void stopWorker(std::size_t index); // its entry stays, and its address is free for another worker
+    void announce(std::size_t index,
+                  const std::string &id,
+                  const std::string &state = "ready",
+                  std::uint64_t born = 1,
+                  std::size_t slots = 3); // writes the worker's entry
     void removeEntry(const std::string &id) const;
     void writeEntry(const std::string &id, const std::string &value) const; // any bytes
     void configure(std::uint64_t version,
@@ -55,6 +62,7 @@
     std::string linesWith(const std::string &text) const; // log lines of all nodes that contain it
     std::string nodeIp(std::size_t index) const;
     std::string callers(std::size_t index) const; // ip:port at which callers reach the node
+    state::node_address workerAddress(std::size_t index) const;
     child_process &node(std::size_t index);
     std::vector<std::size_t> endlessBytes() const; // bytes of each endless answer of workers and store whose connection has been closed
 
--- /dev/null
+++ b/tests/integration/test_promise_broken_answers.cpp
@@ -0,0 +1,156 @@
+// Promise: an answer that its worker breaks off, or that is none in the protocol, never reaches a caller as an answer. Work that may be
+// repeated is served by another worker; other work is run once, and its caller is not told that it was not run.
+//
+// Mechanisms: transport/worker_client.h, which takes such an answer for cut. Each test goes from the worker's bytes, through the node
+// beside the worker and the node that took the request, to the bytes that the caller got.
+#include "raw_worker_thread.h"
+#include "store_fleet.h"
+
+#include <boost/beast/http.hpp>
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <optional>
+#include <thread>
+
+using namespace dandelionstall::testing;
+using dandelionstall::transport::testing::answer_script;
+using dandelionstall::transport::testing::connection_end;
+using dandelionstall::transport::testing::scripted_answer;
+using std::chrono::milliseconds;
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t Nodes = 2;
+constexpr std::size_t FirstNode = 0; // takes the requests
+constexpr std::size_t RawNode = 1;   // its worker sends the scripted bytes
+constexpr std::size_t UploadBytes = 8'388'608;
+constexpr std::size_t LongPartBytes = 4'194'304; // of an answer; more than a node holds back before it sends the head
+constexpr milliseconds Spread{1000};             // both nodes know the configuration and the workers after this
+
+enum class workers { raw_only, raw_and_healthy };
+
+// Two nodes; the worker beside the second one runs the script.
+class broken_fleet
+{
+public:
+    broken_fleet(workers which, answer_script script)
+        : m_fleet(Nodes, 1)
+    {
+        m_fleet.start();
+        m_fleet.writeConfiguration(R"({"version":5,"services":[{"name":"orders"}],"limits":{"maxBodyBytes":16777216},"virtualHosts":[)"
+                                   R"({"host":"shop.example","paths":[{"name":"read","prefix":"/read/","kind":"idempotent","timeoutMs":2000,)"
+                                   R"("service":"orders","maxAttempts":2},{"name":"book","prefix":"/book/","kind":"non_idempotent",)"
+                                   R"("timeoutMs":2000,"service":"orders","maxAttempts":2}]}]})");
+        m_fleet.stopWorker(RawNode);
+        if (which == workers::raw_only) {
+            m_fleet.removeEntry("w0");
+            cr_assert(waitUntil([&] { return m_fleet.linesWith("name=worker_gone").find("w0") != std::string::npos; }));
+        }
+        m_raw.emplace(m_fleet.workerAddress(RawNode), std::move(script));
+        cr_assert(waitUntil([&] { return m_fleet.linesWith("config_accepted").find("5") != std::string::npos; }));
+        std::this_thread::sleep_for(Spread);
+    }
+
+    std::string send(const std::string &method, const std::string &path, std::size_t bodyBytes = 0) const
+    {
+        return m_fleet.request(FirstNode, method, path, "broken", "1.1", std::string(bodyBytes, 'u'));
+    }
+
+    std::size_t runsAtRawWorker() const
+    {
+        return m_raw->requests();
+    }
+
+    const store_fleet &fleet() const
+    {
+        return m_fleet;
+    }
+
+private:
+    store_fleet m_fleet;
+    std::optional<raw_worker_thread> m_raw;
+};
+
+struct caller_view {
+    bool isWhole = false; // the answer is complete in the protocol
+    unsigned status = 0;
+    std::string body;
+};
+
+// What a client of HTTP/1.1 makes of the bytes that came until the end of the connection.
+caller_view readAsCaller(const std::string &bytes)
+{
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
+    parser.eager(true);
+    boost::system::error_code error;
+    if (!bytes.empty()) {
+        parser.put(boost::asio::buffer(bytes), error);
+    }
+    caller_view view;
+    if (parser.is_header_done()) {
+        view.status = parser.get().result_int();
+        view.body = parser.get().body();
+    }
+    view.isWhole = parser.is_done() && !error;
+    return view;
+}
+
+// A caller that gets no answer of the worker gets a broken connection, or an answer of the node that does not claim that nothing ran.
+void expectNoAnswerOfTheWorker(const std::string &bytes, const std::string &what)
+{
+    const caller_view view = readAsCaller(bytes);
+    const std::string seen = fmt::format("{}: {}", what, bytes.substr(0, 300));
+    cr_assert(!view.isWhole || view.status == 502 || view.status == 504, "%s", seen.c_str());
+    cr_assert(bytes.find("X-Dandelionstall-Run: not_run") == std::string::npos, "%s", seen.c_str());
+    cr_assert(!view.isWhole || bytes.find("Server-Stamp") == std::string::npos, "%s", seen.c_str());
+}
+
+std::string sealedHead(const std::string &statusLine)
+{
+    return statusLine + "\r\nServer-Stamp: raw\r\n";
+}
+
+} // namespace
+
+Test(broken_answers, an_upload_that_is_reset_behind_an_early_answer_is_not_answered)
+{
+    scripted_answer answer;
+    const broken_fleet alone(workers::raw_only, [&answer](std::string_view) { return answer; });
+    std::size_t sent = 0;
+    for (const char *statusLine : {"HTTP/1.1 200 OK", "HTTP/1.0 201 Created", "HTTP/1.1 500 Error"}) {
+        for (const connection_end end : {connection_end::reset, connection_end::close}) {
+            for (const std::string &part : {std::string("half"), std::string(LongPartBytes, 'h')}) {
+                answer = {.bytes = sealedHead(statusLine) + "\r\n" + part, .end = end, .pause = milliseconds(10)};
+                const std::string bytes = alone.send("POST", "/book/1", UploadBytes);
+                expectNoAnswerOfTheWorker(bytes, fmt::format("{}, end {}, {} bytes", statusLine, static_cast<int>(end), part.size()));
+                ++sent;
+            }
+        }
+    }
+    cr_assert_eq(alone.runsAtRawWorker(), sent, "%zu runs of %zu requests that must not run twice", alone.runsAtRawWorker(), sent);
+}
+
+Test(broken_answers, an_upload_that_is_reset_behind_an_early_answer_is_repeated_where_that_is_allowed)
+{
+    const scripted_answer answer{.bytes = sealedHead("HTTP/1.1 200 OK") + "\r\nhalf", .end = connection_end::reset, .pause = milliseconds(10)};
+    const broken_fleet both(workers::raw_and_healthy, [&answer](std::string_view) { return answer; });
+    for (int i = 0; i < 6; ++i) {
+        const caller_view view = readAsCaller(both.send("POST", "/read/1", UploadBytes));
+        cr_assert(view.isWhole && view.status == 200 && view.body != "half", "%u %s", view.status, view.body.c_str());
+    }
+}
+
+Test(broken_answers, an_early_answer_without_a_length_and_with_a_clean_end_is_delivered)
+{
+    const scripted_answer answer{.bytes = sealedHead("HTTP/1.1 200 OK") + "\r\nwhole", .end = connection_end::finish_and_read, .pause = milliseconds(10)};
+    const broken_fleet alone(workers::raw_only, [&answer](std::string_view) { return answer; });
+    for (int i = 0; i < 4; ++i) {
+        const caller_view view = readAsCaller(alone.send("POST", "/book/1", UploadBytes));
+        cr_assert(view.isWhole && view.status == 200 && view.body == "whole", "%u %s", view.status, view.body.c_str());
+    }
+}
--- a/transport/include/dandelionstall/transport/worker_client.h
+++ b/transport/include/dandelionstall/transport/worker_client.h
@@ -115,6 +115,7 @@
     runOn(stream_ptr stream, bool reused, worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call);
     boost::asio::awaitable<boost::system::error_code> readHead(exchange &current, const worker_request &request) const;
     boost::asio::awaitable<boost::system::error_code> dropBody(exchange &current) const;
+    boost::asio::awaitable<boost::system::error_code> readBody(exchange &current, worker_answer_sink &sink, std::size_t maxBytes) const;
     answer_origin originOf(const exchange &current, const worker_request &request) const;
     bool passesSealCheck(const exchange &current) const;
     void keepIdleConnection(const exchange &current, const worker_request &request, const worker_call &call);
--- a/transport/src/worker_client.cpp
+++ b/transport/src/worker_client.cpp
@@ -1,6 +1,9 @@
-#include <dandelionstall/protocol/caller_http.h>
 #include <dandelionstall/transport/worker_client.h>
 
+#include "request_write.h"
+
+#include <dandelionstall/protocol/caller_http.h>
+
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -95,13 +98,6 @@
     return std::max<state::duration>(std::chrono::seconds(seconds) - IdleMargin, state::duration::zero());
 }
 
-// State of the write of a request. The answer is read at the same time, as a worker may answer before it has the whole body.
-struct request_write {
-    http::request<http::string_body> message;
-    bool done = false;
-    beast::error_code error;
-};
-
 // True when the worker has closed the idle connection or has sent unsolicited bytes on it.
 bool isStale(beast::tcp_stream &stream)
 {
@@ -161,7 +157,7 @@
 // One request on one connection, and the part of the answer received so far.
 struct worker_client::exchange {
     stream_ptr stream;
-    std::shared_ptr<request_write> write;
+    std::shared_ptr<detail::request_write> write;
     beast::flat_buffer buffer{MaxBufferedBytes};
     std::unique_ptr<answer_parser> parser;
     protocol::http_headers headers; // end-to-end headers of the answer
@@ -308,10 +304,36 @@
     co_return beast::error_code();
 }
 
+// Passes the body to the sink as it arrives; error body_limit when it is longer than `maxBytes`.
+asio::awaitable<beast::error_code> worker_client::readBody(exchange &current, worker_answer_sink &sink, std::size_t maxBytes) const
+{
+    std::size_t total = 0;
+    std::array<char, BodyChunkBytes> chunk{};
+    while (!current.parser->is_done()) {
+        current.parser->get().body().data = chunk.data();
+        current.parser->get().body().size = chunk.size();
+        const auto [error, bytes] = co_await http::async_read(*current.stream, current.buffer, *current.parser, asio::as_tuple(asio::use_awaitable));
+        if (error && error != http::error::need_buffer) {
+            co_return error;
+        }
+        const std::size_t length = chunk.size() - current.parser->get().body().size;
+        total += length;
+        if (total > maxBytes) {
+            co_return beast::error_code(http::error::body_limit);
+        }
+        if (length > 0) {
+            co_await sink.onBody({chunk.data(), length});
+        }
+    }
+    if (!current.parser->need_eof()) {
+        co_return beast::error_code();
+    }
+    co_return co_await detail::checkStreamEnd(*current.stream, *current.write);
+}
+
 asio::awaitable<worker_result>
 worker_client::runOn(stream_ptr stream, bool reused, worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call)
 {
-    constexpr auto token = asio::as_tuple(asio::use_awaitable);
     worker_result result;
     call->m_stream = stream;
     stream->expires_at(request.deadline);
@@ -319,14 +341,9 @@
     exchange current;
     current.stream = stream;
     current.reused = reused;
-    current.write = std::make_shared<request_write>();
     result.sentAt = state::clock::now();
     result.handed = std::max(std::chrono::milliseconds(1), std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - result.sentAt));
-    current.write->message = makeRequest(request, m_names, result.handed);
-    http::async_write(*stream, current.write->message, [write = current.write, stream](const beast::error_code &error, std::size_t) {
-        write->done = true;
-        write->error = error;
-    });
+    current.write = detail::startWrite(stream, makeRequest(request, m_names, result.handed));
 
     if (const beast::error_code error = co_await readHead(current, request); error) {
         result.outcome = outcomeOf(error, *call);
@@ -353,27 +370,10 @@
     sink.onHead(current.status, current.headers);
 
     const std::size_t maxBytes = current.status < FirstErrorStatus ? request.maxAnswerBytes : std::min(MaxErrorBytes, request.maxAnswerBytes);
-    std::size_t total = 0;
-    std::array<char, BodyChunkBytes> chunk{};
-    while (!current.parser->is_done()) {
-        current.parser->get().body().data = chunk.data();
-        current.parser->get().body().size = chunk.size();
-        const auto [error, bytes] = co_await http::async_read(*stream, current.buffer, *current.parser, token);
-        if (error && error != http::error::need_buffer) {
-            result.outcome = outcomeOf(error, *call);
-            stream->close();
-            co_return result;
-        }
-        const std::size_t length = chunk.size() - current.parser->get().body().size;
-        total += length;
-        if (total > maxBytes) {
-            result.outcome = worker_call_outcome::cut;
-            stream->close();
-            co_return result;
-        }
-        if (length > 0) {
-            co_await sink.onBody({chunk.data(), length});
-        }
+    if (const beast::error_code error = co_await readBody(current, sink, maxBytes); error) {
+        result.outcome = outcomeOf(error, *call);
+        stream->close();
+        co_return result;
     }
     result.outcome = worker_call_outcome::answered;
     keepIdleConnection(current, request, *call);
--- /dev/null
+++ b/transport/tests/test_broken_answers.cpp
@@ -0,0 +1,163 @@
+// Tests of transport/worker_client.h: answers that a worker breaks off, or that are no answers in the protocol, are never taken for whole.
+#include "raw_worker.h"
+
+#include <dandelionstall/transport/worker_client.h>
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+using namespace dandelionstall;
+using namespace dandelionstall::transport;
+using namespace dandelionstall::transport::testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t UploadBytes = 8'388'608; // more than the buffers of a connection hold
+constexpr milliseconds CallTime{3000};
+
+class recording_sink : public worker_answer_sink
+{
+public:
+    void onSignals(const protocol::worker_signals &, bool) override
+    {
+        ++signals;
+    }
+
+    void onHead(std::uint32_t answerStatus, protocol::http_headers answerHeaders) override
+    {
+        ++heads;
+        status = answerStatus;
+        headers = std::move(answerHeaders);
+    }
+
+    asio::awaitable<void> onBody(std::string_view bytes) override
+    {
+        body += bytes;
+        co_return;
+    }
+
+    int signals = 0;
+    int heads = 0;
+    std::uint32_t status = 0;
+    protocol::http_headers headers;
+    std::string body;
+};
+
+struct call_result {
+    worker_result result;
+    recording_sink sink;
+};
+
+state::header_names sealedNames()
+{
+    state::header_names names;
+    names.requestId = "Request-Id";
+    names.seal = "Seal";
+    names.notRun = "Not-Run";
+    names.expectedWorker = "Expected";
+    return names;
+}
+
+worker_request makeRequest(const std::string &method, std::size_t bodyBytes)
+{
+    worker_request request;
+    request.method = method;
+    request.target = "/path";
+    request.headers = {{"Host", "service.example"}, {"Request-Id", "one"}};
+    request.body = std::string(bodyBytes, 'u');
+    request.deadline = state::clock::now() + CallTime;
+    return request;
+}
+
+asio::awaitable<void> runCall(asio::io_context &io, worker_client &client, worker_request request, call_result &out)
+{
+    out.result = co_await client.run(std::move(request), out.sink, std::make_shared<worker_call>());
+    io.stop();
+}
+
+void callWorker(scripted_answer answer, worker_request request, call_result &out)
+{
+    asio::io_context io(1);
+    raw_worker worker(io, std::move(answer));
+    worker_client client(worker.address(), sealedNames());
+    asio::co_spawn(io, runCall(io, client, std::move(request), out), asio::detached);
+    io.run_for(CallTime + CallTime);
+}
+
+std::string describe(const call_result &call)
+{
+    return std::string(outcomeName(call.result.outcome)) + ", status " + std::to_string(call.result.status) + ", body '" + call.sink.body.substr(0, 40) + "'";
+}
+
+std::string sealedHead(const std::string &statusLine)
+{
+    return statusLine + "\r\nRequest-Id: one\r\nSeal: x\r\n";
+}
+
+} // namespace
+
+// Guards against a reset that the write of the request is told of, while the read sees a plain end of the stream: an answer without a
+// length would be taken for whole.
+Test(broken_answers, without_a_length_are_not_whole_when_the_upload_is_reset)
+{
+    for (const char *statusLine : {"HTTP/1.1 200 OK", "HTTP/1.0 201 Created", "HTTP/1.1 404 Not Found", "HTTP/1.1 500 Error"}) {
+        for (const std::size_t requestBytes : {std::size_t(0), std::size_t(300'000)}) {
+            for (const connection_end end : {connection_end::reset, connection_end::close, connection_end::finish_then_close}) {
+                for (const int pause : {0, 1, 5, 20, 60}) {
+                    call_result call;
+                    callWorker({.bytes = sealedHead(statusLine) + "\r\nhalf", .end = end, .pause = milliseconds(pause), .requestBytes = requestBytes},
+                               makeRequest("POST", UploadBytes),
+                               call);
+                    cr_assert(call.result.outcome == worker_call_outcome::cut,
+                              "%s, end %d after %d ms: %s",
+                              statusLine,
+                              static_cast<int>(end),
+                              pause,
+                              describe(call).c_str());
+                }
+            }
+        }
+    }
+}
+
+// An early answer without a length is whole when its worker ends its own side cleanly, whether it reads the upload at once, later or not.
+Test(broken_answers, an_early_answer_without_a_length_is_whole_after_a_clean_end)
+{
+    for (const connection_end end : {connection_end::finish_and_read, connection_end::finish_and_stay}) {
+        for (const int pause : {0, 5, 60, 500}) {
+            call_result call;
+            callWorker(
+                {.bytes = sealedHead("HTTP/1.1 200 OK") + "\r\nwhole", .end = end, .pause = milliseconds(pause)}, makeRequest("POST", UploadBytes), call);
+            cr_assert(call.result.outcome == worker_call_outcome::answered, "end %d after %d ms: %s", static_cast<int>(end), pause, describe(call).c_str());
+            cr_assert(call.sink.body == "whole", "%s", describe(call).c_str());
+        }
+    }
+}
+
+Test(broken_answers, an_answer_without_a_length_after_the_whole_upload_is_whole)
+{
+    for (const std::size_t bytes : {std::size_t(0), std::size_t(1000), UploadBytes}) {
+        call_result call;
+        callWorker(
+            {.bytes = sealedHead("HTTP/1.0 200 OK") + "\r\nwhole", .end = connection_end::close, .requestBytes = bytes}, makeRequest("POST", bytes), call);
+        cr_assert(call.result.outcome == worker_call_outcome::answered && call.sink.body == "whole", "%zu bytes: %s", bytes, describe(call).c_str());
+    }
+}
+
+// An early answer that states its length, or is chunked, is proven by that, whatever becomes of the upload.
+Test(broken_answers, an_early_answer_with_a_length_is_judged_by_its_length)
+{
+    const std::string head = sealedHead("HTTP/1.1 200 OK");
+    for (const char *rest : {"Content-Length: 5\r\n\r\nwhole", "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"}) {
+        call_result call;
+        callWorker({.bytes = head + rest, .end = connection_end::reset, .pause = milliseconds(5)}, makeRequest("POST", UploadBytes), call);
+        cr_assert(call.result.outcome == worker_call_outcome::answered && call.sink.body == "whole", "%s: %s", rest, describe(call).c_str());
+    }
+    for (const char *rest : {"Content-Length: 6\r\n\r\nwhole", "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n"}) {
+        call_result call;
+        callWorker({.bytes = head + rest, .end = connection_end::reset, .pause = milliseconds(5)}, makeRequest("POST", UploadBytes), call);
+        cr_assert(call.result.outcome == worker_call_outcome::cut, "%s: %s", rest, describe(call).c_str());
+    }
+}
