Fix: an answer with a status outside of the protocol reached callers

What callers saw: a worker's answer with status 000 (or 001, 099) came as the answer that its body held, with status 200 where the worker had failed. 600 and 999 were passed on as they were, and bytes behind an unasked 101 were taken for an answer.

Cause: each status under 200 counted as an interim answer without a body, behind which the answer was read; nothing bounded the status from above, neither at the worker's connection nor in the message between nodes.

Why this works: RFC 9110, 15 knows statuses from 100 to 599. 200 to 599 are answers, 100 to 199 but for 101 (the node asks for no other protocol) precede one, and all others end the call as cut, so that work that may be repeated goes elsewhere and other callers get a 5xx of the node that does not claim that nothing ran. RFC 9110 lets a client take 600 to 999 for a 5xx; as the caller is to get the worker's status or none, that means a 5xx of the node. An answer head with such a status from another node does not decode, so that the ingress checks for itself.

--- a/protocol/include/dandelionstall/protocol/caller_http.h
+++ b/protocol/include/dandelionstall/protocol/caller_http.h
@@ -39,6 +39,9 @@
 std::uint64_t retryAfterSeconds(const caller_refusal &refusal);            // whole seconds, rounded up; 0 when there is no delay
 std::string retryAfterText(const caller_refusal &refusal, bool fractions); // value of the Retry-After header
 
+bool isFinalStatus(std::uint32_t status);   // status that an answer may have, 200 to 599 (RFC 9110, 15)
+bool isInterimStatus(std::uint32_t status); // status that may precede an answer, 100 to 199; not 101, for which no request asks
+
 bool equalHeaderNames(std::string_view a, std::string_view b);                   // compares header names without regard to case
 std::string_view findHeader(const http_headers &headers, std::string_view name); // value of the first header with this name; empty when absent
 http_headers endToEndHeaders(const http_headers &headers);                       // headers without the hop-by-hop ones
--- a/protocol/src/caller_http.cpp
+++ b/protocol/src/caller_http.cpp
@@ -96,6 +96,17 @@
     return std::to_string(refusal.retryAfter.count() / 1000) + "." + std::string(3 - millis.size(), '0') + millis;
 }
 
+bool isFinalStatus(std::uint32_t status)
+{
+    return status >= 200 && status <= 599;
+}
+
+bool isInterimStatus(std::uint32_t status)
+{
+    constexpr std::uint32_t SwitchingProtocols = 101;
+    return status >= 100 && status <= 199 && status != SwitchingProtocols;
+}
+
 bool equalHeaderNames(std::string_view a, std::string_view b)
 {
     return a.size() == b.size()
--- a/protocol/src/messages.cpp
+++ b/protocol/src/messages.cpp
@@ -1,3 +1,4 @@
+#include <dandelionstall/protocol/caller_http.h>
 #include <dandelionstall/protocol/messages.h>
 #include <dandelionstall/protocol/report_codec.h>
 
@@ -225,6 +226,9 @@
     message.run = parseRunState(in->run());
     message.refusal = coordination::parseRefusalReason(in->refusal());
     message.status = in->status();
+    if (message.status != 0 && !isFinalStatus(message.status)) {
+        return makeError(protocol_error::malformed_message, fmt::format("answer head with status {}", message.status));
+    }
     message.headers = readHeaders(*in);
     message.retryAfter = std::chrono::microseconds(in->retry_after_us());
     message.alternativeWorker = in->better_sibling();
--- a/protocol/tests/test_caller_http.cpp
+++ b/protocol/tests/test_caller_http.cpp
@@ -40,3 +40,11 @@
     const caller_refusal refusal{coordination::refusal_reason::path_down, coordination::run_state::unknown, std::chrono::milliseconds(0)};
     cr_assert(eq(u32, httpStatusOf(refusal), 502));
 }
+
+Test(caller_http, only_statuses_of_the_protocol_are_those_of_answers)
+{
+    for (std::uint32_t status = 0; status < 1100; ++status) {
+        cr_assert(isFinalStatus(status) == (status >= 200 && status < 600), "%u", status);
+        cr_assert(isInterimStatus(status) == (status >= 100 && status < 200 && status != 101), "%u", status);
+    }
+}
--- a/protocol/tests/test_messages.cpp
+++ b/protocol/tests/test_messages.cpp
@@ -87,6 +87,22 @@
     }));
 }
 
+// 0 says that there is no answer of a worker.
+Test(messages, a_status_that_no_answer_may_have_is_malformed)
+{
+    for (const std::uint32_t status : {0U, 200U, 204U, 404U, 599U}) {
+        answer_head head;
+        head.status = status;
+        const auto parsed = decodeAnswerHead(encode(head));
+        cr_assert(parsed.ok() && parsed->status == status, "%u", status);
+    }
+    for (const std::uint32_t status : {1U, 99U, 100U, 101U, 199U, 600U, 999U, 1000U, 4'000'000'000U}) {
+        answer_head head;
+        head.status = status;
+        cr_assert(not(decodeAnswerHead(encode(head)).ok()), "%u", status);
+    }
+}
+
 Test(messages, an_answer_keeps_its_reason_and_reports)
 {
     answer_head head;
--- a/tests/integration/test_promise_broken_answers.cpp
+++ b/tests/integration/test_promise_broken_answers.cpp
@@ -25,11 +25,12 @@
 namespace {
 
 constexpr std::size_t Nodes = 2;
-constexpr std::size_t FirstNode = 0; // takes the requests
-constexpr std::size_t RawNode = 1;   // its worker sends the scripted bytes
+constexpr std::size_t FirstNode = 0; // takes the requests when the worker beside the other node is the only one
+constexpr std::size_t RawNode = 1;   // its worker sends the scripted bytes; takes the requests when there is another worker: it prefers its own
 constexpr std::size_t UploadBytes = 8'388'608;
 constexpr std::size_t LongPartBytes = 4'194'304; // of an answer; more than a node holds back before it sends the head
 constexpr milliseconds Spread{1000};             // both nodes know the configuration and the workers after this
+constexpr milliseconds AllowanceTime{15'000};    // sidecars that have started admit no extra repeats for a window and some time
 
 enum class workers { raw_only, raw_and_healthy };
 
@@ -53,11 +54,14 @@
         m_raw.emplace(m_fleet.workerAddress(RawNode), std::move(script));
         cr_assert(waitUntil([&] { return m_fleet.linesWith("config_accepted").find("5") != std::string::npos; }));
         std::this_thread::sleep_for(Spread);
+        if (which == workers::raw_and_healthy) {
+            cr_assert(waitUntil([&] { return admitsRepeats(); }, AllowanceTime));
+        }
     }
 
-    std::string send(const std::string &method, const std::string &path, std::size_t bodyBytes = 0) const
+    std::string send(std::size_t node, const std::string &method, const std::string &path, std::size_t bodyBytes = 0) const
     {
-        return m_fleet.request(FirstNode, method, path, "broken", "1.1", std::string(bodyBytes, 'u'));
+        return m_fleet.request(node, method, path, "broken", "1.1", std::string(bodyBytes, 'u'));
     }
 
     std::size_t runsAtRawWorker() const
@@ -71,6 +75,12 @@
     }
 
 private:
+    bool admitsRepeats() const
+    {
+        const std::string lines = m_fleet.linesWith("name=repeat_part_changed");
+        return lines.find("worker=w0 workers=2 part=28") != std::string::npos && lines.find("worker=w1 workers=2 part=28") != std::string::npos;
+    }
+
     store_fleet m_fleet;
     std::optional<raw_worker_thread> m_raw;
 };
@@ -115,6 +125,33 @@
     return statusLine + "\r\nServer-Stamp: raw\r\n";
 }
 
+// Where the worker that sends the answers is the only one: to requests that may be repeated, and to others.
+void expectNoneIsPassedOn(const std::vector<std::string> &answers)
+{
+    std::string bytes;
+    const broken_fleet fleet(workers::raw_only, [&bytes](std::string_view) { return scripted_answer{.bytes = bytes}; });
+    for (const std::string &answer : answers) {
+        bytes = answer;
+        for (const char *path : {"/read/1", "/book/1"}) {
+            expectNoAnswerOfTheWorker(fleet.send(FirstNode, "GET", path), path + (" " + answer));
+        }
+    }
+    cr_assert_eq(fleet.runsAtRawWorker(), 2 * answers.size(), "each request runs once at the only worker");
+}
+
+// Where another worker can serve what may be repeated.
+void expectOthersServe(const std::vector<std::string> &answers)
+{
+    std::string bytes;
+    const broken_fleet fleet(workers::raw_and_healthy, [&bytes](std::string_view) { return scripted_answer{.bytes = bytes}; });
+    for (const std::string &answer : answers) {
+        bytes = answer;
+        const caller_view view = readAsCaller(fleet.send(RawNode, "GET", "/read/1"));
+        cr_assert(view.isWhole && view.status == 200, "%s: %u", answer.c_str(), view.status);
+    }
+    cr_assert_gt(fleet.runsAtRawWorker(), 0, "no request met a broken answer");
+}
+
 } // namespace
 
 Test(broken_answers, an_upload_that_is_reset_behind_an_early_answer_is_not_answered)
@@ -126,7 +163,7 @@
         for (const connection_end end : {connection_end::reset, connection_end::close}) {
             for (const std::string &part : {std::string("half"), std::string(LongPartBytes, 'h')}) {
                 answer = {.bytes = sealedHead(statusLine) + "\r\n" + part, .end = end, .pause = milliseconds(10)};
-                const std::string bytes = alone.send("POST", "/book/1", UploadBytes);
+                const std::string bytes = alone.send(FirstNode, "POST", "/book/1", UploadBytes);
                 expectNoAnswerOfTheWorker(bytes, fmt::format("{}, end {}, {} bytes", statusLine, static_cast<int>(end), part.size()));
                 ++sent;
             }
@@ -140,7 +177,7 @@
     const scripted_answer answer{.bytes = sealedHead("HTTP/1.1 200 OK") + "\r\nhalf", .end = connection_end::reset, .pause = milliseconds(10)};
     const broken_fleet both(workers::raw_and_healthy, [&answer](std::string_view) { return answer; });
     for (int i = 0; i < 6; ++i) {
-        const caller_view view = readAsCaller(both.send("POST", "/read/1", UploadBytes));
+        const caller_view view = readAsCaller(both.send(RawNode, "POST", "/read/1", UploadBytes));
         cr_assert(view.isWhole && view.status == 200 && view.body != "half", "%u %s", view.status, view.body.c_str());
     }
 }
@@ -150,7 +187,19 @@
     const scripted_answer answer{.bytes = sealedHead("HTTP/1.1 200 OK") + "\r\nwhole", .end = connection_end::finish_and_read, .pause = milliseconds(10)};
     const broken_fleet alone(workers::raw_only, [&answer](std::string_view) { return answer; });
     for (int i = 0; i < 4; ++i) {
-        const caller_view view = readAsCaller(alone.send("POST", "/book/1", UploadBytes));
+        const caller_view view = readAsCaller(alone.send(FirstNode, "POST", "/book/1", UploadBytes));
         cr_assert(view.isWhole && view.status == 200 && view.body == "whole", "%u %s", view.status, view.body.c_str());
     }
 }
+
+Test(broken_answers, a_status_outside_of_the_protocol_is_not_passed_on)
+{
+    const std::string inner = sealedHead("HTTP/1.1 200 OK") + "Content-Length: 5\r\n\r\ninner";
+    std::vector<std::string> answers;
+    for (const char *status : {"000", "099", "600", "999"}) {
+        answers.push_back(sealedHead(fmt::format("HTTP/1.1 {} Odd", status)) + fmt::format("Content-Length: {}\r\n\r\n{}", inner.size(), inner));
+    }
+    answers.push_back("HTTP/1.1 101 Switching Protocols\r\n\r\n" + inner);
+    expectNoneIsPassedOn(answers);
+    expectOthersServe(answers);
+}
--- a/transport/src/worker_client.cpp
+++ b/transport/src/worker_client.cpp
@@ -32,7 +32,6 @@
 constexpr std::size_t MaxDroppedBytes = 262'144;  // of the body of a late answer, before the connection is given up
 constexpr std::size_t MaxErrorBytes = 1'048'576;  // of the body of an answer with an error
 constexpr std::size_t MaxBufferedBytes = 131'072; // received and not yet parsed: bounds chunk headers and trailers
-constexpr std::uint32_t FirstFinalStatus = 200;
 constexpr std::uint32_t StatusMisdirected = 421;
 constexpr std::uint32_t FirstErrorStatus = 400;
 
@@ -262,7 +261,10 @@
         }
         current.status = current.parser->get().result_int();
         current.headers = headersOf(current.parser->get().base());
-        const bool isInterim = current.status < FirstFinalStatus;
+        const bool isInterim = protocol::isInterimStatus(current.status);
+        if (!isInterim && !protocol::isFinalStatus(current.status)) {
+            break;
+        }
         const answer_origin origin = originOf(current, request);
         if (!isInterim && origin == answer_origin::this_request) {
             co_return beast::error_code();
--- a/transport/tests/test_broken_answers.cpp
+++ b/transport/tests/test_broken_answers.cpp
@@ -96,6 +96,14 @@
     return statusLine + "\r\nRequest-Id: one\r\nSeal: x\r\n";
 }
 
+void expectCutWithoutHead(const std::string &bytes)
+{
+    call_result call;
+    callWorker({.bytes = bytes}, makeRequest("GET", 0), call);
+    cr_assert(call.result.outcome == worker_call_outcome::cut, "%s: %s", bytes.c_str(), describe(call).c_str());
+    cr_assert(call.sink.heads == 0 && call.sink.signals == 0, "an answer that is none reached the sink: %s", bytes.c_str());
+}
+
 } // namespace
 
 // Guards against a reset that the write of the request is told of, while the read sees a plain end of the stream: an answer without a
@@ -161,3 +169,40 @@
         cr_assert(call.result.outcome == worker_call_outcome::cut, "%s: %s", rest, describe(call).c_str());
     }
 }
+
+// RFC 9110, 15: a status is of 100 to 599. What follows a status that is none may look like an answer, but is no worker's word.
+Test(broken_answers, a_status_outside_of_the_protocol_is_no_answer)
+{
+    const std::string inner = sealedHead("HTTP/1.1 200 OK") + "Content-Length: 5\r\n\r\ninner";
+    const std::string own = "Content-Length: " + std::to_string(inner.size()) + "\r\n\r\n" + inner;
+    for (const char *status : {"000", "001", "042", "099", "600", "700", "999"}) {
+        const std::string head = sealedHead(std::string("HTTP/1.1 ") + status + " Odd");
+        expectCutWithoutHead(head + own);
+        expectCutWithoutHead(head + "\r\n" + inner);
+        expectCutWithoutHead("HTTP/1.1 102 Processing\r\n\r\n" + head + own);
+    }
+}
+
+// The client never asks for another protocol; after a 101 the bytes on the connection are those of one.
+Test(broken_answers, a_change_of_the_protocol_that_was_not_asked_for_is_no_answer)
+{
+    const std::string inner = sealedHead("HTTP/1.1 200 OK") + "Content-Length: 5\r\n\r\ninner";
+    expectCutWithoutHead("HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n" + inner);
+    expectCutWithoutHead("HTTP/1.1 101 Switching Protocols\r\n\r\n" + inner);
+}
+
+Test(broken_answers, every_final_status_of_the_protocol_is_passed_on)
+{
+    for (const int status : {200, 206, 299, 302, 400, 404, 418, 451, 499, 500, 503, 511, 599}) {
+        for (const char *interim : {"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", "HTTP/1.1 199 Odd\r\n\r\n"}) {
+            call_result call;
+            callWorker(
+                {.bytes = interim + sealedHead("HTTP/1.1 " + std::to_string(status) + " X") + "Content-Length: 4\r\n\r\nbody"}, makeRequest("GET", 0), call);
+            cr_assert(call.result.outcome == worker_call_outcome::answered && call.sink.status == static_cast<std::uint32_t>(status),
+                      "%s%d: %s",
+                      interim,
+                      status,
+                      describe(call).c_str());
+        }
+    }
+}
