Fix: a line of a head that begins with a blank changed another field of the answer

What callers saw: where a worker's head held a line that begins with a blank or a tab, the answer was passed on with that line joined to the value of the field before, the worker's stamp too ("Server-Stamp: raw X-Name: a").

Cause: the parser takes such a line for a folded value. It refuses all other names with a blank or a control byte, or none at all, and control bytes in values, reasons and trailers.

Why this works: the head is read as before, and each line that the parser has taken is looked at before the answer is. RFC 9112, 5.2 lets a proxy refuse such a head with 502, or put blanks in place of the fold. It is refused: the fold can hide what a worker meant as a field of its own, and a caller is to get the worker's fields or none.

--- a/tests/integration/test_promise_broken_answers.cpp
+++ b/tests/integration/test_promise_broken_answers.cpp
@@ -203,3 +203,15 @@
     expectNoneIsPassedOn(answers);
     expectOthersServe(answers);
 }
+
+Test(broken_answers, a_name_of_a_field_with_a_blank_or_a_control_byte_is_not_passed_on)
+{
+    std::vector<std::string> answers;
+    for (const char *line : {"X Name: a", "X-Name : a", "X-\x01Name: a", "X-\x7fName: a", " X-Name: a", "\tfolded"}) {
+        const std::string broken = std::string(line) + "\r\n";
+        answers.push_back(sealedHead("HTTP/1.1 200 OK") + broken + "Content-Length: 4\r\n\r\nbody");
+        answers.push_back(sealedHead("HTTP/1.1 500 Error") + "Content-Length: 4\r\n" + broken + "\r\nbody");
+    }
+    expectNoneIsPassedOn(answers);
+    expectOthersServe(answers);
+}
--- a/transport/src/worker_client.cpp
+++ b/transport/src/worker_client.cpp
@@ -1,5 +1,6 @@
 #include <dandelionstall/transport/worker_client.h>
 
+#include "answer_head.h"
 #include "request_write.h"
 
 #include <dandelionstall/protocol/caller_http.h>
@@ -247,7 +248,6 @@
 // Reads the head of the answer to this request; late answers to earlier requests that precede it are dropped.
 asio::awaitable<boost::system::error_code> worker_client::readHead(exchange &current, const worker_request &request) const
 {
-    constexpr auto token = asio::as_tuple(asio::use_awaitable);
     int earlier = 0;
     int interim = 0;
     while (earlier <= MaxEarlierAnswers && interim <= MaxInterimAnswers) {
@@ -255,8 +255,7 @@
         current.parser->header_limit(HeaderLimitBytes);
         current.parser->body_limit(boost::none);
         current.parser->skip(request.method == "HEAD");
-        const auto [error, bytes] = co_await http::async_read_header(*current.stream, current.buffer, *current.parser, token);
-        if (error) {
+        if (const beast::error_code error = co_await detail::readAnswerHead(*current.stream, current.buffer, *current.parser); error) {
             co_return error;
         }
         current.status = current.parser->get().result_int();
--- a/transport/tests/test_broken_answers.cpp
+++ b/transport/tests/test_broken_answers.cpp
@@ -1,11 +1,14 @@
 // Tests of transport/worker_client.h: answers that a worker breaks off, or that are no answers in the protocol, are never taken for whole.
+#include "answer_head.h"
 #include "raw_worker.h"
 
+#include <dandelionstall/protocol/caller_http.h>
 #include <dandelionstall/transport/worker_client.h>
 
 #include <criterion/criterion.h>
 
 #include <string>
+#include <vector>
 
 using namespace dandelionstall;
 using namespace dandelionstall::transport;
@@ -206,3 +209,106 @@
         }
     }
 }
+
+// A line of the head that is no field: with a blank or a control byte in the name, or without a name.
+const std::vector<std::string> &brokenLines()
+{
+    using namespace std::string_literals;
+    static const std::vector<std::string> lines{
+        "X Name: a",
+        "X\tName: a",
+        "X-Name : a",
+        "X-Name\t: a",
+        "X-\x01Name: a",
+        "X-\x1fName: a",
+        "X-\0Name: a"s,
+        "X-\x7fName: a",
+        "X-\rName: a",
+        "X-\x80Name: a",
+        "X-\xc3\xa4: a",
+        ": a",
+        "X-Name",
+        "X(Name): a",
+        "X-Name\x0b: a",
+        "X-\x08: a",
+        "X-\nName: a",
+    };
+    return lines;
+}
+
+// Line by line, at the start, in the middle and at the end of a head.
+Test(broken_answers, a_name_of_a_field_with_a_blank_or_a_control_byte_makes_no_answer)
+{
+    for (const std::string &line : brokenLines()) {
+        for (const char *statusLine : {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 500 Error\r\n"}) {
+            const std::string broken = line + "\r\n";
+            const std::string body = "\r\nbody";
+            expectCutWithoutHead(statusLine + broken + "Request-Id: one\r\nSeal: x\r\nContent-Length: 4\r\n" + body);
+            expectCutWithoutHead(statusLine + ("Request-Id: one\r\n" + broken) + "Seal: x\r\nContent-Length: 4\r\n" + body);
+            expectCutWithoutHead(statusLine + ("Request-Id: one\r\nSeal: x\r\nContent-Length: 4\r\n" + broken) + body);
+        }
+    }
+}
+
+// RFC 9112, 5.2: a line that begins with a blank goes on with the value of the line before, which would change that value.
+Test(broken_answers, a_line_that_begins_with_a_blank_makes_no_answer)
+{
+    for (const char *folded : {" folded\r\n", "\tfolded\r\n", " X-Name: a\r\n", "\tSeal: y\r\n", " \r\n", "  4\r\n"}) {
+        for (const char *before : {"Seal: x\r\n", "X-Name: a\r\n", "Content-Length: 4\r\n", ""}) {
+            const std::string lines = before + std::string(folded);
+            expectCutWithoutHead("HTTP/1.1 200 OK\r\n" + lines + "Request-Id: one\r\nSeal: x\r\nContent-Length: 4\r\n\r\nbody");
+            expectCutWithoutHead("HTTP/1.1 500 Error\r\nRequest-Id: one\r\nSeal: x\r\nContent-Length: 4\r\n" + lines + "\r\nbody");
+        }
+    }
+}
+
+// However the bytes of the head arrive.
+Test(broken_answers, a_line_that_begins_with_a_blank_is_found_in_any_parts)
+{
+    for (const bool folded : {false, true}) {
+        const std::string head = std::string("HTTP/1.1 200 OK\r\nSeal: x\r\n") + (folded ? "\tfolded\r\n" : "X-Name:  a \r\n") + "\r\n";
+        for (std::size_t split = 0; split <= head.size(); ++split) {
+            detail::folded_line_scan scan;
+            const bool inFirst = scan.feed(std::string_view(head).substr(0, split));
+            const bool inSecond = scan.feed(std::string_view(head).substr(split));
+            cr_assert((inFirst || inSecond) == folded, "split at %zu", split);
+        }
+    }
+}
+
+Test(broken_answers, a_body_may_have_lines_that_begin_with_a_blank)
+{
+    const std::string body = "one\r\n two\r\n\tthree\r\n\r\n four";
+    call_result call;
+    callWorker({.bytes = sealedHead("HTTP/1.1 200 OK") + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body}, makeRequest("GET", 0), call);
+    cr_assert(call.result.outcome == worker_call_outcome::answered && call.sink.body == body, "%s", describe(call).c_str());
+}
+
+Test(broken_answers, a_control_byte_in_a_value_or_a_reason_makes_no_answer)
+{
+    using namespace std::string_literals;
+    for (const std::string &byte : {"\0"s, "\x01"s, "\x08"s, "\x0b"s, "\x1f"s, "\x7f"s, "\r"s, "\n"s}) {
+        const std::string rest = "Request-Id: one\r\nSeal: x\r\nContent-Length: 4\r\n\r\nbody";
+        expectCutWithoutHead("HTTP/1.1 200 OK\r\nX-Name: a" + byte + "b\r\n" + rest);
+        expectCutWithoutHead("HTTP/1.1 200 O" + byte + "K\r\n" + rest);
+    }
+}
+
+Test(broken_answers, a_value_may_have_tabs_and_bytes_over_0x7f)
+{
+    call_result call;
+    callWorker({.bytes = sealedHead("HTTP/1.1 200 Oh\xe9") + "X-Name: a\tb \xc3\xa4 \xe9\r\nContent-Length: 4\r\n\r\nbody"}, makeRequest("GET", 0), call);
+    cr_assert(call.result.outcome == worker_call_outcome::answered, "%s", describe(call).c_str());
+    cr_assert(protocol::findHeader(call.sink.headers, "X-Name") == "a\tb \xc3\xa4 \xe9");
+}
+
+// Trailers are not passed on, and a broken one shows that the rest of the answer can't be told from other bytes.
+Test(broken_answers, a_trailer_that_is_no_field_cuts_the_answer)
+{
+    for (const std::string &line : brokenLines()) {
+        call_result call;
+        callWorker(
+            {.bytes = sealedHead("HTTP/1.1 200 OK") + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n" + line + "\r\n\r\n"}, makeRequest("GET", 0), call);
+        cr_assert(call.result.outcome == worker_call_outcome::cut, "%s: %s", line.c_str(), describe(call).c_str());
+    }
+}
