Fix: an answer without end took all memory of the machine that dandelionctl ran on

What operators saw: against an address that answers with a chunk header or trailers without end, dandelionctl grew until the machine's memory was gone (by hand 24 GB in 15 s, then it was killed), far beyond its own time limit of 3 s.

Cause: the buffer of received bytes that are not yet parsed had no limit. Heads and bodies had theirs.

Why this works: the buffer is limited to 128 KiB, like those of the worker client and the client of the platform's store, and the call ends with an error at the limit. Cut answers and statuses outside of the protocol were errors before; their tests are kept.

--- a/programs/dandelionctl/admin_client.cpp
+++ b/programs/dandelionctl/admin_client.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::uint64_t MaxAnswerBytes = 67'108'864; // 64 MiB
+constexpr std::size_t MaxBufferedBytes = 131'072;    // received and not yet parsed: bounds header, chunk headers and trailers
 
 using response_parser = http::response_parser<http::string_body>;
 
@@ -27,7 +28,7 @@
     request.set(http::field::host, formatNodeAddress(node));
     request.set(http::field::connection, "close");
     co_await http::async_write(stream, request, asio::use_awaitable);
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{MaxBufferedBytes};
     parser.body_limit(MaxAnswerBytes);
     co_await http::async_read(stream, buffer, parser, asio::use_awaitable);
 }
--- a/programs/dandelionctl/tests/tool_run.h
+++ b/programs/dandelionctl/tests/tool_run.h
@@ -20,10 +20,11 @@
     std::string text; // standard output and standard error
 };
 
-inline tool_result runTool(const std::string &arguments)
+// before: shell commands that precede the tool, for example limits of its resources
+inline tool_result runTool(const std::string &arguments, const std::string &before = {})
 {
     tool_result result;
-    FILE *pipe = popen((std::string(DANDELIONCTL) + " " + arguments + " 2>&1").c_str(), "r");
+    FILE *pipe = popen((before + DANDELIONCTL + " " + arguments + " 2>&1").c_str(), "r");
     cr_assert(pipe != nullptr);
     std::array<char, 4096> chunk{};
     for (std::size_t count = 0; (count = fread(chunk.data(), 1, chunk.size(), pipe)) > 0;) {
