Fix: a body in another coding than chunks reached callers as the worker's bytes

What callers would see: an answer with "Transfer-Encoding: gzip, chunked" (or another coding, or several such fields) came with the coded bytes as its body, and without the name of the coding. Found while checking the other places that read answers; no report of it.

Cause: the parser decodes chunks and leaves any other coding as it is, and the field is one of the connection, so that it is not passed on. Requests with such codings were refused already.

Evidence: broken_answers::a_body_of_which_the_end_or_the_coding_is_unclear_makes_no_answer failed before ("Transfer-Encoding: gzip, chunked: answered, status 200"), and a_body_in_another_coding_than_chunks_is_not_passed_on through two nodes. A length beside chunks, and lengths that differ or are no numbers, were cut before; the test keeps them.

Why this works: the node never asks for a coding, so an answer with any but "chunked", given once, ends the call as cut.

--- a/tests/integration/test_promise_broken_answers.cpp
+++ b/tests/integration/test_promise_broken_answers.cpp
@@ -215,3 +215,14 @@
     expectNoneIsPassedOn(answers);
     expectOthersServe(answers);
 }
+
+Test(broken_answers, a_body_in_another_coding_than_chunks_is_not_passed_on)
+{
+    const std::string chunks = "4\r\nbody\r\n0\r\n\r\n";
+    std::vector<std::string> answers;
+    for (const char *coding : {"gzip, chunked", "chunked, chunked"}) {
+        answers.push_back(sealedHead("HTTP/1.1 200 OK") + fmt::format("Transfer-Encoding: {}\r\n\r\n{}", coding, chunks));
+    }
+    expectNoneIsPassedOn(answers);
+    expectOthersServe(answers);
+}
--- a/transport/src/worker_client.cpp
+++ b/transport/src/worker_client.cpp
@@ -71,6 +71,13 @@
     return protocol::endToEndHeaders(headers);
 }
 
+// The parser decodes chunks, and leaves bytes in any other coding as they are.
+bool isCodingSupported(const http::response_header<> &head)
+{
+    const std::size_t codings = head.count(http::field::transfer_encoding);
+    return codings == 0 || (codings == 1 && beast::iequals(head[http::field::transfer_encoding], "chunked"));
+}
+
 std::chrono::milliseconds retryAfterOf(const protocol::http_headers &headers)
 {
     const std::string_view text = protocol::findHeader(headers, "Retry-After");
@@ -258,6 +265,9 @@
         if (const beast::error_code error = co_await detail::readAnswerHead(*current.stream, current.buffer, *current.parser); error) {
             co_return error;
         }
+        if (!isCodingSupported(current.parser->get().base())) {
+            co_return beast::error_code(http::error::bad_transfer_encoding);
+        }
         current.status = current.parser->get().result_int();
         current.headers = headersOf(current.parser->get().base());
         const bool isInterim = protocol::isInterimStatus(current.status);
--- a/transport/tests/test_broken_answers.cpp
+++ b/transport/tests/test_broken_answers.cpp
@@ -102,7 +102,7 @@
 void expectCutWithoutHead(const std::string &bytes)
 {
     call_result call;
-    callWorker({.bytes = bytes}, makeRequest("GET", 0), call);
+    callWorker({.bytes = bytes, .end = connection_end::close, .pause = milliseconds(10)}, makeRequest("GET", 0), call);
     cr_assert(call.result.outcome == worker_call_outcome::cut, "%s: %s", bytes.c_str(), describe(call).c_str());
     cr_assert(call.sink.heads == 0 && call.sink.signals == 0, "an answer that is none reached the sink: %s", bytes.c_str());
 }
@@ -302,6 +302,34 @@
     cr_assert(protocol::findHeader(call.sink.headers, "X-Name") == "a\tb \xc3\xa4 \xe9");
 }
 
+// RFC 9112, 6: the end of the body is told by one Content-Length, or by chunks as the only coding. Other codings would reach callers as
+// the worker's bytes, since their names are not passed on.
+Test(broken_answers, a_body_of_which_the_end_or_the_coding_is_unclear_makes_no_answer)
+{
+    const std::string head = sealedHead("HTTP/1.1 200 OK");
+    const std::string chunks = "\r\n4\r\nbody\r\n0\r\n\r\n";
+    for (const char *codings : {"Transfer-Encoding: gzip, chunked\r\n",
+                                "Transfer-Encoding: chunked, gzip\r\n",
+                                "Transfer-Encoding: chunked, chunked\r\n",
+                                "Transfer-Encoding: gzip\r\n",
+                                "Transfer-Encoding: \r\n",
+                                "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+                                "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+                                "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+                                "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"}) {
+        expectCutWithoutHead(head + codings + chunks);
+    }
+    for (const char *length : {"Content-Length: 4\r\nContent-Length: 3\r\n",
+
+                               "Content-Length: +4\r\n",
+                               "Content-Length: -1\r\n",
+                               "Content-Length: 0x4\r\n",
+                               "Content-Length: \r\n",
+                               "Content-Length: 99999999999999999999\r\n"}) {
+        expectCutWithoutHead(head + length + "\r\nbody");
+    }
+}
+
 // Trailers are not passed on, and a broken one shows that the rest of the answer can't be told from other bytes.
 Test(broken_answers, a_trailer_that_is_no_field_cuts_the_answer)
 {
