Fix: a length that a worker stated twice was passed on twice

Found while checking what the caller's connection writes; no report of it.

Cause: the parser accepts equal lengths, and all headers were copied.

Evidence: broken_answers::a_length_that_is_repeated_is_passed_on_once; before, a run showed both headers at the sink.

Why this works: RFC 9110, 8.6 lets a proxy put one field in their place. Refusing the answer would take a working worker out.

--- a/transport/src/worker_client.cpp
+++ b/transport/src/worker_client.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <utility>
 
 namespace dandelionstall::transport {
 
@@ -62,11 +63,20 @@
     return message;
 }
 
+// The end-to-end headers. A length that is stated several times, for the parser has found all to be the same, is kept once.
 protocol::http_headers headersOf(const http::response_header<> &head)
 {
     protocol::http_headers headers;
+    bool hasLength = false;
     for (const auto &field : head) {
-        headers.push_back({std::string(field.name_string()), std::string(field.value())});
+        std::string value(field.value());
+        if (field.name() == http::field::content_length) {
+            if (std::exchange(hasLength, true)) {
+                continue;
+            }
+            value.resize(std::min(value.size(), value.find(',')));
+        }
+        headers.push_back({std::string(field.name_string()), std::move(value)});
     }
     return protocol::endToEndHeaders(headers);
 }
--- a/transport/tests/test_broken_answers.cpp
+++ b/transport/tests/test_broken_answers.cpp
@@ -7,6 +7,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -330,6 +331,21 @@
     }
 }
 
+// A length that is stated several times, always the same, is passed on once (RFC 9110, 8.6).
+Test(broken_answers, a_length_that_is_repeated_is_passed_on_once)
+{
+    for (const char *length : {"Content-Length: 4\r\nContent-Length: 4\r\n", "Content-Length: 4, 4\r\n", "Content-Length: 4\r\n"}) {
+        call_result call;
+        callWorker({.bytes = sealedHead("HTTP/1.1 200 OK") + length + "\r\nbody"}, makeRequest("GET", 0), call);
+        cr_assert(call.result.outcome == worker_call_outcome::answered && call.sink.body == "body", "%s: %s", length, describe(call).c_str());
+        const auto isLength = [](const protocol::http_header &header) {
+            return header.name == "Content-Length";
+        };
+        cr_assert_eq(std::count_if(call.sink.headers.begin(), call.sink.headers.end(), isLength), 1, "%s", length);
+        cr_assert(protocol::findHeader(call.sink.headers, "Content-Length") == "4", "%s", length);
+    }
+}
+
 // Trailers are not passed on, and a broken one shows that the rest of the answer can't be told from other bytes.
 Test(broken_answers, a_trailer_that_is_no_field_cuts_the_answer)
 {
