Fix: a table without a length that its service broke off could come into force

What operators would see: where the configuration service answers with a table and states no length, and ends in the middle, the part was taken for the table: rows at its end were gone, with the new revision. Found while checking the other places that read answers; no report of it.

Cause: the end of the connection completes such an answer, and a table of the tables' format has no end of its own; only tables in parts have a digest.

Evidence: platform_client::a_text_without_a_length_is_an_error failed before.

Why this works: the service states lengths or sends chunks, by its published protocol; get(), which reads tables, refuses a text without. Answers of the users' store are JSON documents, of which no part decodes (store_adapter::a_part_of_an_answer_is_none), so getAnyStatus() takes them as before. Statuses and fields outside of the protocol, and cut heads and chunks, were errors before; an_answer_that_is_none_is_an_error keeps that.

--- a/transport/include/dandelionstall/transport/platform_client.h
+++ b/transport/include/dandelionstall/transport/platform_client.h
@@ -20,6 +20,7 @@
     std::uint64_t index = 0;  // value of X-Consul-Index; 0 when absent
     protocol::http_headers headers;
     std::string body;
+    bool endsWithConnection = false; // nothing but the end of the connection has ended the body: a part of it would look whole
 };
 
 class platform_client
@@ -27,8 +28,11 @@
 public:
     platform_client(state::node_address service, std::string localIp); // connections are bound to this local IP address
 
-    boost::asio::awaitable<absl::StatusOr<platform_answer>> get(std::string target, state::time_point deadline) const; // any status but 200 is an error
-    boost::asio::awaitable<absl::StatusOr<platform_answer>> getAnyStatus(std::string target, state::time_point deadline) const; // any HTTP status is returned
+    // For texts in which a missing end can't be seen: any status but 200, and a body without a length, is an error.
+    boost::asio::awaitable<absl::StatusOr<platform_answer>> get(std::string target, state::time_point deadline) const;
+
+    // Any status is returned, and a body without a length, too; one that is cut must not decode.
+    boost::asio::awaitable<absl::StatusOr<platform_answer>> getAnyStatus(std::string target, state::time_point deadline) const;
 
 private:
     state::node_address m_service;
--- a/transport/src/platform_client.cpp
+++ b/transport/src/platform_client.cpp
@@ -74,6 +74,9 @@
     if (answer.ok() && answer->status != static_cast<std::uint32_t>(http::status::ok)) {
         co_return makeError(transport_error::refused, fmt::format("the service answered {} to {}", answer->status, target));
     }
+    if (answer.ok() && answer->endsWithConnection) {
+        co_return makeError(transport_error::closed, fmt::format("the answer to {} has no length, so that it may be cut", target));
+    }
     co_return answer;
 }
 
@@ -110,14 +113,15 @@
         co_return makeReadError(headError);
     }
     if (parser.get().result() != http::status::ok) { // the body of any other status is not used
-        co_return platform_answer{parser.get().result_int(), readIndex(parser.get()), readHeaders(parser.get()), {}};
+        co_return platform_answer{parser.get().result_int(), readIndex(parser.get()), readHeaders(parser.get()), {}, false};
     }
     const auto [readError, read] = co_await http::async_read(stream, buffer, parser, NoThrow);
     if (readError) {
         co_return makeReadError(readError);
     }
+    const bool endsWithConnection = parser.need_eof();
     http::response<http::string_body> response = parser.release();
-    co_return platform_answer{response.result_int(), readIndex(response), readHeaders(response), std::move(response.body())};
+    co_return platform_answer{response.result_int(), readIndex(response), readHeaders(response), std::move(response.body()), endsWithConnection};
 }
 
 } // namespace dandelionstall::transport
--- a/transport/tests/test_platform_client.cpp
+++ b/transport/tests/test_platform_client.cpp
@@ -1,4 +1,6 @@
 // Tests of transport/platform_client.h and transport/gossip_socket.h, over loopback.
+#include "raw_worker.h"
+
 #include <dandelionstall/transport/gossip_socket.h>
 #include <dandelionstall/transport/platform_client.h>
 
@@ -7,11 +9,12 @@
 #include <criterion/new/assert.h>
 
 #include <optional>
+#include <string>
+#include <vector>
 
 using namespace dandelionstall;
 using namespace dandelionstall::transport;
-namespace asio = boost::asio;
-using asio::ip::tcp;
+using namespace dandelionstall::transport::testing;
 
 namespace {
 
@@ -102,6 +105,41 @@
     cr_assert(not(answer->ok()));
 }
 
+// Guards against a table that the service has broken off, and that is taken for a whole one with fewer rows: where nothing but the end of the
+// connection ends the text, a part of it looks the same.
+Test(platform_client, a_text_without_a_length_is_an_error)
+{
+    for (const char *head :
+         {"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\nX-Consul-Index: 42\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n"}) {
+        asio::io_context io;
+        raw_worker service(io, {.bytes = std::string(head) + "[route a]\npool = b\n", .end = connection_end::close});
+        const auto answer = call(io, {service.address(), "127.0.0.1"}, std::chrono::seconds(10));
+        cr_assert(not(answer.ok()), "%s", head);
+    }
+}
+
+// Answers that are none in the protocol, and such as are cut in their head or chunks.
+Test(platform_client, an_answer_that_is_none_is_an_error)
+{
+    const std::string body = "Content-Length: 5\r\n\r\nhello";
+    const std::vector<std::string> answers{
+        "HTTP/1.1 000 Odd\r\n" + body,
+        "HTTP/1.1 099 Odd\r\n" + body,
+        "HTTP/1.1 600 Odd\r\n" + body,
+        "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n" + body,
+        "HTTP/1.1 200 OK\r\nX Name: a\r\n" + body,
+        "HTTP/1.1 200 OK\r\nX-\x01: a\r\n" + body,
+        "HTTP/1.1 200 OK\r\nContent-Le",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+    };
+    for (const std::string &bytes : answers) {
+        asio::io_context io;
+        raw_worker service(io, {.bytes = bytes, .end = connection_end::close});
+        const auto answer = call(io, {service.address(), "127.0.0.1"}, std::chrono::seconds(10));
+        cr_assert(not(answer.ok()), "%s", bytes.c_str());
+    }
+}
+
 Test(platform_client, call_to_an_unresponsive_service_ends_at_the_deadline)
 {
     asio::io_context io;
