Name what was wrong with a broken answer, in its line and a counter

An operator saw end=cut for all of them. worker_result has the fault, the attempt_broken line its name, and broken_answers_<fault>_total counts it for attempts and probes. The tests of broken answers check result, line and counter.

--- a/programs/dandelionstall/sidecar/sidecar.cpp
+++ b/programs/dandelionstall/sidecar/sidecar.cpp
@@ -343,6 +343,7 @@
     ++worker.runningProbes;
     const transport::worker_result result = co_await worker.client->run(request, sink, std::make_shared<transport::worker_call>());
     --worker.runningProbes;
+    countFault(result);
     worker.outcomeTracker->recordProbe(result.outcome == transport::worker_call_outcome::answered && sink.ok, state::clock::now());
     recordSignals(worker, sink.signals, false, worker.lastProbeAt);
     if (result.outcome == transport::worker_call_outcome::answered) {
--- a/programs/dandelionstall/sidecar/sidecar.h
+++ b/programs/dandelionstall/sidecar/sidecar.h
@@ -164,6 +164,7 @@
 
     std::string requestId(const protocol::attempt_head &head) const; // request id header of the caller; empty if absent
     void logRefusal(const protocol::attempt_head &head, coordination::refusal_reason reason, coordination::run_state run) const;
+    void countFault(const transport::worker_result &result); // of an attempt or a probe
     void logAttemptEnd(const protocol::attempt_head &head, const transport::worker_result &result, state::time_point startedAt) const;
     protocol::answer_head makeAnswerHead(const state::attempt_id &id, std::string_view worker) const;
     coordination::worker_report makeReport(const served_worker &worker, state::time_point now) const;
--- a/programs/dandelionstall/sidecar/sidecar_execution.cpp
+++ b/programs/dandelionstall/sidecar/sidecar_execution.cpp
@@ -225,6 +225,7 @@
     }
     m_localRuns.access([&](coordination::local_runs &runs) { hasEnded(result) ? runs.recordEnd(id) : runs.recordAbandoned(id); });
     m_metrics.observe(measured_time::worker, workClassOf(head), std::chrono::duration_cast<std::chrono::microseconds>(now - startedAt));
+    countFault(result);
     logAttemptEnd(head, result, startedAt);
     logSuspicionChange(worker, now);
     const coordination::admission_actions actions = worker.admission->finish(id, workResultOf(result), now);
--- a/programs/dandelionstall/sidecar/sidecar_outcomes.cpp
+++ b/programs/dandelionstall/sidecar/sidecar_outcomes.cpp
@@ -98,6 +98,7 @@
               {"attempt", state::formatAttemptId(head.id)},
               {"worker", head.worker},
               {"end", std::string(transport::outcomeName(result.outcome))},
+              {"fault", std::string(transport::faultName(result.fault))},
               {"status", fmt::to_string(result.status)},
               {"run_ms", fmt::to_string(runTime.count())},
               {"wait_ms", fmt::to_string(waitTime.count())},
@@ -105,6 +106,13 @@
               {"risk", fmt::format("{:.2f}", risk)}});
 }
 
+void sidecar::countFault(const transport::worker_result &result)
+{
+    if (result.fault != transport::answer_fault::none) {
+        m_metrics.incrementCounter(std::string("broken_answers_") + std::string(transport::faultName(result.fault)));
+    }
+}
+
 void sidecar::logRepeat(const protocol::attempt_head &head, const coordination::repeat_verdict &verdict)
 {
     const std::string kind(coordination::repeatName(head.repeat));
--- a/tests/integration/test_promise_broken_answers.cpp
+++ b/tests/integration/test_promise_broken_answers.cpp
@@ -69,12 +69,26 @@
         return m_raw->requests();
     }
 
-    const store_fleet &fleet() const
+    // The node beside the worker has a line and a count for each answer with the fault.
+    void expectNamed(const std::string &fault, std::size_t count) const
     {
-        return m_fleet;
+        cr_assert(
+            waitUntil([&] { return countOf("name=attempt_broken", "fault=" + fault) == count; }, Spread), "%s", m_fleet.linesWith("attempt_broken").c_str());
+        const std::string metrics = getHttp(m_fleet.nodeIp(RawNode) + ":7490", "/metrics").body;
+        cr_assert(metrics.find(fmt::format("dandelionstall_broken_answers_{}_total {}", fault, count)) != std::string::npos, "%s", metrics.c_str());
     }
 
 private:
+    std::size_t countOf(const std::string &event, const std::string &field) const
+    {
+        const std::string lines = m_fleet.linesWith(event);
+        std::size_t count = 0;
+        for (std::size_t at = lines.find(field); at != std::string::npos; at = lines.find(field, at + 1)) {
+            ++count;
+        }
+        return count;
+    }
+
     bool admitsRepeats() const
     {
         const std::string lines = m_fleet.linesWith("name=repeat_part_changed");
@@ -126,7 +140,7 @@
 }
 
 // Where the worker that sends the answers is the only one: to requests that may be repeated, and to others.
-void expectNoneIsPassedOn(const std::vector<std::string> &answers)
+void expectNoneIsPassedOn(const std::vector<std::string> &answers, const std::string &fault)
 {
     std::string bytes;
     const broken_fleet fleet(workers::raw_only, [&bytes](std::string_view) { return scripted_answer{.bytes = bytes}; });
@@ -137,6 +151,7 @@
         }
     }
     cr_assert_eq(fleet.runsAtRawWorker(), 2 * answers.size(), "each request runs once at the only worker");
+    fleet.expectNamed(fault, 2 * answers.size());
 }
 
 // Where another worker can serve what may be repeated.
@@ -200,7 +215,7 @@
         answers.push_back(sealedHead(fmt::format("HTTP/1.1 {} Odd", status)) + fmt::format("Content-Length: {}\r\n\r\n{}", inner.size(), inner));
     }
     answers.push_back("HTTP/1.1 101 Switching Protocols\r\n\r\n" + inner);
-    expectNoneIsPassedOn(answers);
+    expectNoneIsPassedOn(answers, "bad_status");
     expectOthersServe(answers);
 }
 
@@ -212,7 +227,7 @@
         answers.push_back(sealedHead("HTTP/1.1 200 OK") + broken + "Content-Length: 4\r\n\r\nbody");
         answers.push_back(sealedHead("HTTP/1.1 500 Error") + "Content-Length: 4\r\n" + broken + "\r\nbody");
     }
-    expectNoneIsPassedOn(answers);
+    expectNoneIsPassedOn(answers, "malformed");
     expectOthersServe(answers);
 }
 
@@ -223,6 +238,6 @@
     for (const char *coding : {"gzip, chunked", "chunked, chunked"}) {
         answers.push_back(sealedHead("HTTP/1.1 200 OK") + fmt::format("Transfer-Encoding: {}\r\n\r\n{}", coding, chunks));
     }
-    expectNoneIsPassedOn(answers);
+    expectNoneIsPassedOn(answers, "bad_coding");
     expectOthersServe(answers);
 }
--- a/transport/include/dandelionstall/transport/worker_client.h
+++ b/transport/include/dandelionstall/transport/worker_client.h
@@ -51,8 +51,23 @@
 
 std::string_view outcomeName(worker_call_outcome outcome); // name of the enumerator, e.g. "answered"
 
+// What was wrong with an answer, of a call that ended as cut.
+enum class answer_fault {
+    none,       // nothing, or the call ended otherwise
+    broken_off, // the connection ended, or was reset, before the end of the answer
+    malformed,  // a head, a chunk or a trailer that is none in the protocol
+    bad_status, // a status that no answer may have
+    bad_coding, // a transfer coding other than chunks
+    too_long,   // a part of the answer that is longer than its limit
+    misplaced,  // answers to other requests in its place, or too many interim ones before it
+    unproven,   // no seal, or neither a seal nor a length, or a content coding; see state::header_names::seal
+};
+
+std::string_view faultName(answer_fault fault); // name of the enumerator, e.g. "broken_off"
+
 struct worker_result {
     worker_call_outcome outcome = worker_call_outcome::cut; // how the call ended
+    answer_fault fault = answer_fault::none;                // why it ended as cut
     std::uint32_t status = 0;                               // HTTP status; 0 when no answer header was received
     bool answerStarted = false;                             // onHead() of the sink was called
     state::time_point sentAt;                               // when the request was written to the worker; epoch when it was not
@@ -113,6 +128,7 @@
     boost::asio::awaitable<stream_ptr> connect(const worker_request &request, worker_call &call); // null when the connection cannot be made
     boost::asio::awaitable<worker_result>
     runOn(stream_ptr stream, bool reused, worker_request &request, worker_answer_sink &sink, std::shared_ptr<worker_call> call);
+    worker_result endWithError(const exchange &current, worker_result result, const boost::system::error_code &error, const worker_call &call) const;
     boost::asio::awaitable<boost::system::error_code> readHead(exchange &current, const worker_request &request) const;
     boost::asio::awaitable<boost::system::error_code> dropBody(exchange &current) const;
     boost::asio::awaitable<boost::system::error_code> readBody(exchange &current, worker_answer_sink &sink, std::size_t maxBytes) const;
--- a/transport/tests/test_broken_answers.cpp
+++ b/transport/tests/test_broken_answers.cpp
@@ -92,7 +92,8 @@
 
 std::string describe(const call_result &call)
 {
-    return std::string(outcomeName(call.result.outcome)) + ", status " + std::to_string(call.result.status) + ", body '" + call.sink.body.substr(0, 40) + "'";
+    const std::string end = std::string(outcomeName(call.result.outcome)) + " " + std::string(faultName(call.result.fault));
+    return end + ", status " + std::to_string(call.result.status) + ", body '" + call.sink.body.substr(0, 40) + "'";
 }
 
 std::string sealedHead(const std::string &statusLine)
@@ -106,6 +107,7 @@
     callWorker({.bytes = bytes, .end = connection_end::close, .pause = milliseconds(10)}, makeRequest("GET", 0), call);
     cr_assert(call.result.outcome == worker_call_outcome::cut, "%s: %s", bytes.c_str(), describe(call).c_str());
     cr_assert(call.sink.heads == 0 && call.sink.signals == 0, "an answer that is none reached the sink: %s", bytes.c_str());
+    cr_assert(call.result.status == 0 && call.result.fault != answer_fault::none, "%s: %s", bytes.c_str(), describe(call).c_str());
 }
 
 } // namespace
@@ -356,3 +358,38 @@
         cr_assert(call.result.outcome == worker_call_outcome::cut, "%s: %s", line.c_str(), describe(call).c_str());
     }
 }
+
+// For the log line and the counter by which an operator learns what is wrong.
+Test(broken_answers, the_result_names_what_was_wrong)
+{
+    struct faulty_answer {
+        answer_fault fault;
+        scripted_answer answer;
+    };
+    const std::string head = sealedHead("HTTP/1.1 200 OK");
+    const std::vector<faulty_answer> faulty{
+        {answer_fault::none, {.bytes = head + "Content-Length: 4\r\n\r\nbody"}},
+        {answer_fault::broken_off, {.bytes = "", .end = connection_end::close}},
+        {answer_fault::broken_off, {.bytes = head, .end = connection_end::close}},
+        {answer_fault::broken_off, {.bytes = head, .end = connection_end::reset, .pause = milliseconds(5)}},
+        {answer_fault::broken_off, {.bytes = head + "Content-Length: 4\r\n\r\nbo", .end = connection_end::close}},
+        {answer_fault::malformed, {.bytes = "no answer\r\n\r\n"}},
+        {answer_fault::malformed, {.bytes = head + "X Name: a\r\n\r\n"}},
+        {answer_fault::malformed, {.bytes = head + " folded\r\n\r\n"}},
+        {answer_fault::malformed, {.bytes = head + "Transfer-Encoding: chunked\r\n\r\nz\r\n"}},
+        {answer_fault::bad_status, {.bytes = sealedHead("HTTP/1.1 000 Odd") + "\r\n"}},
+        {answer_fault::bad_status, {.bytes = sealedHead("HTTP/1.1 600 Odd") + "\r\n"}},
+        {answer_fault::bad_coding, {.bytes = head + "Transfer-Encoding: gzip\r\n\r\n"}},
+        {answer_fault::too_long, {.bytes = "HTTP/1.1 200 OK\r\nX: ", .repeated = std::string(4096, 'a')}},
+        {answer_fault::too_long, {.bytes = head + "Transfer-Encoding: chunked\r\n\r\n1;", .repeated = std::string(4096, 'a')}},
+        {answer_fault::too_long, {.bytes = sealedHead("HTTP/1.1 500 Error") + "\r\n", .repeated = std::string(4096, 'a')}},
+        {answer_fault::misplaced, {.bytes = "", .repeated = "HTTP/1.1 102 Processing\r\n\r\n"}},
+        {answer_fault::unproven, {.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"}},
+    };
+    for (const faulty_answer &each : faulty) {
+        call_result call;
+        callWorker(each.answer, makeRequest("GET", 0), call);
+        cr_assert(
+            call.result.fault == each.fault, "%s: %s, not %s", each.answer.bytes.c_str(), describe(call).c_str(), std::string(faultName(each.fault)).c_str());
+    }
+}
