--- a/transport/include/dandelionstall/transport/worker_client.h
+++ b/transport/include/dandelionstall/transport/worker_client.h
@@ -1,6 +1,8 @@
 // HTTP/1.1 client of one worker on this VM, with keep-alive connections, deadlines, cancellation and streamed answers.
 // What is not the body of a success is limited in size, so that a worker that sends bytes without end costs little; interim answers
 // (status 1xx) are skipped. Only the body of a success may be of any length, until the deadline.
+// An answer that the worker breaks off, or that is none in the protocol, ends the call as cut, see answer_fault. One without a length is whole
+// when the worker has ended the connection cleanly: a reset while the request is being written breaks it off.
 // An answer is taken for that of a request when it echoes the id of the request. One without an id is, too, on a connection that has
 // carried no other request; on others it may be a late or repeated answer, so that nothing is known of the request.
 // It may be used from one thread only.
--- a/transport/src/request_write.cpp
+++ b/transport/src/request_write.cpp
@@ -29,7 +29,7 @@
 
 } // namespace
 
-std::shared_ptr<request_write> startWrite(stream_ptr stream, http::request<http::string_body> message)
+std::shared_ptr<request_write> startWrite(const stream_ptr &stream, http::request<http::string_body> message)
 {
     const auto write = std::make_shared<request_write>();
     write->message = std::move(message);
--- a/transport/src/request_write.h
+++ b/transport/src/request_write.h
@@ -32,7 +32,7 @@
 
 using stream_ptr = std::shared_ptr<boost::beast::tcp_stream>;
 
-std::shared_ptr<request_write> startWrite(stream_ptr stream, boost::beast::http::request<boost::beast::http::string_body> message);
+std::shared_ptr<request_write> startWrite(const stream_ptr &stream, boost::beast::http::request<boost::beast::http::string_body> message);
 
 // Tells how a stream has ended of which the read has seen the end. No error: the worker has ended its own side. While the request is
 // being written, a reset that follows the end soon counts, too: the worker has gone, instead of reading on.
