--- a/tests/integration/test_promise_broken_answers.cpp
+++ b/tests/integration/test_promise_broken_answers.cpp
@@ -10,7 +10,6 @@
 #include <criterion/criterion.h>
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <optional>
 #include <thread>
 
@@ -52,7 +51,7 @@
             cr_assert(waitUntil([&] { return m_fleet.linesWith("name=worker_gone").find("w0") != std::string::npos; }));
         }
         m_raw.emplace(m_fleet.workerAddress(RawNode), std::move(script));
-        cr_assert(waitUntil([&] { return m_fleet.linesWith("config_accepted").find("5") != std::string::npos; }));
+        cr_assert(waitUntil([&] { return m_fleet.linesWith("name=config_accepted").find("revision=5") != std::string::npos; }));
         std::this_thread::sleep_for(Spread);
         if (which == workers::raw_and_healthy) {
             cr_assert(waitUntil([&] { return admitsRepeats(); }, AllowanceTime));
--- a/transport/tests/raw_worker.h
+++ b/transport/tests/raw_worker.h
@@ -1,5 +1,5 @@
 // A worker in the test's own process that sends the bytes of a scripted answer, proper or not, and ends the connection in a chosen way.
-// Each connection carries one request. Several workers with the same script may run on threads of their own.
+// Each connection carries one request. The counts may be read from other threads.
 //
 // Usage:
 //   asio::io_context io(1);
@@ -65,7 +65,6 @@
 
     std::atomic<std::size_t> requests{0};  // requests whose head has arrived
     std::atomic<std::size_t> sentBytes{0}; // of all answers
-    std::atomic<std::size_t> closed{0};    // connections with repeated bytes that the client has closed
 
 private:
     static constexpr int ReceiveBufferBytes = 65'536; // of each connection; by itself, the kernel may take in a whole upload that nobody reads
@@ -95,7 +94,6 @@
         bool isOpen = co_await send(*socket, answer.bytes);
         while (isOpen && !answer.repeated.empty()) {
             isOpen = co_await send(*socket, answer.repeated);
-            closed += isOpen ? 0 : 1;
         }
         co_await endConnection(*socket, answer);
     }
