--- a/programs/dandelionstall/sidecar/sidecar_outcomes.cpp
+++ b/programs/dandelionstall/sidecar/sidecar_outcomes.cpp
@@ -98,12 +98,12 @@
               {"attempt", state::formatAttemptId(head.id)},
               {"worker", head.worker},
               {"end", std::string(transport::outcomeName(result.outcome))},
-              {"fault", std::string(transport::faultName(result.fault))},
               {"status", fmt::to_string(result.status)},
               {"run_ms", fmt::to_string(runTime.count())},
               {"wait_ms", fmt::to_string(waitTime.count())},
               {"handed_ms", fmt::to_string(result.handed.count())},
-              {"risk", fmt::format("{:.2f}", risk)}});
+              {"risk", fmt::format("{:.2f}", risk)},
+              {"fault", std::string(transport::faultName(result.fault))}});
 }
 
 void sidecar::countFault(const transport::worker_result &result)
