Tests: more moments, lines and kinds of broken answers, and both nodes' memory for each kind

- an_early_answer_with_a_length_is_judged_by_its_length: resets and closes 1 to 60 ms into the upload, with 200, 404 and 500 and HTTP/1.0, for stated lengths and chunks, whole and not.
- Bad names that are a length or a transfer coding ("Content-Length : 2", "Transfer-Encoding\t: chunked"), first, in the middle and last, and folded lines that look like these fields.
- an_answer_that_breaks_off_is_never_completed_for_its_caller: what the caller's connection writes, short and long parts, with a length, in chunks and without, to callers of HTTP/1.1 and 1.0.

--- a/tests/integration/test_promise_broken_answers.cpp
+++ b/tests/integration/test_promise_broken_answers.cpp
@@ -58,9 +58,9 @@
         }
     }
 
-    std::string send(std::size_t node, const std::string &method, const std::string &path, std::size_t bodyBytes = 0) const
+    std::string send(std::size_t node, const std::string &method, const std::string &path, std::size_t bodyBytes = 0, const std::string &version = "1.1") const
     {
-        return m_fleet.request(node, method, path, "broken", "1.1", std::string(bodyBytes, 'u'));
+        return m_fleet.request(node, method, path, "broken", version, std::string(bodyBytes, 'u'));
     }
 
     std::size_t runsAtRawWorker() const
@@ -240,3 +240,27 @@
     expectNoneIsPassedOn(answers, "bad_coding");
     expectOthersServe(answers);
 }
+
+// A short part is held back, so that the caller gets an answer of the node; of a long one, the connection breaks before its stated end.
+Test(broken_answers, an_answer_that_breaks_off_is_never_completed_for_its_caller)
+{
+    scripted_answer answer;
+    const broken_fleet alone(workers::raw_only, [&answer](std::string_view) { return answer; });
+    for (const std::size_t bytes : {std::size_t(4), LongPartBytes}) {
+        const std::string part(bytes, 'h');
+        const std::vector<std::string> rests{
+            fmt::format("Content-Length: {}\r\n\r\n{}", bytes + 1, part),
+            fmt::format("Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n", bytes, part),
+            "\r\n" + part,
+        };
+        for (const std::string &rest : rests) {
+            for (const char *version : {"1.1", "1.0"}) {
+                for (const char *path : {"/read/1", "/book/1"}) {
+                    answer = {.bytes = sealedHead("HTTP/1.1 200 OK") + rest, .end = connection_end::reset, .pause = milliseconds(10)};
+                    const std::string seen = alone.send(FirstNode, "POST", path, UploadBytes, version);
+                    expectNoAnswerOfTheWorker(seen, fmt::format("HTTP/{} {} {} bytes, {}", version, path, bytes, rest.substr(0, 40)));
+                }
+            }
+        }
+    }
+}
--- a/tests/integration/test_promise_endless_bodies.cpp
+++ b/tests/integration/test_promise_endless_bodies.cpp
@@ -27,6 +27,7 @@
 constexpr std::size_t Callers = 100;
 constexpr std::size_t MemoryMebibytes = 256; // of a node; the default of memory_mb
 constexpr std::size_t PartBytes = 16'384;
+constexpr std::size_t TrailerBytes = 1000; // of one trailer
 constexpr std::size_t Others = 20;
 constexpr milliseconds Budget{8000};
 constexpr milliseconds Spread{1000};
@@ -57,6 +58,16 @@
     if (asksFor("/failure/")) {
         return {.bytes = "HTTP/1.1 500 Error\r\n" + stamp + "Transfer-Encoding: chunked\r\n\r\n", .repeated = chunk};
     }
+    if (asksFor("/chunk_head/")) {
+        return {.bytes = "HTTP/1.1 200 OK\r\n" + stamp + "Transfer-Encoding: chunked\r\n\r\n1;", .repeated = filler};
+    }
+    if (asksFor("/trailer/")) {
+        const std::string trailer = "X-Filler: " + filler.substr(0, TrailerBytes) + "\r\n";
+        return {.bytes = "HTTP/1.1 200 OK\r\n" + stamp + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n", .repeated = trailer};
+    }
+    if (asksFor("/interim/")) {
+        return {.bytes = "", .repeated = "HTTP/1.1 102 Processing\r\n\r\n"};
+    }
     if (asksFor("/head/")) {
         return {.bytes = "HTTP/1.1 200 OK\r\n" + stamp + "X-Filler: ", .repeated = filler};
     }
@@ -230,3 +241,24 @@
     fleet.expectBounded("/read/head/", reading::none);
     fleet.expectBounded("/book/head/", reading::slow);
 }
+
+Test(endless_bodies, in_chunk_headers)
+{
+    flooded_fleet fleet;
+    fleet.expectBounded("/read/chunk_head/", reading::slow);
+    fleet.expectBounded("/book/chunk_head/", reading::none);
+}
+
+Test(endless_bodies, in_trailers)
+{
+    flooded_fleet fleet;
+    fleet.expectBounded("/read/trailer/", reading::none);
+    fleet.expectBounded("/book/trailer/", reading::slow);
+}
+
+Test(endless_bodies, as_interim_answers)
+{
+    flooded_fleet fleet;
+    fleet.expectBounded("/read/interim/", reading::slow);
+    fleet.expectBounded("/book/interim/", reading::none);
+}
--- a/transport/tests/test_broken_answers.cpp
+++ b/transport/tests/test_broken_answers.cpp
@@ -163,16 +163,34 @@
 // An early answer that states its length, or is chunked, is proven by that, whatever becomes of the upload.
 Test(broken_answers, an_early_answer_with_a_length_is_judged_by_its_length)
 {
-    const std::string head = sealedHead("HTTP/1.1 200 OK");
-    for (const char *rest : {"Content-Length: 5\r\n\r\nwhole", "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"}) {
-        call_result call;
-        callWorker({.bytes = head + rest, .end = connection_end::reset, .pause = milliseconds(5)}, makeRequest("POST", UploadBytes), call);
-        cr_assert(call.result.outcome == worker_call_outcome::answered && call.sink.body == "whole", "%s: %s", rest, describe(call).c_str());
-    }
-    for (const char *rest : {"Content-Length: 6\r\n\r\nwhole", "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n"}) {
-        call_result call;
-        callWorker({.bytes = head + rest, .end = connection_end::reset, .pause = milliseconds(5)}, makeRequest("POST", UploadBytes), call);
-        cr_assert(call.result.outcome == worker_call_outcome::cut, "%s: %s", rest, describe(call).c_str());
+    struct framed_answer {
+        const char *rest; // of the head, and the body
+        worker_call_outcome outcome;
+    };
+    const std::vector<framed_answer> framings{
+        {"Content-Length: 5\r\n\r\nwhole", worker_call_outcome::answered},
+        {"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", worker_call_outcome::answered},
+        {"Content-Length: 6\r\n\r\nwhole", worker_call_outcome::cut},
+        {"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n", worker_call_outcome::cut},
+        {"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n", worker_call_outcome::cut},
+    };
+    for (const char *statusLine : {"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 404 Not Found", "HTTP/1.1 500 Error"}) {
+        for (const framed_answer &framing : framings) {
+            for (const connection_end end : {connection_end::reset, connection_end::finish_then_close}) {
+                for (const int pause : {1, 5, 20, 60}) {
+                    call_result call;
+                    callWorker(
+                        {.bytes = sealedHead(statusLine) + framing.rest, .end = end, .pause = milliseconds(pause)}, makeRequest("POST", UploadBytes), call);
+                    cr_assert(call.result.outcome == framing.outcome,
+                              "%s, %s, end %d after %d ms: %s",
+                              statusLine,
+                              framing.rest,
+                              static_cast<int>(end),
+                              pause,
+                              describe(call).c_str());
+                }
+            }
+        }
     }
 }
 
@@ -235,6 +253,15 @@
         "X-Name\x0b: a",
         "X-\x08: a",
         "X-\nName: a",
+        "Content-Length : 2",
+        "Content-Length\t: 2",
+        "Content Length: 2",
+        "Content-Length\x01: 2",
+        "Transfer-Encoding : chunked",
+        "Transfer-Encoding\t: chunked",
+        "Transfer Encoding: chunked",
+        "Transfer-Encoding\x01: chunked",
+        "\x0bTransfer-Encoding: chunked",
     };
     return lines;
 }
@@ -256,7 +283,8 @@
 // RFC 9112, 5.2: a line that begins with a blank goes on with the value of the line before, which would change that value.
 Test(broken_answers, a_line_that_begins_with_a_blank_makes_no_answer)
 {
-    for (const char *folded : {" folded\r\n", "\tfolded\r\n", " X-Name: a\r\n", "\tSeal: y\r\n", " \r\n", "  4\r\n"}) {
+    for (const char *folded :
+         {" folded\r\n", "\tfolded\r\n", " X-Name: a\r\n", "\tSeal: y\r\n", " \r\n", "  4\r\n", " Content-Length: 2\r\n", "\tTransfer-Encoding: chunked\r\n"}) {
         for (const char *before : {"Seal: x\r\n", "X-Name: a\r\n", "Content-Length: 4\r\n", ""}) {
             const std::string lines = before + std::string(folded);
             expectCutWithoutHead("HTTP/1.1 200 OK\r\n" + lines + "Request-Id: one\r\nSeal: x\r\nContent-Length: 4\r\n\r\nbody");
