Fix: a node on a VM that had just started took the VM's age for an outage of the store

What callers saw: for up to 2.5 s, requests reached a worker whose entry had been removed, by way of readers that had just started.

Cause: reader_choice::serviceReadAge() told the time since the epoch of the clock while no read was known. The steady clock counts from the start of the VM, so that on one younger than MaxReadAge (1 h) the result was a valid age, and gossip_node::recordServiceRead() took it for an outage of the store in which entries lapse.

Evidence: found by a simulation of nodes that start again, whose clock begins at 1,000 s: it applied removals 2.5 s late on nodes that had just started, and their peers knew of reads 0.5 s before. The new test failed before, at its first check.

Why this works: an age is stated only when a read is known; until then it is MaxReadAge, which means "none" in all places that use it.

--- a/coordination/include/dandelionstall/coordination/configuration/reader_choice.h
+++ b/coordination/include/dandelionstall/coordination/configuration/reader_choice.h
@@ -114,7 +114,7 @@
     reader_role role() const;
     const reader_window &window() const;
     std::vector<state::node_address> nextInOrder() const; // the other members of the window and the standbys, at most StandbysPerDataCentre of these
-    std::chrono::milliseconds serviceReadAge(state::time_point now) const; // rounded up, so that the age does not shrink when nodes pass it on
+    std::chrono::milliseconds serviceReadAge(state::time_point now) const; // MaxReadAge when none is known; rounded up
 
 private:
     std::size_t firstIndex() const;           // index of the first member of the window
--- a/coordination/src/configuration/reader_choice.cpp
+++ b/coordination/src/configuration/reader_choice.cpp
@@ -296,6 +296,9 @@
 
 std::chrono::milliseconds reader_choice::serviceReadAge(state::time_point now) const
 {
+    if (m_lastRead == state::time_point{}) {
+        return MaxReadAge; // the clock may count from the start of the VM, which may be less
+    }
     return std::min<std::chrono::milliseconds>(std::chrono::ceil<std::chrono::milliseconds>(now - m_lastRead), MaxReadAge);
 }
 
--- a/coordination/tests/configuration/test_reader_choice.cpp
+++ b/coordination/tests/configuration/test_reader_choice.cpp
@@ -178,3 +178,15 @@
         RC_ASSERT(inForce(heard) == inForce(reversed));
     }));
 }
+
+// Guards against a node on a VM that has just started, whose clock counts from that start: it took this time for an outage of the service,
+// and held removals of workers back.
+Test(reader_choice, a_node_that_knows_of_no_read_states_no_age)
+{
+    reader_choice choice = choiceAt(Members - 1);
+    cr_assert(choice.serviceReadAge(Start) == MaxReadAge);
+    choice.recordPeerState({}, MaxReadAge, Start);
+    cr_assert(choice.serviceReadAge(Start) == MaxReadAge);
+    choice.recordPeerState({}, std::chrono::milliseconds(50), Start);
+    cr_assert(choice.serviceReadAge(Start) == std::chrono::milliseconds(50));
+}
