Fix: one failed call to the store held removals of workers back for longer than the drain time

All nodes sent the worker requests until it exited 2,450 ms later; drainMs is 2,000.

Cause: each failed call of a reader set a flag, which the next answer turned into a wait of EntryReturnTime (2.5 s) for all removals of ready workers. The wait is for entries that lapse while the store is away. A second rule, for outages that other nodes had seen, asked for 3 s without a read.

Change: one rule for both. An outage is a time without any answer of the store in which an entry can lapse at all; each node measures it between the reads of its data centre, its own and those that it hears of.

Why this works: a failed call between two answers less than 2.5 s apart leaves no entry time to lapse, so that there is nothing to wait for.

--- a/coordination/include/dandelionstall/coordination/configuration/worker_directory.h
+++ b/coordination/include/dandelionstall/coordination/configuration/worker_directory.h
@@ -10,9 +10,10 @@
 // stays so until the new era has stated it twice in the same lifetime, as running workers write their entries again and again. And
 // entries of ready workers that the copy lacks stay pending removals for a short time, in which these workers announce themselves again.
 //
-// During a disruption of the platform's service, entries can expire although their workers are running. A removal of a
-// ready worker that is received then stays pending. It is applied unless the worker announces itself again within a short
-// time after the service has recovered. The removal of a leaving worker is applied at once.
+// During an outage of the platform's service, entries can lapse although their workers are running. A removal of a ready worker that
+// is received after it stays pending. It is applied unless the worker announces itself again within EntryReturnTime after the service
+// has recovered. The removal of a leaving worker is applied at once. An outage is a time without any answer that is long enough for an
+// entry to lapse (EntryLapseTime). A call that fails between two answers closer together is none, whatever it failed with.
 //
 // Usage:
 //   worker_directory directory;
@@ -23,6 +24,7 @@
 //   auto table = mergeDiscoveredWorkers(poolTable, directory);
 //
 // Index:
+//   [SECTION] Timing
 //   [SECTION] Entries
 //   [SECTION] Directory
 //   [SECTION] Merging
@@ -39,6 +41,13 @@
 
 namespace dandelionstall::coordination {
 
+// [SECTION] Timing
+
+// Shortest time without answers of the service in which an entry can lapse. It lapses three heartbeat intervals of 1.5 s after the last
+// heartbeat, which came up to one interval before the outage; half a second less, since ages of reads lose some on their way.
+inline constexpr std::chrono::milliseconds EntryLapseTime{2500};
+inline constexpr std::chrono::milliseconds EntryReturnTime{2500}; // after the recovery of the service, time for running workers to announce themselves again
+
 // [SECTION] Entries
 
 enum class worker_phase {
@@ -80,9 +89,9 @@
 public:
     bool offer(const discovered_worker &entry, state::time_point now);                      // true when the content has changed
     void replaceAll(const worker_list &list, store_revision asOf, state::time_point now);   // removes missing entries older than asOf
-    void offerRemoval(std::string_view id, store_revision revision, state::time_point now); // stays pending during a disruption of the service
-    void recordServiceFailure(state::time_point now);                                       // a call to the service has failed
-    void recordServiceRecovery(state::time_point now);                                      // a call to the service has succeeded
+    void offerRemoval(std::string_view id, store_revision revision, state::time_point now); // stays pending after an outage of the service
+    void recordServiceFailure(state::time_point since);                                     // the service has given no answer since then
+    void recordServiceRecovery(state::time_point at);                                       // the first answer after recordServiceFailure()
     void tick(state::time_point now);                                                       // applies pending removals that are due; expires old tombstones
 
     std::vector<discovered_worker> consumeChanges();                                        // entries whose content has changed since the last call
@@ -103,6 +112,7 @@
         state::time_point dueAt;
     };
 
+    bool isOutage(state::time_point now) const;
     void apply(const discovered_worker &entry, state::time_point now);
     void applyRemoval(const std::string &id, store_revision revision, state::time_point now);
     bool isDoubtfulReturn(const discovered_worker &entry, const discovered_worker &known); // records the first statement of a removed worker in a new era
@@ -114,8 +124,8 @@
     store_revision m_listedAsOf;                                          // latest complete list that this node has read
     std::uint64_t m_era = 0;
     std::vector<discovered_worker> m_changes;
-    state::time_point m_disruptedUntil; // removals stay pending before this time
-    bool m_serviceDown = false;
+    state::time_point m_disruptedUntil;                 // removals stay pending before this time
+    std::optional<state::time_point> m_unansweredSince; // set while the service gives no answers
     std::uint32_t m_digest = 0;
     bucket_digests m_bucketDigests{};
     std::uint64_t m_version = 0;
--- a/coordination/include/dandelionstall/coordination/membership/gossip_node.h
+++ b/coordination/include/dandelionstall/coordination/membership/gossip_node.h
@@ -42,7 +42,6 @@
     void replaceWorkers(const worker_list &list, store_revision asOf, state::time_point now);     // complete list read from the service
     void offerWorkerRemoval(std::string_view id, store_revision revision, state::time_point now); // removal reported by the service
     void learnStoreEra(std::uint64_t era);                                                        // era named by the service
-    void recordServiceReadFailure(state::time_point now);                                         // a call to the platform's service has failed
     void recordServiceRead(state::time_point now);                                                // a call to the platform's service has succeeded
     reader_role serviceRole(state::time_point now) const;                                         // whether this node reads the service for its data centre now
     bool isServiceReader(state::time_point now) const;                                            // true when its role is to read
@@ -75,6 +74,7 @@
     void refreshMembers(state::time_point now);
     void pushWorkers(state::time_point now, gossip_batch &out);
     void refreshReaders(state::time_point now);
+    void recordReadGap(std::chrono::milliseconds ageBefore, std::chrono::milliseconds age, state::time_point now);
     void pushReaders(state::time_point now, gossip_batch &out);
     void requestTablesFromPeers(state::time_point now, gossip_batch &out);
     void sendRegularReport(state::time_point now, gossip_batch &out);
--- a/coordination/src/configuration/worker_directory.cpp
+++ b/coordination/src/configuration/worker_directory.cpp
@@ -9,8 +9,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds EntryReturnTime{2500}; // after the recovery of the service, time for running workers to announce themselves again
-constexpr std::chrono::minutes TombstoneRetention{10};     // a tombstone is removed after this time
+constexpr std::chrono::minutes TombstoneRetention{10}; // a tombstone is removed after this time
 
 // The digests of all entries are combined by XOR. Each field goes through the hash, so that the differences that two changes make
 // do not cancel each other.
@@ -162,9 +161,9 @@
         return;
     }
     const bool isFromEarlierEra = known->second.revision.era < revision.era; // the copy does not hold it: it may be written again
-    if (known->second.phase == worker_phase::ready && (m_serviceDown || now < m_disruptedUntil || isFromEarlierEra)) {
+    if (known->second.phase == worker_phase::ready && (isOutage(now) || now < m_disruptedUntil || isFromEarlierEra)) {
         const state::time_point returnsBy = std::max(m_disruptedUntil, isFromEarlierEra ? now + EntryReturnTime : now);
-        const state::time_point dueAt = m_serviceDown ? state::time_point::max() : returnsBy;
+        const state::time_point dueAt = isOutage(now) ? state::time_point::max() : returnsBy;
         m_pendingRemovals.try_emplace(std::string(id), pending_removal{revision, dueAt});
         return;
     }
@@ -196,25 +195,31 @@
     }
 }
 
-// ---- Service disruptions ----
+// ---- Outages of the service ----
 
-void worker_directory::recordServiceFailure(state::time_point)
+void worker_directory::recordServiceFailure(state::time_point since)
 {
-    m_serviceDown = true;
+    m_unansweredSince = std::min(m_unansweredSince.value_or(since), since);
 }
 
-void worker_directory::recordServiceRecovery(state::time_point now)
+void worker_directory::recordServiceRecovery(state::time_point at)
 {
-    if (!m_serviceDown) {
+    const bool wasOutage = isOutage(at);
+    m_unansweredSince.reset();
+    if (!wasOutage) {
         return;
     }
-    m_serviceDown = false;
-    m_disruptedUntil = now + EntryReturnTime;
+    m_disruptedUntil = std::max(m_disruptedUntil, at + EntryReturnTime);
     for (auto &[id, pending] : m_pendingRemovals) {
         pending.dueAt = std::min(pending.dueAt, m_disruptedUntil);
     }
 }
 
+bool worker_directory::isOutage(state::time_point now) const
+{
+    return m_unansweredSince && now - *m_unansweredSince >= EntryLapseTime;
+}
+
 void worker_directory::tick(state::time_point now)
 {
     std::vector<std::pair<std::string, store_revision>> due;
--- a/coordination/src/membership/gossip_node.cpp
+++ b/coordination/src/membership/gossip_node.cpp
@@ -16,7 +16,6 @@
 
 constexpr std::chrono::milliseconds ReadPushInterval{300}; // between two pushes of the reads of this node; shorter than the time between two reads
 constexpr std::size_t ReaderPushes = 3;                    // nodes of the data centre to which a change of the readers is passed on
-constexpr std::chrono::seconds EntryLapseTime{3};          // without reads for longer, entries of workers may have lapsed although these run
 
 constexpr std::size_t ConfigLocalPushes = 3;
 constexpr std::size_t ConfigRemotePushes = 2;
@@ -88,7 +87,9 @@
     std::ranges::move(m_workerDissemination.receive(message, now), std::back_inserter(out));
     followTable();
     if (message.sender.dataCentre == m_members.self().dataCentre) {
+        const std::chrono::milliseconds ageBefore = m_readers.serviceReadAge(now);
         m_readers.recordPeerState(message.readers, message.serviceReadAge, now);
+        recordReadGap(ageBefore, m_readers.serviceReadAge(now), now);
         pushReaders(now, out);
     }
     m_tableHints[message.sender.address] = message.tables;
@@ -175,11 +176,6 @@
     m_directory.learnEra(era);
 }
 
-void gossip_node::recordServiceReadFailure(state::time_point now)
-{
-    m_directory.recordServiceFailure(now);
-}
-
 void gossip_node::pushWorkers(state::time_point now, gossip_batch &out)
 {
     m_workerDissemination.collectChanges(change_source::service, now);
@@ -252,13 +248,20 @@
 
 void gossip_node::recordServiceRead(state::time_point now)
 {
-    const std::chrono::milliseconds unreadFor = m_readers.serviceReadAge(now);
-    if (unreadFor > EntryLapseTime && unreadFor < MaxReadAge) {
-        m_directory.recordServiceFailure(now); // an outage that other nodes have seen
-    }
+    recordReadGap(m_readers.serviceReadAge(now), std::chrono::milliseconds(0), now);
     m_readers.recordRead(now);
     m_readPushDue = m_readPushDue || reads(m_readers.role());
-    m_directory.recordServiceRecovery(now);
+}
+
+// Tells the directory for how long no node of the data centre has read the service. Each node finds this out by itself, from the ages of
+// the reads that it hears of: the readers may get their first answers one after the other.
+void gossip_node::recordReadGap(std::chrono::milliseconds ageBefore, std::chrono::milliseconds age, state::time_point now)
+{
+    if (ageBefore >= MaxReadAge || age >= ageBefore) { // no read was known before, or no later one is known now
+        return;
+    }
+    m_directory.recordServiceFailure(now - ageBefore);
+    m_directory.recordServiceRecovery(now - age);
 }
 
 bool gossip_node::isServiceReadAllowed(state::time_point now) const
--- a/coordination/tests/configuration/reader_simulation.h
+++ b/coordination/tests/configuration/reader_simulation.h
@@ -165,7 +165,6 @@
         own.inFlight = false;
         gossip_node &reader = m_fleet.at(node);
         if (own.outcome != store_access::served || m_access[node] != store_access::served) {
-            reader.recordServiceReadFailure(now);
             own.nextAt = own.role == reader_role::probing ? own.startedAt + ProbeInterval : now + std::chrono::milliseconds(m_random(MaxBackoffMs));
             return;
         }
--- a/coordination/tests/configuration/test_worker_directory.cpp
+++ b/coordination/tests/configuration/test_worker_directory.cpp
@@ -186,6 +186,19 @@
     cr_assert(phaseOf(directory, "a") == worker_phase::removed);
 }
 
+// Guards against requests to a worker that has left, since a watch of the service was cut just before its entry was removed.
+Test(worker_directory, a_call_that_fails_between_two_answers_keeps_no_removal_pending)
+{
+    for (const milliseconds unanswered : {milliseconds(0), milliseconds(20), milliseconds(450), milliseconds(1100), milliseconds(2400)}) {
+        worker_directory directory;
+        directory.offer(makeWorker("a", 1), Start);
+        directory.recordServiceFailure(Start);
+        directory.recordServiceRecovery(Start + unanswered);
+        directory.offerRemoval("a", {0, 2}, Start + unanswered);
+        cr_assert(phaseOf(directory, "a") == worker_phase::removed, "after %lld ms", static_cast<long long>(unanswered.count()));
+    }
+}
+
 // ---- Merging into the pool table ----
 
 Test(worker_directory, merges_only_the_worker_started_last_at_an_address)
--- a/programs/dandelionstall/control/control.cpp
+++ b/programs/dandelionstall/control/control.cpp
@@ -91,7 +91,6 @@
     };
     events.readFailed = [this] {
         ++m_totals.platformCalls;
-        m_gossipNode.recordServiceReadFailure(state::clock::now());
     };
     return events;
 }
--- a/tests/integration/support/store_fleet.cpp
+++ b/tests/integration/support/store_fleet.cpp
@@ -151,6 +151,11 @@
     command(m_storeAddress, "/_fault", lines);
 }
 
+void store_fleet::cutWatches() const
+{
+    command(m_storeAddress, "/_cut", "");
+}
+
 void store_fleet::rewindStore(std::chrono::milliseconds age) const
 {
     command(m_storeAddress, "/_rewind", std::to_string(age.count()));
--- a/tests/integration/support/store_fleet.h
+++ b/tests/integration/support/store_fleet.h
@@ -44,6 +44,7 @@
                    std::chrono::milliseconds timeout = std::chrono::seconds(2)); // the idempotent route gets this path, both this timeout
     void writeConfiguration(const std::string &document) const;                  // any text
     void setStoreFault(const std::string &lines) const;
+    void cutWatches() const;                               // the store closes the connections of waiting watches
     void rewindStore(std::chrono::milliseconds age) const; // the store comes back from a copy of this age; its era rises
     void heartbeat(int times);                             // all workers w0, w1, ... write their entries again, so that the revisions rise
     void setWorkerFault(std::size_t index, const std::string &lines) const;
--- a/tests/standins/keyed_store.cpp
+++ b/tests/standins/keyed_store.cpp
@@ -128,6 +128,11 @@
     if (target == "/_rewind") {
         co_return rewind(std::chrono::milliseconds(leadingNumber(request.body())));
     }
+    if (target == "/_cut") {
+        ++m_cuts;
+        m_changed.cancel();
+        co_return makeReply(http::status::ok, "true\n");
+    }
     if (target == "/_fault") {
         co_return setFaults(request.body());
     }
@@ -206,6 +211,7 @@
         co_return makeReply(http::status::gone, "history dropped\n");
     }
     const std::string reader = ipOf(peer);
+    const std::uint64_t cuts = m_cuts;
     co_await (awaitChange(prefix, after, reader) || pauseFor(wait) || awaitPeerClosed(peer));
     if (isListed(m_mutedIps, reader)) {
         co_return co_await answerMute(peer);
@@ -213,13 +219,17 @@
     if (isListed(m_refusedIps, reader)) {
         co_return refusal();
     }
+    if (m_cuts != cuts) {
+        co_return makeDropped();
+    }
     co_return changesAfter(prefix, after);
 }
 
 asio::awaitable<void> keyed_store::awaitChange(std::string prefix, std::uint64_t after, std::string reader)
 {
     const std::uint64_t era = m_era;
-    while (m_era == era && !hasChange(prefix, after) && !isListed(m_refusedIps, reader)) {
+    const std::uint64_t cuts = m_cuts;
+    while (m_era == era && m_cuts == cuts && !hasChange(prefix, after) && !isListed(m_refusedIps, reader)) {
         boost::system::error_code ignored;
         co_await m_changed.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
--- a/tests/standins/keyed_store.h
+++ b/tests/standins/keyed_store.h
@@ -5,6 +5,7 @@
 //   PUT /_put/<key>, PUT /_remove/<key>                                test only: changes or removes an item
 //   PUT /_rewind                                                       test only: comes back from a copy as old as the body says, in milliseconds;
 //                                                                      the era rises by one
+//   PUT /_cut                                                          test only: closes the connections of waiting watches without an answer
 //   PUT /_fault                                                        test only: "key=value" lines; an empty body clears all faults
 //
 // Faults:
@@ -75,6 +76,7 @@
     std::uint64_t m_revision = 1;
     std::uint64_t m_era = 1;
     bool m_namesEra = true;
+    std::uint64_t m_cuts = 0;              // a watch that began before the latest one is cut
     std::uint64_t m_compactedRevision = 0; // oldest revision that a watch may start from; earlier history is dropped
     asio::steady_timer m_changed;          // never expires; cancelled at each change to wake watches
     std::string m_absent;
