Fix: after a kill of all nodes, an older list of one of them brought a removed worker back for good

All nodes took the worker for ready again and sent it requests until it exited; nothing ended that.

Cause: tombstones are in memory only. offer() took an entry of an unknown worker from anyone, also at nodes whose own, later complete list had lacked it; the revision of the latest list was looked at for earlier eras only. So the digests of all nodes became equal, with the worker. The same cause on related paths: tombstones are dropped after ten minutes, after which a node that was cut off brings entries back; and a node that starts right after an outage of the store reads a list without the lapsed entries, and its removals ended the other nodes' wait for the workers to return.

Change: a complete list as of a revision says that each entry up to it which it lacks is gone; a watch that goes on from the list moves the revision on. An older entry of an unknown worker is answered with a tombstone of that revision, which travels like any other. An entry that cannot be read says nothing. Messages state for how much longer their sender keeps removals pending after an outage, and a node adopts that in its first five seconds; the field is absent otherwise.

Why this works: what a list of the store lacked is gone whoever states it later, so that it no longer matters that tombstones are lost.

--- a/coordination/include/dandelionstall/coordination/configuration/worker_directory.h
+++ b/coordination/include/dandelionstall/coordination/configuration/worker_directory.h
@@ -5,6 +5,11 @@
 // entry wins and is never replaced by a lower one, so the result does not depend on the source of an entry. A removed worker
 // leaves a tombstone, which prevents an older entry from adding the worker again.
 //
+// Tombstones are in memory only, and are dropped after some minutes. Beyond them, each complete list of the service says that every
+// entry up to its revision that it lacks is gone, and a watch that goes on from it moves this revision on. A node that has such a list
+// answers an older entry of an unknown worker with a tombstone, which travels like any other. So a node that starts with an old list,
+// or was cut off for long, adds no worker again that has ended.
+//
 // A store that comes back from an older copy has a higher era (store_revision.h), and what it states then is newer than all before.
 // Three things do not go back with it. A worker that was leaving stays so within its lifetime (startedAtMs). A worker that was removed
 // stays so until the new era has stated it twice in the same lifetime, as running workers write their entries again and again. And
@@ -12,13 +17,15 @@
 //
 // During an outage of the platform's service, entries can lapse although their workers are running. A removal of a ready worker that
 // is received after it stays pending. It is applied unless the worker announces itself again within EntryReturnTime after the service
-// has recovered. The removal of a leaving worker is applied at once. An outage is a time without any answer that is long enough for an
+// has recovered. The removal of a leaving worker is applied at once. A node that has just started does not know of the outage: it
+// adopts the time that its peers state. An outage is a time without any answer that is long enough for an
 // entry to lapse (EntryLapseTime). A call that fails between two answers closer together is none, whatever it failed with.
 //
 // Usage:
 //   worker_directory directory;
 //   directory.offer(entry, now);                 // one entry, from a watch or from another node
 //   directory.replaceAll(list, asOf, now);       // the whole list as of revision asOf
+//   directory.recordReadUpTo(asOf);              // a watch that goes on from the list has brought all changes up to asOf
 //   directory.tick(now);                         // applies pending removals that are due
 //   for (const discovered_worker &changed : directory.consumeChanges()) ... pass it on ...
 //   auto table = mergeDiscoveredWorkers(poolTable, directory);
@@ -36,6 +43,7 @@
 #include <array>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -89,10 +97,14 @@
 public:
     bool offer(const discovered_worker &entry, state::time_point now);                      // true when the content has changed
     void replaceAll(const worker_list &list, store_revision asOf, state::time_point now);   // removes missing entries older than asOf
+    void recordReadUpTo(store_revision asOf);                                               // after replaceAll(), all later changes up to asOf were offered
+    void recordUnreadable(const std::string &id);                                           // the service has an entry of this worker that cannot be read
     void offerRemoval(std::string_view id, store_revision revision, state::time_point now); // stays pending after an outage of the service
     void recordServiceFailure(state::time_point since);                                     // the service has given no answer since then
     void recordServiceRecovery(state::time_point at);                                       // the first answer after recordServiceFailure()
-    void tick(state::time_point now);                                                       // applies pending removals that are due; expires old tombstones
+    void adoptRemovalHold(state::time_point until);                                         // another node keeps removals pending until then
+    std::chrono::milliseconds removalHold(state::time_point now) const; // for how much longer removals stay pending after an outage that this node has seen
+    void tick(state::time_point now);                                   // applies pending removals that are due; expires old tombstones
 
     std::vector<discovered_worker> consumeChanges();                                        // entries whose content has changed since the last call
     std::vector<discovered_worker> pageAfter(std::string_view id, std::size_t limit) const; // entries after that id, ordered by id, including tombstones
@@ -113,18 +125,25 @@
     };
 
     bool isOutage(state::time_point now) const;
+    state::time_point heldUntil() const;
+    bool isGoneByList(const discovered_worker &entry) const;
+    bool offerTombstone(const discovered_worker &tombstone, state::time_point now);
+    bool offerUnknown(const discovered_worker &entry, state::time_point now);
+    bool offerKnown(discovered_worker entry, discovered_worker &known, state::time_point now);
     void apply(const discovered_worker &entry, state::time_point now);
-    void applyRemoval(const std::string &id, store_revision revision, state::time_point now);
+    void applyRemoval(const discovered_worker &entry, store_revision revision, state::time_point now);
     bool isDoubtfulReturn(const discovered_worker &entry, const discovered_worker &known); // records the first statement of a removed worker in a new era
 
     std::map<std::string, discovered_worker, std::less<>> m_entries;
     std::map<std::string, state::time_point, std::less<>> m_removedAt;
     std::map<std::string, pending_removal, std::less<>> m_pendingRemovals;
     std::map<std::string, store_revision, std::less<>> m_doubtfulReturns; // first statement of a new era about a worker that was removed before
-    store_revision m_listedAsOf;                                          // latest complete list that this node has read
+    store_revision m_listedAsOf; // an entry up to this revision that is not known is gone, but for the unreadable ones; 0 when no list was read
+    std::set<std::string, std::less<>> m_unreadable;
     std::uint64_t m_era = 0;
     std::vector<discovered_worker> m_changes;
-    state::time_point m_disruptedUntil;                 // removals stay pending before this time
+    state::time_point m_disruptedUntil;                 // removals stay pending before this time, after an outage that this node has seen
+    state::time_point m_adoptedHoldUntil;               // the same, as stated by another node
     std::optional<state::time_point> m_unansweredSince; // set while the service gives no answers
     std::uint32_t m_digest = 0;
     bucket_digests m_bucketDigests{};
--- a/coordination/include/dandelionstall/coordination/membership/gossip.h
+++ b/coordination/include/dandelionstall/coordination/membership/gossip.h
@@ -70,6 +70,7 @@
     std::array<table_hint, TableKinds.size()> tables; // highest valid versions that the sender knows
     reader_window readers;                            // which nodes of the sender's data centre read the service; see reader_choice.h
     std::chrono::milliseconds serviceReadAge{0};      // time since a node of the sender's data centre last read the service, as far as the sender knows
+    std::chrono::milliseconds removalHold{0};         // for how much longer the sender keeps removals pending after an outage; see worker_directory.h
     std::optional<std::chrono::milliseconds> receiverContactAge; // time since the sender last received directly from the receiver; empty when not recent
     std::optional<state::node_address> subject;                  // third node of relay, relayed_ack and relayed pings; cursor of member_pull
     std::vector<member> updates;                                 // member records that have changed, or the rows of a member_page
--- a/coordination/include/dandelionstall/coordination/membership/gossip_node.h
+++ b/coordination/include/dandelionstall/coordination/membership/gossip_node.h
@@ -41,6 +41,8 @@
     void offerWorker(const discovered_worker &entry, state::time_point now);                      // entry read from the service
     void replaceWorkers(const worker_list &list, store_revision asOf, state::time_point now);     // complete list read from the service
     void offerWorkerRemoval(std::string_view id, store_revision revision, state::time_point now); // removal reported by the service
+    void recordWorkersReadUpTo(store_revision asOf);                                              // the service has reported all changes up to this revision
+    void recordUnreadableWorker(const std::string &id);                                           // the service has an entry of it that cannot be read
     void learnStoreEra(std::uint64_t era);                                                        // era named by the service
     void recordServiceRead(state::time_point now);                                                // a call to the platform's service has succeeded
     reader_role serviceRole(state::time_point now) const;                                         // whether this node reads the service for its data centre now
@@ -74,6 +76,7 @@
     void refreshMembers(state::time_point now);
     void pushWorkers(state::time_point now, gossip_batch &out);
     void refreshReaders(state::time_point now);
+    std::chrono::milliseconds removalHold(state::time_point now) const;
     void recordReadGap(std::chrono::milliseconds ageBefore, std::chrono::milliseconds age, state::time_point now);
     void pushReaders(state::time_point now, gossip_batch &out);
     void requestTablesFromPeers(state::time_point now, gossip_batch &out);
--- a/coordination/src/configuration/worker_directory.cpp
+++ b/coordination/src/configuration/worker_directory.cpp
@@ -61,45 +61,72 @@
 
 // ---- Updates ----
 
-bool worker_directory::offer(const discovered_worker &stated, state::time_point now)
+bool worker_directory::offer(const discovered_worker &entry, state::time_point now)
 {
-    discovered_worker entry = stated;
     learnEra(entry.revision.era);
     if (entry.phase == worker_phase::removed) {
-        const auto known = m_entries.find(entry.id);
-        const bool changed = known == m_entries.end() || (known->second.phase != worker_phase::removed && known->second.revision < entry.revision);
-        if (changed) {
-            apply(entry, now);
-        } else {
-            known->second.revision = std::max(known->second.revision, entry.revision); // prevents entries of a lower revision from adding the worker again
-        }
-        return changed;
+        return offerTombstone(entry, now);
     }
     const auto pending = m_pendingRemovals.find(entry.id);
     if (pending != m_pendingRemovals.end() && pending->second.revision < entry.revision) {
         m_pendingRemovals.erase(pending); // the worker has announced itself since the removal
     }
     const auto known = m_entries.find(entry.id);
-    if (known != m_entries.end()) {
-        if (entry.revision <= known->second.revision || isDoubtfulReturn(entry, known->second)) {
-            return false;
-        }
-        const bool newEra = entry.revision.era > known->second.revision.era && entry.startedAtMs == known->second.startedAtMs;
-        if (newEra && known->second.phase == worker_phase::leaving) {
-            entry.phase = worker_phase::leaving; // the copy may be from before the worker began to leave
-        }
-        if (sameContent(entry, known->second)) {
-            known->second.revision = entry.revision;
-            return false;
-        }
+    return known == m_entries.end() ? offerUnknown(entry, now) : offerKnown(entry, known->second, now);
+}
+
+bool worker_directory::offerTombstone(const discovered_worker &tombstone, state::time_point now)
+{
+    const auto known = m_entries.find(tombstone.id);
+    const bool changed = known == m_entries.end() || (known->second.phase != worker_phase::removed && known->second.revision < tombstone.revision);
+    if (changed) {
+        apply(tombstone, now);
+    } else {
+        known->second.revision = std::max(known->second.revision, tombstone.revision); // prevents entries of a lower revision from adding the worker again
+    }
+    return changed;
+}
+
+bool worker_directory::offerUnknown(const discovered_worker &entry, state::time_point now)
+{
+    const bool isGone = isGoneByList(entry);
+    if (isGone && heldUntil() <= now) {
+        applyRemoval(entry, m_listedAsOf, now); // tells the node that has the entry
+        return false;
     }
     apply(entry, now);
-    if (entry.revision.era < m_listedAsOf.era) { // a list of a later era lacked it, or it would be known with that era
+    if (isGone) {
+        m_pendingRemovals.try_emplace(entry.id, pending_removal{m_listedAsOf, heldUntil()});
+    } else if (entry.revision.era < m_listedAsOf.era) { // a list of a later era lacked it, or it would be known with that era
         m_pendingRemovals.try_emplace(entry.id, pending_removal{m_listedAsOf, now + EntryReturnTime});
     }
     return true;
 }
 
+bool worker_directory::offerKnown(discovered_worker entry, discovered_worker &known, state::time_point now)
+{
+    if (entry.revision <= known.revision || isDoubtfulReturn(entry, known)) {
+        return false;
+    }
+    const bool newEra = entry.revision.era > known.revision.era && entry.startedAtMs == known.startedAtMs;
+    if (newEra && known.phase == worker_phase::leaving) {
+        entry.phase = worker_phase::leaving; // the copy may be from before the worker began to leave
+    }
+    if (sameContent(entry, known)) {
+        known.revision = entry.revision;
+        return false;
+    }
+    apply(entry, now);
+    return true;
+}
+
+// A list that lacked the worker says so of each entry up to its revision. An entry that it could not read says nothing.
+bool worker_directory::isGoneByList(const discovered_worker &entry) const
+{
+    const bool isCovered = m_listedAsOf.revision != 0 && entry.revision.era == m_listedAsOf.era && entry.revision <= m_listedAsOf;
+    return isCovered && !m_unreadable.contains(entry.id);
+}
+
 // A copy of the store may hold an entry that was removed since. A running worker writes its entry again, one that has gone does not.
 bool worker_directory::isDoubtfulReturn(const discovered_worker &entry, const discovered_worker &known)
 {
@@ -136,14 +163,9 @@
     ++m_version;
 }
 
-void worker_directory::applyRemoval(const std::string &id, store_revision revision, state::time_point now)
+void worker_directory::applyRemoval(const discovered_worker &entry, store_revision revision, state::time_point now)
 {
-    discovered_worker tombstone;
-    const auto known = m_entries.find(id);
-    if (known != m_entries.end()) {
-        tombstone = known->second;
-    }
-    tombstone.id = id;
+    discovered_worker tombstone = entry;
     tombstone.phase = worker_phase::removed;
     tombstone.revision = revision;
     apply(tombstone, now);
@@ -152,6 +174,9 @@
 void worker_directory::offerRemoval(std::string_view id, store_revision revision, state::time_point now)
 {
     learnEra(revision.era);
+    if (const auto unreadable = m_unreadable.find(id); unreadable != m_unreadable.end()) {
+        m_unreadable.erase(unreadable);
+    }
     const auto known = m_entries.find(id);
     if (known == m_entries.end() || known->second.revision >= revision) {
         return;
@@ -161,24 +186,27 @@
         return;
     }
     const bool isFromEarlierEra = known->second.revision.era < revision.era; // the copy does not hold it: it may be written again
-    if (known->second.phase == worker_phase::ready && (isOutage(now) || now < m_disruptedUntil || isFromEarlierEra)) {
-        const state::time_point returnsBy = std::max(m_disruptedUntil, isFromEarlierEra ? now + EntryReturnTime : now);
+    if (known->second.phase == worker_phase::ready && (isOutage(now) || now < heldUntil() || isFromEarlierEra)) {
+        const state::time_point returnsBy = std::max(heldUntil(), isFromEarlierEra ? now + EntryReturnTime : now);
         const state::time_point dueAt = isOutage(now) ? state::time_point::max() : returnsBy;
         m_pendingRemovals.try_emplace(std::string(id), pending_removal{revision, dueAt});
         return;
     }
-    applyRemoval(std::string(id), revision, now);
+    applyRemoval(known->second, revision, now);
 }
 
 void worker_directory::replaceAll(const worker_list &list, store_revision asOf, state::time_point now)
 {
     learnEra(asOf.era);
-    m_listedAsOf = std::max(m_listedAsOf, asOf);
     std::set<std::string_view> listed(list.unreadable.begin(), list.unreadable.end());
     for (const discovered_worker &entry : list.entries) {
         offer(entry, now);
         listed.insert(entry.id);
     }
+    if (m_listedAsOf <= asOf) {
+        m_listedAsOf = asOf;
+        m_unreadable = {list.unreadable.begin(), list.unreadable.end()};
+    }
     std::vector<std::string> missing;
     for (auto &[id, known] : m_entries) {
         if (listed.contains(id) || known.revision >= asOf) {
@@ -195,6 +223,18 @@
     }
 }
 
+void worker_directory::recordReadUpTo(store_revision asOf)
+{
+    if (m_listedAsOf.revision != 0 && m_listedAsOf.era == asOf.era) {
+        m_listedAsOf = std::max(m_listedAsOf, asOf);
+    }
+}
+
+void worker_directory::recordUnreadable(const std::string &id)
+{
+    m_unreadable.insert(id);
+}
+
 // ---- Outages of the service ----
 
 void worker_directory::recordServiceFailure(state::time_point since)
@@ -220,6 +260,21 @@
     return m_unansweredSince && now - *m_unansweredSince >= EntryLapseTime;
 }
 
+void worker_directory::adoptRemovalHold(state::time_point until)
+{
+    m_adoptedHoldUntil = std::max(m_adoptedHoldUntil, until);
+}
+
+std::chrono::milliseconds worker_directory::removalHold(state::time_point now) const
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(std::max(m_disruptedUntil - now, state::duration::zero()));
+}
+
+state::time_point worker_directory::heldUntil() const
+{
+    return std::max(m_disruptedUntil, m_adoptedHoldUntil);
+}
+
 void worker_directory::tick(state::time_point now)
 {
     std::vector<std::pair<std::string, store_revision>> due;
@@ -230,7 +285,7 @@
     }
     for (const auto &[id, revision] : due) {
         m_pendingRemovals.erase(id);
-        applyRemoval(id, revision, now);
+        applyRemoval(m_entries.at(id), revision, now);
     }
     std::erase_if(m_removedAt, [&](const auto &entry) {
         const bool isExpired = entry.second + TombstoneRetention <= now;
--- a/coordination/src/membership/gossip_node.cpp
+++ b/coordination/src/membership/gossip_node.cpp
@@ -84,6 +84,9 @@
         std::ranges::move(m_configDissemination.push(m_members.samplePeers(ConfigLocalPushes, ConfigRemotePushes)), std::back_inserter(out));
     }
     m_directory.learnEra(message.storeEra);
+    if (now < m_joinedAt && message.removalHold.count() > 0) { // before the entries that the message brings
+        m_directory.adoptRemovalHold(now + std::min(message.removalHold, EntryReturnTime));
+    }
     std::ranges::move(m_workerDissemination.receive(message, now), std::back_inserter(out));
     followTable();
     if (message.sender.dataCentre == m_members.self().dataCentre) {
@@ -106,11 +109,13 @@
 {
     const auto hints = m_configDissemination.tableHints();
     const std::chrono::milliseconds serviceReadAge = m_readers.serviceReadAge(now);
+    const std::chrono::milliseconds hold = removalHold(now);
     for (outgoing_gossip &out : batch) {
         out.message.sender = m_members.self();
         out.message.tables = hints;
         out.message.readers = m_readers.window();
         out.message.serviceReadAge = serviceReadAge;
+        out.message.removalHold = hold;
         out.message.workersDigest = m_directory.digest();
         out.message.storeEra = m_directory.era();
         if (out.message.kind == gossip_kind::ping || out.message.kind == gossip_kind::ack) {
@@ -171,6 +176,16 @@
     m_workerDissemination.collectChanges(change_source::service, now);
 }
 
+void gossip_node::recordWorkersReadUpTo(store_revision asOf)
+{
+    m_directory.recordReadUpTo(asOf);
+}
+
+void gossip_node::recordUnreadableWorker(const std::string &id)
+{
+    m_directory.recordUnreadable(id);
+}
+
 void gossip_node::learnStoreEra(std::uint64_t era)
 {
     m_directory.learnEra(era);
@@ -264,6 +279,14 @@
     m_directory.recordServiceRecovery(now - age);
 }
 
+// What this node tells nodes that have just started. During an outage, the whole time: it may have ended, unheard of.
+std::chrono::milliseconds gossip_node::removalHold(state::time_point now) const
+{
+    const std::chrono::milliseconds age = m_readers.serviceReadAge(now);
+    const bool isOutage = age >= EntryLapseTime && age < MaxReadAge;
+    return isOutage ? EntryReturnTime : m_directory.removalHold(now);
+}
+
 bool gossip_node::isServiceReadAllowed(state::time_point now) const
 {
     const bool complete = m_store.newestKnown(table_kind::routes).revision != 0 && m_store.newestKnown(table_kind::pools).revision != 0;
--- a/coordination/tests/configuration/test_worker_directory.cpp
+++ b/coordination/tests/configuration/test_worker_directory.cpp
@@ -199,6 +199,74 @@
     }
 }
 
+// ---- Entries that a complete list lacked ----
+
+// Guards against a removed worker that comes back on all nodes, since after a kill of all of them one node read an older list.
+Test(worker_directory, an_older_entry_of_a_worker_that_a_list_lacked_is_answered_with_a_tombstone)
+{
+    worker_directory reader;
+    reader.replaceAll({{makeWorker("a", 3)}, {}}, {0, 9}, Start);
+    reader.consumeChanges();
+    cr_assert(not(reader.offer(makeWorker("bb", 5), Start)));
+    cr_assert(phaseOf(reader, "bb") == worker_phase::removed);
+    const std::vector<discovered_worker> news = reader.consumeChanges();
+    cr_assert(news.size() == 1u);
+    worker_directory other; // has the older list only
+    other.replaceAll({{makeWorker("a", 3), makeWorker("bb", 5)}, {}}, {0, 6}, Start);
+    cr_assert(other.offer(news.front(), Start));
+    cr_assert(phaseOf(other, "bb") == worker_phase::removed);
+    cr_assert(other.digest() == reader.digest());
+}
+
+Test(worker_directory, a_list_says_nothing_about_later_and_unreadable_entries_and_other_eras)
+{
+    worker_directory directory;
+    cr_assert(directory.offer(makeWorker("a", 1), Start)); // no list has been read yet
+    directory.replaceAll({{makeWorker("a", 1)}, {"bb"}}, {0, 9}, Start);
+    cr_assert(directory.offer(makeWorker("bb", 5), Start));
+    cr_assert(directory.offer(makeWorker("ccc", 10), Start));
+    cr_assert(directory.offer(makeWorker("dddd", 2, worker_phase::ready, 1), Start));
+    cr_assert(not(directory.offer(makeWorker("eeeee", 9), Start)));
+    cr_assert(directory.offer(makeWorker("eeeee", 11), Start)); // the worker has come back
+    cr_assert(phaseOf(directory, "eeeee") == worker_phase::ready);
+}
+
+// Guards against a node that was cut off for longer than tombstones are kept, and brings a removed worker back.
+Test(worker_directory, a_watch_that_goes_on_from_the_list_covers_what_tombstones_no_longer_do)
+{
+    worker_directory directory;
+    directory.recordReadUpTo({0, 50}); // no list before: it covers nothing
+    cr_assert(directory.offer(makeWorker("a", 4), Start));
+    directory.replaceAll({{makeWorker("a", 4)}, {}}, {0, 9}, Start);
+    directory.offer(makeWorker("bb", 20), Start);
+    directory.recordUnreadable("ccc"); // written at 22
+    directory.offerRemoval("bb", {0, 25}, Start);
+    directory.recordReadUpTo({0, 25});
+    directory.tick(Start + std::chrono::hours(1));
+    cr_assert(not(directory.entries().contains("bb")));
+    cr_assert(not(directory.offer(makeWorker("bb", 20), Start + std::chrono::hours(1))));
+    cr_assert(phaseOf(directory, "bb") == worker_phase::removed);
+    cr_assert(directory.offer(makeWorker("ccc", 21), Start));
+    cr_assert(directory.offer(makeWorker("bb", 26), Start + std::chrono::hours(1)));
+}
+
+// Guards against running workers that are out of use after an outage, since a node that has just started read a list without their
+// entries and called them gone.
+Test(worker_directory, a_node_that_adopts_a_hold_keeps_workers_that_its_list_lacked)
+{
+    worker_directory directory;
+    directory.adoptRemovalHold(Start + seconds(2));
+    directory.offer(makeWorker("a", 3), Start);
+    directory.replaceAll({{}, {}}, {0, 9}, Start);
+    cr_assert(directory.offer(makeWorker("bb", 5), Start));
+    cr_assert(phaseOf(directory, "a") == worker_phase::ready);
+    cr_assert(directory.removalHold(Start) == milliseconds(0)); // an adopted hold is not passed on
+    directory.offer(makeWorker("a", 10), Start + seconds(1));
+    directory.tick(Start + seconds(2));
+    cr_assert(phaseOf(directory, "a") == worker_phase::ready);
+    cr_assert(phaseOf(directory, "bb") == worker_phase::removed);
+}
+
 // ---- Merging into the pool table ----
 
 Test(worker_directory, merges_only_the_worker_started_last_at_an_address)
--- a/programs/dandelionstall/control/control.cpp
+++ b/programs/dandelionstall/control/control.cpp
@@ -77,6 +77,12 @@
         m_gossipNode.offerWorkerRemoval(id, revision, state::clock::now());
         applyUpdates(state::clock::now());
     };
+    events.workerUnreadable = [this](const std::string &id) {
+        m_gossipNode.recordUnreadableWorker(id);
+    };
+    events.workersReadUpTo = [this](coordination::store_revision asOf) {
+        m_gossipNode.recordWorkersReadUpTo(asOf);
+    };
     events.entryRefused = [this](const std::string &key, const std::string &reason) {
         m_metrics.incrementCounter("worker_entries_refused");
         logEvent(event::worker_entry_refused, {{"key", key}, {"reason", reason}});
--- a/programs/dandelionstall/control/key_value_source.cpp
+++ b/programs/dandelionstall/control/key_value_source.cpp
@@ -197,6 +197,7 @@
         handleChange(item);
     }
     m_revision = std::max(m_revision, changes->asOfRevision);
+    m_events.workersReadUpTo({m_era, m_revision});
     co_return true;
 }
 
@@ -285,11 +286,14 @@
     if (!item.key.starts_with(prefix)) {
         return;
     }
+    std::string id = item.key.substr(prefix.size());
     if (item.removed) {
         m_lastRefusals.erase(item.key);
-        m_events.workerRemoved(item.key.substr(prefix.size()), {m_era, item.revision});
+        m_events.workerRemoved(std::move(id), {m_era, item.revision});
     } else if (auto worker = readWorker(item); worker.ok()) {
         m_events.workerUpdated(*std::move(worker));
+    } else {
+        m_events.workerUnreadable(std::move(id));
     }
 }
 
--- a/protocol/src/gossip_codec.cpp
+++ b/protocol/src/gossip_codec.cpp
@@ -239,6 +239,7 @@
     writeHint(message.tables[0], *out.mutable_routes());
     writeHint(message.tables[1], *out.mutable_pools());
     out.set_read_age_ms(static_cast<std::uint32_t>(message.serviceReadAge.count()));
+    out.set_removal_hold_ms(static_cast<std::uint32_t>(message.removalHold.count()));
     out.set_reader_round(message.readers.round);
     out.set_reader_first(message.readers.first);
     out.set_reader_width(message.readers.width);
@@ -284,6 +285,7 @@
         message.readers = {in.reader_round(), in.reader_first(), in.reader_width()};
     }
     message.serviceReadAge = in.has_read_age_ms() ? std::chrono::milliseconds(in.read_age_ms()) : std::chrono::milliseconds(coordination::MaxReadAge);
+    message.removalHold = std::chrono::milliseconds(in.removal_hold_ms());
     message.workersDigest = in.workers_digest();
     message.workersCursor = in.workers_cursor();
     message.storeEra = in.store_era();
--- a/protocol/tests/test_gossip_codec.cpp
+++ b/protocol/tests/test_gossip_codec.cpp
@@ -59,6 +59,7 @@
     message.tables = {table_hint{2200, 0xDEADBEEF}, table_hint{7, 1}};
     message.readers = {3, 0xFEDCBA9876543210, 128};
     message.serviceReadAge = std::chrono::milliseconds(12'345);
+    message.removalHold = std::chrono::milliseconds(2400);
     message.receiverContactAge = std::chrono::milliseconds(250);
     message.subject = state::node_address{"fd00::2", 7401};
     message.updates = sampleUpdates();
@@ -81,6 +82,7 @@
     cr_assert(read->sender.incarnation == message.sender.incarnation && read->sender.refutations == 2 && read->sender.leaving);
     cr_assert(read->tables == message.tables);
     cr_assert(read->readers == message.readers && read->serviceReadAge == message.serviceReadAge && read->receiverContactAge == message.receiverContactAge);
+    cr_assert(read->removalHold == message.removalHold);
     cr_assert(read->subject == message.subject);
     cr_assert(read->workersBuckets == message.workersBuckets);
     cr_assert(read->storeEra == 3 && read->workers.size() == 1 && read->workers.front().entry.revision == (store_revision{3, 412}));
@@ -144,6 +146,7 @@
         message.tables = common.tables;
         message.readers = common.readers;
         message.serviceReadAge = common.serviceReadAge;
+        message.removalHold = common.removalHold;
         message.workersDigest = std::numeric_limits<std::uint32_t>::max();
         message.storeEra = std::numeric_limits<std::uint64_t>::max();
         cr_assert(encodeGossip(message).size() <= MaxDatagramBytes, "%zu bytes", encodeGossip(message).size());
--- a/tests/integration/test_promise_worker_ends.cpp
+++ b/tests/integration/test_promise_worker_ends.cpp
@@ -16,8 +16,11 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t Nodes = store_fleet::Nodes;
 constexpr milliseconds DrainTime{2000}; // from the acknowledgement of the store; see bound.drainMs in store_fleet.cpp
+constexpr milliseconds ContactTime{3000};      // after the start of the last node, all are in contact
+constexpr milliseconds RestartDelay{500};      // from the kill of all nodes to the start of the first ones
+constexpr milliseconds LastRestartDelay{400};  // from then to the start of the last one
+constexpr std::size_t ManyNodes = 8;           // so that some of them don't read the store
 constexpr milliseconds CalmTime{3000};  // reads of the store before a test changes anything
 
 // Sends requests through all nodes and expects that none reaches the worker at the place.
@@ -25,11 +28,42 @@
 {
     const std::size_t runs = fleet.runsAt(place);
     for (std::size_t i = 0; i < 40; ++i) {
-        cr_assert(fleet.statusOf(i % Nodes, "/read/1") == "HTTP/1.1 200");
+        cr_assert(fleet.statusOf(i % fleet.size(), "/read/1") == "HTTP/1.1 200");
     }
     cr_assert(fleet.runsAt(place) == runs, "%zu requests reached worker w%zu", fleet.runsAt(place) - runs, place);
 }
 
+// Returns a node, other than the one at the place, that has not read the store for the others.
+std::size_t findNonReader(store_fleet &fleet, std::size_t place)
+{
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        const std::string output = fleet.node(i).output();
+        if (i != place && output.find("role=primary") == std::string::npos && output.find("role=secondary") == std::string::npos) {
+            return i;
+        }
+    }
+    cr_assert_fail("each node has read the store");
+    return 0;
+}
+
+// Kills all nodes and starts them again. The last one reads the store as it was before the given time.
+void restartAll(store_fleet &fleet, std::size_t last, std::chrono::steady_clock::time_point staleUntil)
+{
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        fleet.node(i).kill();
+    }
+    std::this_thread::sleep_for(RestartDelay);
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        if (i != last) {
+            fleet.startNode(i);
+        }
+    }
+    std::this_thread::sleep_for(LastRestartDelay);
+    const auto age = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - staleUntil);
+    fleet.setStoreFault(fmt::format("stale={}\nstale_ms={}\n", fleet.nodeIp(last), age.count()));
+    fleet.startNode(last);
+}
+
 } // namespace
 
 // Guards against requests to a worker whose removal the nodes held back for longer than DrainTime, since their watches were cut before it.
@@ -44,3 +78,38 @@
     std::this_thread::sleep_for(DrainTime);
     expectNoRuns(fleet, 1);
 }
+
+// Guards against a removed worker that comes back on all nodes for good, since after a kill of all of them one node read an older list.
+Test(worker_ends, an_older_list_after_a_kill_of_all_nodes_brings_no_worker_back)
+{
+    store_fleet fleet(ManyNodes);
+    fleet.start();
+    std::this_thread::sleep_for(CalmTime);
+    const std::size_t last = findNonReader(fleet, 1);
+    const auto before = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(milliseconds(20));
+    fleet.removeEntry("w1");
+    std::this_thread::sleep_for(milliseconds(200));
+    restartAll(fleet, last, before);
+    std::this_thread::sleep_for(ContactTime);
+    expectNoRuns(fleet, 1);
+}
+
+// Guards against an older configuration that comes back in the same way.
+Test(worker_ends, an_older_list_after_a_kill_of_all_nodes_brings_no_configuration_back)
+{
+    store_fleet fleet(ManyNodes);
+    fleet.start();
+    std::this_thread::sleep_for(CalmTime);
+    const std::size_t last = findNonReader(fleet, 1);
+    const auto before = std::chrono::steady_clock::now();
+    std::this_thread::sleep_for(milliseconds(20));
+    fleet.configure(5, "lookup");
+    std::this_thread::sleep_for(milliseconds(200));
+    restartAll(fleet, last, before);
+    std::this_thread::sleep_for(ContactTime);
+    for (std::size_t i = 0; i < ManyNodes; ++i) {
+        cr_assert(fleet.statusOf(i, "/lookup/1") == "HTTP/1.1 200", "node %zu", i);
+        cr_assert(fleet.statusOf(i, "/read/1") == "HTTP/1.1 404", "node %zu", i);
+    }
+}
--- a/tests/standins/keyed_store.cpp
+++ b/tests/standins/keyed_store.cpp
@@ -97,17 +97,27 @@
     m_changed.cancel();
 }
 
-// Replays the changes that are older than the age, so that revisions are given out again.
+// Replays the changes up to a time.
+keyed_store::copy keyed_store::copyOf(state::time_point until) const
+{
+    copy result;
+    for (const past_change &each : m_past) {
+        if (each.at <= until) {
+            result.items[each.key] = each.value;
+            result.revision = each.value.revision;
+        }
+    }
+    return result;
+}
+
+// Drops the changes that are younger than the age, so that revisions are given out again.
 http_reply keyed_store::rewind(std::chrono::milliseconds age)
 {
     const state::time_point until = state::clock::now() - age;
     std::erase_if(m_past, [until](const past_change &each) { return each.at > until; });
-    m_items.clear();
-    m_revision = 1;
-    for (const past_change &each : m_past) {
-        m_items[each.key] = each.value;
-        m_revision = each.value.revision;
-    }
+    copy past = copyOf(until);
+    m_items = std::move(past.items);
+    m_revision = past.revision;
     m_compactedRevision = std::min(m_compactedRevision, m_revision);
     ++m_era;
     m_changed.cancel();
@@ -165,7 +175,7 @@
         co_return refusal();
     }
     if (target.starts_with("/dandelionstall/kv-range?")) {
-        co_return range(queryOf(target));
+        co_return range(queryOf(target), reader);
     }
     if (target.starts_with("/dandelionstall/kv-watch?")) {
         co_return co_await watch(std::string(queryOf(target)), peer);
@@ -179,13 +189,14 @@
     co_return makeDropped();
 }
 
-http_reply keyed_store::range(std::string_view query) const
+http_reply keyed_store::range(std::string_view query, const std::string &reader) const
 {
+    const bool isStale = reader == m_staleIp && parameterOf(query, "serializable") == "1";
     const std::string prefix = parameterOf(query, "prefix");
     const std::string after = parameterOf(query, "after");
     boost::json::array items;
     bool truncated = false;
-    for (const auto &[key, entry] : m_items) {
+    for (const auto &[key, entry] : isStale ? m_stale.items : m_items) {
         if (entry.removed || !key.starts_with(prefix) || key <= after) {
             continue;
         }
@@ -198,7 +209,7 @@
     boost::json::object body;
     body["items"] = std::move(items);
     body["truncated"] = truncated;
-    body["asOf"] = m_revision;
+    body["asOf"] = isStale ? m_stale.revision : m_revision;
     return jsonReply(body);
 }
 
@@ -266,6 +277,8 @@
         m_endless = values.consume("endless", std::string());
         m_refusedIps = values.consume("refuse", std::string());
         m_mutedIps = values.consume("mute", std::string());
+        m_staleIp = values.consume("stale", std::string());
+        m_stale = copyOf(state::clock::now() - values.consumeMillis("stale_ms", std::chrono::milliseconds(0)));
         m_silent = values.consumeFlag("silent");
         m_namesEra = values.consume("era", std::string()) != "none";
         if (values.consumeFlag("compact")) {
--- a/tests/standins/keyed_store.h
+++ b/tests/standins/keyed_store.h
@@ -1,6 +1,6 @@
 // Stand-in for a platform's metadata store: items with revisions, read by key range and watched by revision.
 //
-//   GET /dandelionstall/kv-range?prefix=P[&after=KEY]                  items, a page of them
+//   GET /dandelionstall/kv-range?prefix=P[&after=KEY]                  items, a page of them; with serializable=1 perhaps old ones
 //   GET /dandelionstall/kv-watch?prefix=P&after=REVISION&waitMs=N      changes after a revision; blocks until there is one or waitMs has elapsed
 //   PUT /_put/<key>, PUT /_remove/<key>                                test only: changes or removes an item
 //   PUT /_rewind                                                       test only: comes back from a copy as old as the body says, in milliseconds;
@@ -15,6 +15,7 @@
 //   endless=chunk_head  bytes without end in place of answers, see makeEndless()
 //   refuse=127.0.0.2    reads from this IP address (or several, with commas between them) get status 503, waiting ones too; others are served
 //   mute=127.0.0.2      the same, but these reads are never answered
+//   stale=127.0.0.2     serializable reads from this IP address show the store as it was stale_ms before this fault was set
 //   compact=yes         drops the history up to now: watches from an older revision get status 410
 #pragma once
 
@@ -50,6 +51,12 @@
         state::time_point writtenAt = {};
     };
 
+    // The content at some time.
+    struct copy {
+        std::map<std::string, item> items; // includes tombstones of removed items
+        std::uint64_t revision = 1;
+    };
+
     // A change, kept for coming back to the time before it.
     struct past_change {
         state::time_point at;
@@ -59,12 +66,13 @@
 
     void change(const std::string &key, std::string value, bool removed);
     void removeLapsed(); // once every LapseCheckInterval
+    copy copyOf(state::time_point until) const;
     http_reply rewind(std::chrono::milliseconds age);
     asio::awaitable<http_reply> read(std::string target, tcp::socket &peer);
     asio::awaitable<http_reply> watch(std::string query, tcp::socket &peer);
     asio::awaitable<void> awaitChange(std::string prefix, std::uint64_t after, std::string reader);
     asio::awaitable<http_reply> answerMute(tcp::socket &peer) const;
-    http_reply range(std::string_view query) const;
+    http_reply range(std::string_view query, const std::string &reader) const;
     http_reply changesAfter(std::string_view prefix, std::uint64_t after) const;
     bool hasChange(std::string_view prefix, std::uint64_t after) const;
     http_reply setFaults(const std::string &text);
@@ -83,6 +91,8 @@
     std::string m_endless;    // see makeEndless(); empty sends whole answers
     std::string m_refusedIps; // IP addresses whose reads get status 503, with commas between them
     std::string m_mutedIps;   // IP addresses whose reads are never answered
+    std::string m_staleIp;    // IP address whose serializable reads show m_stale
+    copy m_stale;
     bool m_silent = false;
 };
 
--- a/transport/include/dandelionstall/transport/config_source.h
+++ b/transport/include/dandelionstall/transport/config_source.h
@@ -25,7 +25,9 @@
     std::function<void(coordination::worker_list list, coordination::store_revision asOf)> workerListReceived; // all workers were read, as of a revision
     std::function<void(coordination::discovered_worker entry)> workerUpdated;                 // the entry of one worker was added or has changed
     std::function<void(std::string id, coordination::store_revision revision)> workerRemoved; // the entry of one worker was removed at this revision
-    std::function<void(std::string key, std::string reason)> entryRefused;                    // an entry does not describe a usable worker
+    std::function<void(std::string id)> workerUnreadable;                                     // a changed entry of this worker cannot be read
+    std::function<void(coordination::store_revision asOf)> workersReadUpTo; // after workerListReceived, all changes up to this revision were passed on
+    std::function<void(std::string key, std::string reason)> entryRefused;  // an entry does not describe a usable worker
     std::function<void(std::uint64_t era, coordination::store_revision before)>
         eraRaised;                       // the store names a higher era than before; before: what had been applied
     std::function<void()> readSucceeded; // a call to the platform's service succeeded
