Fix: a heartbeat that reached the store late made a leaving worker ready again

Cause: the heartbeat had been held up by a partition, and the store took it after the report, with the highest revision. The directory ordered the entries of one lifetime by revision alone; the adapter read the number that the worker gives its writes, and dropped it.

Change: sequence goes from the adapter through the directory and between nodes. In one lifetime, an entry of a lower sequence is a late write whatever its revision: it changes nothing, ends no pending removal, and brings back no worker that was removed. An entry that goes before a late write takes over its revision, so that what a node holds only grows in (revision, sequence), and nodes cannot go round in circles. Without a sequence or a start of the worker, the revision decides as before.

Evidence: worker_directory/a_late_write_of_a_lifetime_changes_nothing, a_late_write_brings_no_removed_worker_back, a_late_write_ends_no_pending_removal, a_copy_of_the_store_with_an_earlier_write_changes_nothing and worker_ends/a_late_heartbeat_ends_no_leaving (2 requests) failed on the code before.

Why this works: the worker itself says which of its writes is the later one.

--- a/coordination/include/dandelionstall/coordination/configuration/worker_directory.h
+++ b/coordination/include/dandelionstall/coordination/configuration/worker_directory.h
@@ -5,6 +5,10 @@
 // entry wins and is never replaced by a lower one, so the result does not depend on the source of an entry. A removed worker
 // leaves a tombstone, which prevents an older entry from adding the worker again.
 //
+// A worker numbers what it writes (sequence). A write that is held up on its way may reach the store after later ones of the same
+// lifetime (startedAtMs): the store takes it, with the highest revision. Within a lifetime the highest sequence therefore goes before
+// the revision. Such a late write changes nothing and ends no leaving, and it brings back no worker that was removed.
+//
 // Tombstones are in memory only, and are dropped after some minutes. Beyond them, each complete list of the service says that every
 // entry up to its revision that it lacks is gone, and a watch that goes on from it moves this revision on. A node that has such a list
 // answers an older entry of an unknown worker with a tombstone, which travels like any other. So a node that starts with an old list,
@@ -21,6 +25,21 @@
 // adopts the time that its peers state. An outage is a time without any answer that is long enough for an
 // entry to lapse (EntryLapseTime). A call that fails between two answers closer together is none, whatever it failed with.
 //
+// What holds afterwards, for one worker in one era. "Higher" and "lower" are revisions, "late" is a lower sequence in the same lifetime:
+//
+//   known \ comes    entry, higher        entry, lower or equal     entry, late      removal, higher     removal, lower    list of a higher
+//                                                                                                                          revision without it
+//   nothing          the entry            the entry; a tombstone    -                nothing, or the     the same          nothing
+//                                         if a list lacked it                        peer's tombstone
+//   ready            the entry            ready                     ready            removed; pending    ready             as for a removal
+//                                                                                    after an outage
+//   leaving          the entry            leaving                   leaving          removed             leaving           removed
+//   removed          the entry            removed                   removed          removed             removed           removed
+//
+// A tombstone that comes from another node is applied at once in all cases of "removal, higher": that node has waited, if there was
+// reason to. With an entry of lower revision but higher sequence in the same lifetime, the entry wins over a known entry, not over a
+// tombstone. In a higher era, everything counts as of a higher revision, but for the exceptions above.
+//
 // Usage:
 //   worker_directory directory;
 //   directory.offer(entry, now);                 // one entry, from a watch or from another node
@@ -74,6 +93,7 @@
     worker_phase phase = worker_phase::ready; // phase as announced
     std::string version;                      // version of the worker's software
     std::uint64_t startedAtMs = 0;            // wall clock time of the worker at its start; distinguishes two incarnations with one id
+    std::uint64_t sequence = 0;               // number of the worker's write within its lifetime; 0 when not stated
     state::time_point coldUntil;              // the worker is expected to be slow until then
     store_revision revision;                  // when the entry was written; a higher one is newer
 };
@@ -84,7 +104,7 @@
     std::vector<std::string> unreadable; // ids
 };
 
-bool sameContent(const discovered_worker &a, const discovered_worker &b); // compares all fields except revision and coldUntil
+bool sameContent(const discovered_worker &a, const discovered_worker &b); // compares all fields except revision, sequence and coldUntil
 
 // [SECTION] Directory
 
@@ -127,8 +147,9 @@
     bool isOutage(state::time_point now) const;
     state::time_point heldUntil() const;
     bool isGoneByList(const discovered_worker &entry) const;
-    bool offerTombstone(const discovered_worker &tombstone, state::time_point now);
+    bool offerTombstone(discovered_worker tombstone, state::time_point now);
     bool offerUnknown(const discovered_worker &entry, state::time_point now);
+    bool offerRemoved(const discovered_worker &entry, discovered_worker &known, state::time_point now);
     bool offerKnown(discovered_worker entry, discovered_worker &known, state::time_point now);
     void apply(const discovered_worker &entry, state::time_point now);
     void applyRemoval(const discovered_worker &entry, store_revision revision, state::time_point now);
--- a/coordination/src/configuration/worker_directory.cpp
+++ b/coordination/src/configuration/worker_directory.cpp
@@ -37,6 +37,21 @@
     return std::pair(a.startedAtMs, a.revision) > std::pair(b.startedAtMs, b.revision);
 }
 
+// Returns true when the worker has written the known entry later than this one, in the same lifetime.
+bool isLateWrite(const discovered_worker &entry, const discovered_worker &known)
+{
+    const bool sameLifetime = entry.startedAtMs != 0 && entry.startedAtMs == known.startedAtMs;
+    return sameLifetime && entry.sequence != 0 && entry.sequence < known.sequence;
+}
+
+// Of two entries of one lifetime. A node of an earlier version of the program states no sequence.
+void keepHighestSequence(discovered_worker &kept, const discovered_worker &other)
+{
+    if (kept.startedAtMs == other.startedAtMs) {
+        kept.sequence = std::max(kept.sequence, other.sequence);
+    }
+}
+
 state::pool_worker rowOf(const discovered_worker &entry)
 {
     state::pool_worker row;
@@ -67,24 +82,29 @@
     if (entry.phase == worker_phase::removed) {
         return offerTombstone(entry, now);
     }
-    const auto pending = m_pendingRemovals.find(entry.id);
-    if (pending != m_pendingRemovals.end() && pending->second.revision < entry.revision) {
-        m_pendingRemovals.erase(pending); // the worker has announced itself since the removal
-    }
     const auto known = m_entries.find(entry.id);
-    return known == m_entries.end() ? offerUnknown(entry, now) : offerKnown(entry, known->second, now);
+    if (known == m_entries.end()) {
+        return offerUnknown(entry, now);
+    }
+    return known->second.phase == worker_phase::removed ? offerRemoved(entry, known->second, now) : offerKnown(entry, known->second, now);
 }
 
-bool worker_directory::offerTombstone(const discovered_worker &tombstone, state::time_point now)
+bool worker_directory::offerTombstone(discovered_worker tombstone, state::time_point now)
 {
     const auto known = m_entries.find(tombstone.id);
-    const bool changed = known == m_entries.end() || (known->second.phase != worker_phase::removed && known->second.revision < tombstone.revision);
-    if (changed) {
+    if (known == m_entries.end()) {
         apply(tombstone, now);
-    } else {
-        known->second.revision = std::max(known->second.revision, tombstone.revision); // prevents entries of a lower revision from adding the worker again
+        return true;
     }
-    return changed;
+    const bool isNewer = known->second.revision < tombstone.revision || isLateWrite(known->second, tombstone);
+    tombstone.revision = std::max(known->second.revision, tombstone.revision);
+    if (known->second.phase != worker_phase::removed && isNewer) {
+        apply(tombstone, now);
+        return true;
+    }
+    known->second.revision = tombstone.revision; // prevents entries of a lower revision from adding the worker again
+    keepHighestSequence(known->second, tombstone);
+    return false;
 }
 
 bool worker_directory::offerUnknown(const discovered_worker &entry, state::time_point now)
@@ -103,17 +123,46 @@
     return true;
 }
 
+bool worker_directory::offerRemoved(const discovered_worker &entry, discovered_worker &known, state::time_point now)
+{
+    if (entry.revision <= known.revision) {
+        keepHighestSequence(known, entry);
+        return false;
+    }
+    if (isDoubtfulReturn(entry, known) || isLateWrite(entry, known)) {
+        return false;
+    }
+    apply(entry, now);
+    return true;
+}
+
 bool worker_directory::offerKnown(discovered_worker entry, discovered_worker &known, state::time_point now)
 {
-    if (entry.revision <= known.revision || isDoubtfulReturn(entry, known)) {
+    const bool isLate = isLateWrite(entry, known);
+    const bool isOfLaterEra = entry.revision.era > known.revision.era;
+    if (isLate && !isOfLaterEra) {
+        return false;
+    }
+    const auto pending = m_pendingRemovals.find(entry.id);
+    if (pending != m_pendingRemovals.end() && pending->second.revision < entry.revision) {
+        m_pendingRemovals.erase(pending); // the worker has announced itself since the removal
+    }
+    if (isLate) {
+        known.revision = entry.revision; // the copy holds the worker, as it was before
+        return false;
+    }
+    if (isLateWrite(known, entry)) {
+        entry.revision = std::max(entry.revision, known.revision); // the store took the known one later
+    } else if (entry.revision <= known.revision) {
         return false;
     }
-    const bool newEra = entry.revision.era > known.revision.era && entry.startedAtMs == known.startedAtMs;
-    if (newEra && known.phase == worker_phase::leaving) {
+    if (isOfLaterEra && entry.startedAtMs == known.startedAtMs && known.phase == worker_phase::leaving) {
         entry.phase = worker_phase::leaving; // the copy may be from before the worker began to leave
     }
+    keepHighestSequence(entry, known);
     if (sameContent(entry, known)) {
         known.revision = entry.revision;
+        known.sequence = entry.sequence;
         return false;
     }
     apply(entry, now);
--- a/coordination/src/configuration/worker_dissemination.cpp
+++ b/coordination/src/configuration/worker_dissemination.cpp
@@ -13,7 +13,7 @@
 constexpr std::chrono::milliseconds RepairTime{300};   // after the first differing digest, time until a pull while news follows news
 constexpr std::size_t RowsPerMessage = 8;
 constexpr std::size_t RowBytesPerMessage = 1050; // of all rows of a message, so that it stays below MaxDatagramBytes
-constexpr std::size_t FixedRowBytes = 60;        // of a row beside its texts and addresses, at most
+constexpr std::size_t FixedRowBytes = 71;        // of a row beside its texts and addresses, at most
 constexpr std::size_t AddressBytes = 10;
 constexpr std::size_t LongAddressBytes = 28; // of IPv6
 
--- a/coordination/tests/configuration/test_worker_directory.cpp
+++ b/coordination/tests/configuration/test_worker_directory.cpp
@@ -34,6 +34,15 @@
     return worker;
 }
 
+// The worker's n-th write of one lifetime, which the store took at this revision.
+discovered_worker makeWritten(std::uint64_t sequence, std::uint64_t revision, worker_phase phase)
+{
+    discovered_worker worker = makeWorker("a", revision, phase);
+    worker.startedAtMs = 1000;
+    worker.sequence = sequence;
+    return worker;
+}
+
 worker_phase phaseOf(const worker_directory &directory, const std::string &id)
 {
     return directory.entries().at(id).phase;
@@ -267,6 +276,87 @@
     cr_assert(phaseOf(directory, "bb") == worker_phase::removed);
 }
 
+// ---- Writes of a worker that reach the store late ----
+
+// Guards against a leaving worker that becomes ready again by a heartbeat that was held up on its way to the store.
+Test(worker_directory, a_late_write_of_a_lifetime_changes_nothing)
+{
+    discovered_worker leaving = makeWritten(7, 12, worker_phase::leaving);
+    discovered_worker late = makeWritten(6, 15, worker_phase::ready);
+    late.slots = 9;
+    worker_directory directory;
+    directory.offer(makeWritten(5, 10, worker_phase::ready), Start);
+    directory.offer(leaving, Start);
+    cr_assert(not(directory.offer(late, Start)));
+    cr_assert(phaseOf(directory, "a") == worker_phase::leaving && directory.entries().at("a").slots == 3);
+    directory.replaceAll({{late}, {}}, {0, 16}, Start);
+    cr_assert(phaseOf(directory, "a") == worker_phase::leaving);
+    worker_directory other; // reads the late one first
+    other.replaceAll({{late}, {}}, {0, 16}, Start);
+    cr_assert(other.offer(leaving, Start));
+    cr_assert(other.digest() == directory.digest());
+    cr_assert(not(other.offer(late, Start)));
+    discovered_worker again = makeWritten(1, 17, worker_phase::ready); // a new lifetime counts from the start
+    ++again.startedAtMs;
+    cr_assert(directory.offer(again, Start) && phaseOf(directory, "a") == worker_phase::ready);
+}
+
+Test(worker_directory, a_late_write_brings_no_removed_worker_back)
+{
+    worker_directory directory;
+    directory.offer(makeWritten(7, 12, worker_phase::ready), Start);
+    directory.offerRemoval("a", {0, 14}, Start);
+    cr_assert(not(directory.offer(makeWritten(6, 15, worker_phase::ready), Start)));
+    cr_assert(phaseOf(directory, "a") == worker_phase::removed);
+    worker_directory other;
+    other.offer(makeWritten(6, 15, worker_phase::ready), Start);
+    cr_assert(other.offer(directory.entries().at("a"), Start)); // the tombstone says how far the worker had written
+    cr_assert(phaseOf(other, "a") == worker_phase::removed);
+    cr_assert(directory.offer(makeWritten(8, 16, worker_phase::ready), Start)); // the worker is running
+}
+
+Test(worker_directory, a_late_write_ends_no_pending_removal)
+{
+    worker_directory directory;
+    directory.offer(makeWritten(7, 12, worker_phase::ready), Start);
+    directory.recordServiceFailure(Start);
+    directory.recordServiceRecovery(Start + seconds(5));
+    directory.offerRemoval("a", {0, 14}, Start + seconds(5));
+    directory.offer(makeWritten(6, 15, worker_phase::ready), Start + seconds(6));
+    directory.tick(Start + seconds(9));
+    cr_assert(phaseOf(directory, "a") == worker_phase::removed);
+}
+
+// Nodes of an earlier version of the program state no sequence, and some workers no start: the revision decides.
+Test(worker_directory, without_a_sequence_or_a_start_the_revision_decides)
+{
+    worker_directory directory;
+    directory.offer(makeWritten(7, 12, worker_phase::leaving), Start);
+    cr_assert(directory.offer(makeWritten(0, 15, worker_phase::ready), Start));
+    cr_assert(not(directory.offer(makeWritten(6, 16, worker_phase::leaving), Start)), "the sequence is remembered");
+    discovered_worker first = makeWritten(7, 20, worker_phase::ready);
+    discovered_worker second = makeWritten(1, 21, worker_phase::leaving);
+    first.id = second.id = "bb";
+    first.startedAtMs = second.startedAtMs = 0;
+    directory.offer(first, Start);
+    cr_assert(directory.offer(second, Start));
+}
+
+// A copy of the store may hold an earlier write: it says that the worker is there, not how it is.
+Test(worker_directory, a_copy_of_the_store_with_an_earlier_write_changes_nothing)
+{
+    worker_directory directory;
+    discovered_worker known = makeWritten(7, 12, worker_phase::ready);
+    known.slots = 9;
+    directory.offer(known, Start);
+    discovered_worker copied = makeWritten(5, 4, worker_phase::ready);
+    copied.revision.era = 1;
+    directory.replaceAll({{copied}, {}}, {1, 5}, Start);
+    cr_assert(directory.entries().at("a").slots == 9);
+    directory.offerRemoval("a", {1, 6}, Start);
+    cr_assert(phaseOf(directory, "a") == worker_phase::removed, "in the era that holds the worker, its removal is one");
+}
+
 // ---- Merging into the pool table ----
 
 Test(worker_directory, merges_only_the_worker_started_last_at_an_address)
--- a/protocol/src/gossip_codec.cpp
+++ b/protocol/src/gossip_codec.cpp
@@ -136,6 +136,7 @@
     out.set_cold_left_ms(static_cast<std::uint32_t>(update.coldRemaining.count()));
     out.set_revision(entry.revision.revision);
     out.set_era(entry.revision.era);
+    out.set_sequence(entry.sequence);
 }
 
 absl::StatusOr<coordination::worker_update> readWorker(const wire::DiscoveredWorker &in)
@@ -153,6 +154,7 @@
     entry.version = in.version();
     entry.startedAtMs = in.started_ms();
     entry.revision = {in.era(), in.revision()};
+    entry.sequence = in.sequence();
     update.coldRemaining = std::chrono::milliseconds(in.cold_left_ms());
     if (!in.has_node() && entry.phase == coordination::worker_phase::removed) {
         return update;
--- a/protocol/tests/test_gossip_codec.cpp
+++ b/protocol/tests/test_gossip_codec.cpp
@@ -47,6 +47,7 @@
     worker.node = {"10.1.2.4", 7400};
     worker.address = {"10.1.2.4", 8080};
     worker.revision = {3, 412};
+    worker.sequence = 17;
     return worker;
 }
 
@@ -86,6 +87,7 @@
     cr_assert(read->subject == message.subject);
     cr_assert(read->workersBuckets == message.workersBuckets);
     cr_assert(read->storeEra == 3 && read->workers.size() == 1 && read->workers.front().entry.revision == (store_revision{3, 412}));
+    cr_assert(read->workers.front().entry.sequence == 17);
     cr_assert(read->updates.size() == 2 && read->updates[0].state == member_state::dead && read->updates[0].leaving);
     cr_assert(read->updates[1].address == message.updates[1].address && read->updates[1].incarnation == 0);
     cr_assert(read->config->kind == table_kind::pools && read->config->base == message.config->base && read->config->target == message.config->target);
@@ -136,6 +138,7 @@
         worker.slots = 10'000;
         worker.startedAtMs = std::numeric_limits<std::uint64_t>::max();
         worker.revision = {std::numeric_limits<std::uint64_t>::max(), std::numeric_limits<std::uint64_t>::max()};
+        worker.sequence = std::numeric_limits<std::uint64_t>::max();
         directory.offer(worker, now);
     }
     dissemination.collectChanges(change_source::service, now);
--- a/tests/integration/support/store_fleet.cpp
+++ b/tests/integration/support/store_fleet.cpp
@@ -106,15 +106,16 @@
 
 // [SECTION] Platform
 
-void store_fleet::announce(std::size_t index, const std::string &id, const std::string &state, std::uint64_t born, std::size_t slots)
+void store_fleet::announce(std::size_t index, const std::string &id, const std::string &state, std::uint64_t born, std::size_t slots, std::uint64_t sequence)
 {
     const std::string entry = fmt::format(
-        R"({{"service":"orders","address":"{}:{}","zone":"dc-{}","version":"v1","slots":{},"state":"{}","coldRemainingMs":0,"sequence":1,"born":{}}})",
+        R"({{"service":"orders","address":"{}:{}","zone":"dc-{}","version":"v1","slots":{},"state":"{}","coldRemainingMs":0,"sequence":{},"born":{}}})",
         nodeIp(index),
         WorkerPort,
         index % m_dataCentres,
         slots,
         state,
+        sequence,
         born);
     command(m_storeAddress, "/_put/servers/" + id, entry);
 }
--- a/tests/integration/support/store_fleet.h
+++ b/tests/integration/support/store_fleet.h
@@ -36,7 +36,8 @@
                   const std::string &id,
                   const std::string &state = "ready",
                   std::uint64_t born = 1,
-                  std::size_t slots = 3); // writes the worker's entry
+                  std::size_t slots = 3,
+                  std::uint64_t sequence = 1); // writes the worker's entry
     void removeEntry(const std::string &id) const;
     void writeEntry(const std::string &id, const std::string &value) const; // any bytes
     void configure(std::uint64_t version,
--- a/tests/integration/test_promise_worker_ends.cpp
+++ b/tests/integration/test_promise_worker_ends.cpp
@@ -16,12 +16,12 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds DrainTime{2000}; // from the acknowledgement of the store; see bound.drainMs in store_fleet.cpp
-constexpr milliseconds ContactTime{3000};      // after the start of the last node, all are in contact
-constexpr milliseconds RestartDelay{500};      // from the kill of all nodes to the start of the first ones
-constexpr milliseconds LastRestartDelay{400};  // from then to the start of the last one
-constexpr std::size_t ManyNodes = 8;           // so that some of them don't read the store
-constexpr milliseconds CalmTime{3000};  // reads of the store before a test changes anything
+constexpr milliseconds DrainTime{2000};       // from the acknowledgement of the store; see bound.drainMs in store_fleet.cpp
+constexpr milliseconds ContactTime{3000};     // after the start of the last node, all are in contact
+constexpr milliseconds RestartDelay{500};     // from the kill of all nodes to the start of the first ones
+constexpr milliseconds LastRestartDelay{400}; // from then to the start of the last one
+constexpr std::size_t ManyNodes = 8;          // so that some of them don't read the store
+constexpr milliseconds CalmTime{3000};        // reads of the store before a test changes anything
 
 // Sends requests through all nodes and expects that none reaches the worker at the place.
 void expectNoRuns(const store_fleet &fleet, std::size_t place)
@@ -113,3 +113,20 @@
         cr_assert(fleet.statusOf(i, "/read/1") == "HTTP/1.1 404", "node %zu", i);
     }
 }
+
+// Guards against a leaving worker that becomes ready again by a heartbeat that was held up on its way to the store.
+Test(worker_ends, a_late_heartbeat_ends_no_leaving)
+{
+    constexpr std::uint64_t Born = 1;
+    constexpr std::size_t Slots = 3;
+    store_fleet fleet;
+    fleet.start();
+    std::this_thread::sleep_for(CalmTime);
+    fleet.announce(1, "w1", "ready", Born, Slots, 4);
+    fleet.announce(1, "w1", "draining", Born, Slots, 6);
+    std::this_thread::sleep_for(DrainTime);
+    expectNoRuns(fleet, 1);
+    fleet.announce(1, "w1", "ready", Born, Slots, 5);
+    std::this_thread::sleep_for(DrainTime); // all nodes have heard of it
+    expectNoRuns(fleet, 1);
+}
