Organisations and digests of their keys in the route table

Part 1 of docs/design/hard-load.md needs a place that says who may send requests. Rows of the route table, so that they share its revision, its differences between nodes and its replacement as a whole: sections [organisation.NAME], organisation_keys in [callers], public in routes; digests of keys only. organisation_index finds the organisation of a key; dandelionctl key-digest prints a digest and reads the key from standard input. Nothing uses them yet; tables without them are read as before. Settings [headers] api_key and organisation are read and checked: the header of keys can be no other one.

The text of an error about an unknown section names all sections that a table may have; the test of it states the whole new text.

--- a/programs/dandelionctl/command_line.cpp
+++ b/programs/dandelionctl/command_line.cpp
@@ -111,7 +111,8 @@
             "  explain              show route, pool and candidate workers of a request given by --host, --path and --method\n"
             "  config               show the revisions of the tables in force on each node and compare them\n"
             "  events [NUMBER]      show the catalogue of log events, or one event\n"
-            "  trace ID [FILES...]  show the log lines of request ID from the logs of several nodes (default standard input)\n\n"
+            "  trace ID [FILES...]  show the log lines of request ID from the logs of several nodes (default standard input)\n"
+            "  key-digest           read a key from standard input and print its digest for the route table\n\n"
          << describeOptions(line, raw)
          << "\nExit codes: 0 no fault found, 1 fault found, 2 invalid command line, 3 a file cannot be read, 4 a node cannot be reached.\n";
     return text.str();
--- a/programs/dandelionctl/main.cpp
+++ b/programs/dandelionctl/main.cpp
@@ -1,5 +1,6 @@
 // Command-line tool for operators: checks tables and settings, and reads the admin API and the logs of nodes. It changes nothing.
 #include "check.h"
+#include "key_digest.h"
 #include "show.h"
 #include "trace.h"
 
@@ -28,6 +29,7 @@
     command{"config", showConfig},
     command{"events", showEvents},
     command{"trace", runTrace},
+    command{"key-digest", runKeyDigest},
 };
 
 int reportUnknownCommand(const std::string &name)
--- a/protocol/src/admin_json.cpp
+++ b/protocol/src/admin_json.cpp
@@ -166,6 +166,7 @@
         {"worth", route.worth},
         {"timeout_ms", route.timeout.count()},
         {"cost_hint_ms", route.costHint.count()},
+        {"public", route.isPublic},
         {"organisation_rate", route.organisationRate},
         {"line", route.line},
     };
--- a/state/include/dandelionstall/state/settings.h
+++ b/state/include/dandelionstall/state/settings.h
@@ -31,6 +31,8 @@
     std::string originPool;                        // pool of the VM that received the request; always set by the node
     std::string expectedWorker;                    // id of the worker that may run the request
     std::string notRun = "X-Worker-Refused";       // set by a worker on its answer when it did not run the request
+    std::string apiKey;                            // key of the caller's organisation; removed before a request is passed on
+    std::string organisation;                      // name of that organisation, for the worker; always set or removed by the node
     std::string seal;                              // set by a worker on its answer to prove that the answer comes from it
     std::string rateLimit = "X-Worker-Rate-Limit"; // set by a worker on its answers: requests per second that it takes from all nodes together
     std::string leaving = "X-Worker-Leaving";      // set to 1 by a worker on its answers when it accepts no new work
--- a/state/include/dandelionstall/state/tables.h
+++ b/state/include/dandelionstall/state/tables.h
@@ -11,6 +11,7 @@
 //
 // Index:
 //   [SECTION] Routes
+//   [SECTION] Organisations
 //   [SECTION] Pools
 //   [SECTION] Limits
 //   [SECTION] Policy names
@@ -18,7 +19,7 @@
 //   [SECTION] Matching
 #pragma once
 
-#include <dandelionstall/state/types.h>
+#include <dandelionstall/state/key_digest.h>
 
 #include <array>
 #include <string>
@@ -54,6 +55,7 @@
     std::chrono::milliseconds timeout{2000};    // time from the arrival of a request to its deadline
     std::chrono::milliseconds targetLatency{0}; // time within which an answer has its full worth; zero when there is no target
     std::chrono::milliseconds costHint{0};      // expected run time of a request; zero when unknown
+    bool isPublic = false;                      // its requests need no key; see organisation_rules
     double organisationRate = 0.0;              // requests per second that one organisation may send to the whole fleet; 0 is unlimited
     std::uint32_t line = 0;                     // line number of the section header in the table
 
@@ -70,12 +72,38 @@
     friend bool operator==(const caller_limits &, const caller_limits &) = default;
 };
 
+// [SECTION] Organisations
+
+// One organisation whose callers identify themselves by keys. The table contains digests of the keys only.
+struct organisation {
+    std::string name;             // name, unique in the table
+    std::vector<key_digest> keys; // digests of its keys, in order; may be empty
+    std::uint32_t priority = 0;   // rank of its requests when slots are scarce, before that of the route; 0 is served first
+    double rate = 0.0;            // requests per second over the whole fleet; 0 is unlimited. Not enforced
+    double burst = 0.0;           // additional requests at once. Not enforced
+    std::uint32_t line = 0;       // line number of the section header in the table
+
+    friend bool operator==(const organisation &, const organisation &) = default;
+};
+
+// What holds for all organisations, from the [callers] section.
+struct organisation_rules {
+    bool keysRequired = false;              // a request needs the key of an organisation, but for those of public routes
+    std::chrono::milliseconds window{5000}; // time over which the requests of an organisation are counted for its rate
+    double overrun = 0.25;                  // share by which they may exceed rate and burst in that time
+    double slack = 20.0;                    // requests by which they may exceed that
+
+    friend bool operator==(const organisation_rules &, const organisation_rules &) = default;
+};
+
 struct route_table {
     table_revision revision = 0; // the accepted table with the highest revision is in force
     std::uint64_t digest = 0;    // hash of the text; distinguishes tables with the same revision
     std::vector<route> routes;   // routes in table order
     caller_limits callers;       // limits from the [callers] section
-    std::string source;          // file name or store key, for error messages
+    organisation_rules organisationRules;
+    std::vector<organisation> organisations; // in table order; organisation_index.h finds them by key
+    std::string source;                      // file name or store key, for error messages
 };
 
 // [SECTION] Pools
@@ -138,6 +166,11 @@
 inline constexpr std::uint32_t MaxRoutePriority = 1'000'000'000;
 inline constexpr std::uint32_t MaxRouteAttempts = 16;
 inline constexpr std::uint32_t MaxPoolWeight = 1'000'000'000;
+inline constexpr double MaxOrganisationRate = 1'000'000;      // requests per second
+inline constexpr double MaxOrganisationBurst = 1'000'000'000; // requests
+inline constexpr double MaxOrganisationOverrun = 1000;
+inline constexpr std::chrono::milliseconds MinOrganisationWindow{100};
+inline constexpr std::chrono::milliseconds MaxOrganisationWindow = std::chrono::hours(1);
 
 // [SECTION] Policy names
 
--- a/state/src/settings.cpp
+++ b/state/src/settings.cpp
@@ -2,6 +2,7 @@
 
 #include <dandelionstall/state/ini_reader.h>
 
+#include <absl/strings/match.h>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -141,6 +142,17 @@
     reader.reportUnknownKeys();
 }
 
+// The header of keys is never passed on or logged, so that it can be no other one.
+void checkKeyHeader(const ini_section &section, parse_errors &errors, const header_names &names)
+{
+    for (const std::string &other : {names.requestId, names.timeLeft, names.originPool, names.expectedWorker, names.organisation}) {
+        if (!names.apiKey.empty() && absl::EqualsIgnoreCase(names.apiKey, other)) {
+            const std::string reason = fmt::format("[headers] names \"{}\" as \"api_key\" and as another header", other);
+            errors.add(state_error::conflict, section.line, reason);
+        }
+    }
+}
+
 void readHeaders(const ini_section &section, parse_errors &errors, header_names &target)
 {
     section_reader reader(section, errors);
@@ -152,7 +164,10 @@
     reader.readName("seal", target.seal);
     reader.readName("rate_limit", target.rateLimit);
     reader.readName("leaving", target.leaving);
+    reader.readName("api_key", target.apiKey);
+    reader.readName("organisation", target.organisation);
     reader.reportUnknownKeys();
+    checkKeyHeader(section, errors, target);
 }
 
 void readDiscoveredWorker(const ini_section &section, parse_errors &errors, settings &target)
--- a/state/src/tables.cpp
+++ b/state/src/tables.cpp
@@ -4,7 +4,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <array>
 #include <unordered_set>
 
 namespace dandelionstall::state {
@@ -42,11 +41,14 @@
     return revision;
 }
 
-std::string readSectionName(const ini_section &section, std::string_view prefix, parse_errors &errors)
+std::string readSectionName(const ini_section &section, std::string_view prefix, std::span<const std::string_view> known, parse_errors &errors)
 {
     if (!section.name.starts_with(prefix)) {
-        const std::string expected = fmt::format("[table] or [{}<name>]", prefix);
-        const std::array<std::string_view, 2> known{TableSection, prefix};
+        std::string expected;
+        for (const std::string_view name : known) {
+            const std::string_view separator = name == known.front() ? "" : name == known.back() ? " or " : ", ";
+            expected += fmt::format("{}[{}{}]", separator, name, name.ends_with('.') ? "<name>" : "");
+        }
         const std::string hint = suggestName(section.name.substr(0, section.name.find('.') + 1), known);
         errors.add(state_error::unknown_key, section.line, fmt::format("unknown section [{}], expected {}{}", section.name, expected, hint));
         return {};
--- a/state/src/tables_pools.cpp
+++ b/state/src/tables_pools.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::string_view PoolPrefix = "pool.";
 constexpr std::string_view WorkerPrefix = "worker.";
+constexpr std::array<std::string_view, 2> KnownSections{detail::TableSection, PoolPrefix};
 constexpr std::uint32_t MaxSlots = 10'000;                      // largest number of slots of one worker
 constexpr milliseconds MaxPoolDuration = std::chrono::hours(1); // largest value of drain_time and retry_window
 constexpr double MaxRetryExtra = 1'000'000;
@@ -138,7 +139,7 @@
         if (section.name == detail::TableSection) {
             continue;
         }
-        std::string name = detail::readSectionName(section, PoolPrefix, errors);
+        std::string name = detail::readSectionName(section, PoolPrefix, KnownSections, errors);
         if (!name.empty()) {
             table.pools.push_back(readPool(section, std::move(name), seen, errors));
         }
--- a/state/src/tables_routes.cpp
+++ b/state/src/tables_routes.cpp
@@ -16,10 +16,10 @@
 constexpr std::string_view RoutePrefix = "route.";
 constexpr double MinWorth = 0.000001;
 constexpr double MaxWorth = 1'000'000;
-constexpr double MaxOrganisationRate = 1'000'000; // requests per second
 constexpr milliseconds MinTimeout{1};
 constexpr std::string_view AnyHost = "*";
 constexpr std::string_view CallersSection = "callers";
+constexpr std::array<std::string_view, 4> KnownSections{detail::TableSection, CallersSection, RoutePrefix, detail::OrganisationPrefix};
 
 void readHost(section_reader &reader, route &row)
 {
@@ -107,13 +107,15 @@
     }
 }
 
-void readCallers(const ini_section &section, parse_errors &errors, caller_limits &target)
+void readCallers(const ini_section &section, parse_errors &errors, route_table &table)
 {
+    caller_limits &target = table.callers;
     section_reader reader(section, errors);
     reader.readCount("max_header_bytes", target.maxHeaderBytes, 1, MaxCallerBytes);
     reader.readCount("max_body_bytes", target.maxBodyBytes, 1, MaxCallerBytes);
     reader.readDuration("header_timeout", target.headerTimeout, MinTimeout, MaxRouteTime);
     reader.readDuration("idle_timeout", target.idleTimeout, MinTimeout, MaxRouteTime);
+    detail::readOrganisationRules(reader, table.organisationRules);
     reader.reportUnknownKeys();
 }
 
@@ -136,6 +138,7 @@
     reader.readDuration("target", row.targetLatency, milliseconds(0), MaxRouteTime);
     reader.readDuration("timeout", row.timeout, MinTimeout, MaxRouteTime);
     reader.readDuration("cost_hint", row.costHint, milliseconds(0), MaxRouteTime);
+    reader.readFlag("public", row.isPublic);
     reader.readNumber("organisation_rate", row.organisationRate, 0, MaxOrganisationRate);
     reader.reportUnknownKeys();
     return row;
@@ -177,15 +180,22 @@
             continue;
         }
         if (section.name == CallersSection) {
-            readCallers(section, errors, table.callers);
+            readCallers(section, errors, table);
             continue;
         }
-        std::string name = detail::readSectionName(section, RoutePrefix, errors);
-        if (!name.empty()) {
+        const bool isOrganisation = section.name.starts_with(detail::OrganisationPrefix);
+        std::string name = detail::readSectionName(section, isOrganisation ? detail::OrganisationPrefix : RoutePrefix, KnownSections, errors);
+        if (name.empty()) {
+            continue;
+        }
+        if (isOrganisation) {
+            table.organisations.push_back(detail::readOrganisation(section, std::move(name), errors));
+        } else {
             table.routes.push_back(readRoute(section, std::move(name), errors));
         }
     }
     checkMatches(table, errors);
+    detail::checkOrganisations(table, errors);
     if (!errors.status().ok()) {
         return errors.status();
     }
--- a/state/tests/test_settings.cpp
+++ b/state/tests/test_settings.cpp
@@ -76,3 +76,15 @@
     cr_assert(countRegions(*parsed) == 2 && countRegions(*parseWith("")) == 0);
     cr_assert(reasonFor("[regions]\nthika =\n") == "node.ini:9: expected a data centre and its region, got \"thika = \"");
 }
+
+// Guards against a key that is logged, echoed or passed on since its header is also that of another feature.
+Test(settings, the_header_of_keys_is_no_other_header)
+{
+    const auto parsed = parseWith("[headers]\napi_key = Api-Key\norganisation = Tenant-Id\n");
+    cr_assert(parsed.ok() && parsed->headers.apiKey == "Api-Key" && parsed->headers.organisation == "Tenant-Id");
+    cr_assert(parseWith("")->headers.apiKey.empty() && parseWith("")->headers.organisation.empty());
+    for (const std::string_view other : {"request_id", "time_left", "origin_pool", "expected_worker", "organisation"}) {
+        const std::string text = "[headers]\napi_key = Api-Key\n" + std::string(other) + " = api-key\n";
+        cr_assert(reasonFor(text) == "node.ini:8: [headers] names \"api-key\" as \"api_key\" and as another header");
+    }
+}
--- a/state/tests/test_tables.cpp
+++ b/state/tests/test_tables.cpp
@@ -104,7 +104,8 @@
     cr_assert(reasonFor("[route.a]\npool = p\n") == "r.ini:3: [route.a] needs the key \"idempotent\"");
     cr_assert(reasonFor("[route.a]\n" + row + "worth = 0\n") == "r.ini:6: worth: expected a number from 1e-06 to 1000000, got \"0\"");
     cr_assert(reasonFor("[route.a]\n" + row + "pth = /\n") == "r.ini:6: unknown key \"pth\" in [route.a]; did you mean \"path\"?");
-    cr_assert(reasonFor("[rout.a]\n" + row) == "r.ini:3: unknown section [rout.a], expected [table] or [route.<name>]; did you mean \"route.\"?");
+    cr_assert(reasonFor("[rout.a]\n" + row)
+              == "r.ini:3: unknown section [rout.a], expected [table], [callers], [route.<name>] or [organisation.<name>]; did you mean \"route.\"?");
     cr_assert(reasonFor("[route.a]\n" + row + "path = tags\n").starts_with("r.ini:6: path: expected a path that starts with \"/\""));
     cr_assert(reasonFor("[route.a]\n" + row + "host = a:80\n").starts_with("r.ini:6: host: expected a host name without port"));
     cr_assert(reasonFor("[route.a]\n" + row + "[route.b]\n" + row) == "r.ini:6: route \"b\" has the same host, path and methods as route \"a\" in line 3");
