Fix: keys of callers reached workers, and requests without a key were run

Cause: nothing in the code read the organisations, their keys or the public routes of a configuration, and all headers of a caller but those of one connection were passed on.

The ingress judges each request by the table that it has then: 503 without one, 404, then 401 (unknown_key) for a missing, repeated or unknown key on a route that is not public. The key, and whatever the caller states as its organisation, also with '_' for '-', are removed once, before the first attempt is made, and the organisation's name is set; so each repeat goes without the key. Calls of workers have no key; their priority is that of the organisation whose run they name. Without organisations in the configuration nothing changes on the wire.

Why this works: no attempt is made before the check, and each is made from headers that hold neither key nor a stated name.

--- a/coordination/include/dandelionstall/coordination/reasons.h
+++ b/coordination/include/dandelionstall/coordination/reasons.h
@@ -17,6 +17,7 @@
     body_too_large,       // the request body exceeds the size limit
     caller_limit,         // too many caller connections are open
     memory_full,          // the node has no memory for the body
+    unknown_key,          // the request has no key of an organisation of the route table, and its route is not public
     organisation_limit,   // the organisation exceeds its request rate
     queue_full,           // the worker's queue is full, and the work displaces none of the waiting work
     low_worth,            // work of higher worth took its place in the queue or the slot time it needed
--- a/coordination/include/dandelionstall/coordination/repeats/local_runs.h
+++ b/coordination/include/dandelionstall/coordination/repeats/local_runs.h
@@ -24,6 +24,7 @@
     std::string request;                    // request id stated by the caller; empty when none
     repeat_kind repeat = repeat_kind::none; // whether the run is a repeat
     state::time_point deadline;             // the worker ends the run by then
+    std::string organisation = {};          // organisation whose key the request had; empty when none
 };
 
 class local_runs
@@ -37,6 +38,8 @@
     // True when the request may be a call made by a run that is a repeat. request: id stated by the caller; deadline: its deadline.
     bool isCallOfRepeat(std::string_view request, state::time_point deadline, state::time_point now);
 
+    std::string organisationOfParent(std::string_view request) const; // organisation of the run that the request id names; empty when unknown
+
 private:
     void expire(state::time_point now);
 
--- a/coordination/src/reasons.cpp
+++ b/coordination/src/reasons.cpp
@@ -14,6 +14,7 @@
     std::pair{refusal_reason::body_too_large, "body_too_large"},
     std::pair{refusal_reason::caller_limit, "caller_limit"},
     std::pair{refusal_reason::memory_full, "memory_full"},
+    std::pair{refusal_reason::unknown_key, "unknown_key"},
     std::pair{refusal_reason::organisation_limit, "organisation_limit"},
     std::pair{refusal_reason::queue_full, "queue_full"},
     std::pair{refusal_reason::low_worth, "low_worth"},
--- a/coordination/src/repeats/local_runs.cpp
+++ b/coordination/src/repeats/local_runs.cpp
@@ -63,4 +63,16 @@
     });
 }
 
+// Of runs that the id names, the one with the longest id is the parent: "9c41.77" and not "9c41" for "9c41.77.3".
+std::string local_runs::organisationOfParent(std::string_view request) const
+{
+    const local_run *parent = nullptr;
+    for (const local_run &run : m_runs) {
+        if (namesParent(request, run.request) && (parent == nullptr || run.request.size() > parent->request.size())) {
+            parent = &run;
+        }
+    }
+    return parent != nullptr ? parent->organisation : std::string();
+}
+
 } // namespace dandelionstall::coordination
--- a/coordination/tests/repeats/test_local_runs.cpp
+++ b/coordination/tests/repeats/test_local_runs.cpp
@@ -76,3 +76,23 @@
     cr_assert(runs.isCallOfRepeat("9c41.1", Start + 900ms, Start + 800ms));
     cr_assert(not(runs.isCallOfRepeat("9c41.2", Start + 5s, Start + 2s)));
 }
+
+// Guards against calls that are ordered by the priority of another organisation than that of the request which makes them.
+Test(local_runs, a_call_belongs_to_the_organisation_of_the_run_that_it_names)
+{
+    local_runs runs;
+    local_run run = makeRun(1, "w", "9c41", repeat_kind::none);
+    run.organisation = "tagdesk";
+    runs.recordStart(run);
+    run = makeRun(2, "w", "9c41.7", repeat_kind::none);
+    run.organisation = "ferry";
+    runs.recordStart(run);
+    runs.recordStart(makeRun(3, "w", "77aa", repeat_kind::none));
+    cr_assert(runs.organisationOfParent("9c41.1") == "tagdesk");
+    cr_assert(runs.organisationOfParent("9c41.7.1") == "ferry");
+    for (const char *unknown : {"", "9c41", "9c411", "77aa.1", "0b17.1"}) {
+        cr_assert(runs.organisationOfParent(unknown).empty(), "%s", unknown);
+    }
+    runs.recordEnd({1, 1});
+    cr_assert(runs.organisationOfParent("9c41.1").empty());
+}
--- a/programs/dandelionstall/control/control.cpp
+++ b/programs/dandelionstall/control/control.cpp
@@ -138,6 +138,7 @@
     next->generation = ++m_generation;
     ++m_totals.published;
     next->routes = m_gossipNode.store().routes();
+    next->organisations = indexOrganisations(next->routes);
     next->pools = m_gossipNode.pools();
     next->workersDiscovered = m_workersRead || !m_gossipNode.workers().isEmpty();
     next->poolViews = m_tracker.views();
@@ -152,6 +153,19 @@
     }
 }
 
+// One index for each table: it takes milliseconds with many organisations.
+std::shared_ptr<const state::organisation_index> control::detail::indexOrganisations(const std::shared_ptr<const state::route_table> &routes) const
+{
+    if (!routes) {
+        return nullptr;
+    }
+    if (m_current && m_current->routes == routes) {
+        return m_current->organisations;
+    }
+    m_metrics.setGauge("organisations", static_cast<double>(routes->organisations.size()));
+    return std::make_shared<const state::organisation_index>(routes);
+}
+
 // [SECTION] Calls from other threads
 
 void control::detail::recordReports(const std::vector<coordination::worker_report> &reports)
--- a/programs/dandelionstall/control/control_detail.h
+++ b/programs/dandelionstall/control/control_detail.h
@@ -43,6 +43,7 @@
 private:
     transport::source_events sourceEvents();
     void publish();
+    std::shared_ptr<const state::organisation_index> indexOrganisations(const std::shared_ptr<const state::route_table> &routes) const;
 
     // control_gossip.cpp: gossip, and updates from gossip and the platform
     void scheduleTick();
--- a/programs/dandelionstall/ingress/ingress.h
+++ b/programs/dandelionstall/ingress/ingress.h
@@ -91,6 +91,8 @@
     void recordAnswerBytes(const std::string &route, std::size_t bytes);
     std::uint32_t &inFlight(const std::string &worker);                        // number of this ingress' in-flight attempts at the worker
     bool isCallOfRepeat(std::string_view request, state::time_point deadline); // see coordination/repeats/local_runs.h
+    std::string organisationOfParent(std::string_view request);                // organisation of the local run that makes the call; empty when unknown
+    std::optional<std::uint64_t> countRefusedKey();                            // refusals for an unknown key since it last returned a number, once in a second
     state::time_point answersBy() const;                                       // latest deadline of a request while this node stops; else max()
     bool isTooLate(state::time_point deadline) const; // a request that is read now and has time until then may be cut by the stop of this node
     boost::asio::io_context &io();
@@ -130,6 +132,8 @@
     std::unordered_map<std::string, std::uint32_t> m_inFlight;
     std::unordered_map<std::string, double> m_averageAnswerBytes; // moving average of answer bodies, by route name
     std::set<std::shared_ptr<caller_connection>> m_connections;
+    std::uint64_t m_refusedKeys = 0; // since the last line about them
+    state::time_point m_nextRefusedKeyLine;
     std::set<request_handler *> m_handlers; // of the requests in progress
     state::time_point m_answersBy = state::time_point::max();
     state::time_point m_lateFrom = state::time_point::max(); // requests that are read from then on are late
--- a/programs/dandelionstall/ingress/ingress_access.cpp
+++ b/programs/dandelionstall/ingress/ingress_access.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr auto PoolUseReportPeriod = std::chrono::seconds(1); // minimum interval between use reports of one pool
-constexpr double AnswerBytesSmoothing = 0.2;                  // weight of a new answer in the moving average of answer sizes
+constexpr auto RefusedKeyLinePeriod = std::chrono::seconds(1);
+constexpr double AnswerBytesSmoothing = 0.2; // weight of a new answer in the moving average of answer sizes
 
 } // namespace
 
@@ -168,6 +169,22 @@
     return m_localRuns.access([&](coordination::local_runs &runs) { return runs.isCallOfRepeat(request, deadline, state::clock::now()); });
 }
 
+std::string ingress::organisationOfParent(std::string_view request)
+{
+    return m_localRuns.access([&](coordination::local_runs &runs) { return runs.organisationOfParent(request); });
+}
+
+std::optional<std::uint64_t> ingress::countRefusedKey()
+{
+    ++m_refusedKeys;
+    const state::time_point now = state::clock::now();
+    if (now < m_nextRefusedKeyLine) {
+        return std::nullopt;
+    }
+    m_nextRefusedKeyLine = now + RefusedKeyLinePeriod;
+    return std::exchange(m_refusedKeys, 0);
+}
+
 asio::io_context &ingress::io()
 {
     return m_io;
--- a/programs/dandelionstall/ingress/request_attempt.cpp
+++ b/programs/dandelionstall/ingress/request_attempt.cpp
@@ -1,6 +1,7 @@
 // One attempt of a request: sends it to a sidecar and reads the answer. request_outcome.cpp handles path failures.
 #include "request_attempt.h"
 
+#include <dandelionstall/coordination/admission/organisation_worth.h>
 #include <dandelionstall/protocol/caller_http.h>
 #include <dandelionstall/transport/events.h>
 
@@ -70,6 +71,15 @@
     return headers;
 }
 
+// Where keys identify organisations, what the caller states itself does not count.
+std::string request_handler::organisationName() const
+{
+    if (m_snapshot->routes->organisationRules.keysRequired) {
+        return m_organisation == nullptr ? std::string() : m_organisation->name;
+    }
+    return std::string(protocol::findHeader(m_request.headers, protocol::OrganisationHeader));
+}
+
 protocol::attempt_head request_handler::makeAttemptHead(const coordination::worker_view &worker, const peer_link &link)
 {
     protocol::attempt_head head;
@@ -82,14 +92,14 @@
     if (m_route->targetLatency.count() > 0) {
         head.targetAt = link.clock.toPeerClock(m_request.arrivedAt + m_route->targetLatency, state::clock::now());
     }
-    head.worth = m_route->worth;
+    head.worth = m_organisation == nullptr ? m_route->worth : coordination::worthWithin(*m_organisation, m_route->worth);
     head.idempotent = m_route->idempotent;
     head.costHint = m_route->costHint;
     head.method = m_request.method;
     head.target = m_request.target;
     head.headers = forwardedHeaders();
     head.ticket = m_ticket;
-    head.organisation = std::string(protocol::findHeader(m_request.headers, protocol::OrganisationHeader));
+    head.organisation = organisationName();
     head.organisationRate = m_route->organisationRate;
     head.bodyBytes = m_request.body.size();
     head.acceptedRisk = acceptedRisk();
--- a/programs/dandelionstall/ingress/request_handler.cpp
+++ b/programs/dandelionstall/ingress/request_handler.cpp
@@ -109,6 +109,9 @@
     if (const absl::Status found = findRoute(path, m_request.method); !found.ok()) {
         co_return co_await refuse(refusal_reason::no_route, run_state::not_run, now);
     }
+    if (const refusal_reason reason = identifyOrganisation(); reason != refusal_reason::none) {
+        co_return co_await refuse(reason, run_state::not_run, now);
+    }
     const auto timeLeft = parseTimeLeft(protocol::findHeader(m_request.headers, m_ingress.settings().headers.timeLeft), m_route->timeout);
     if (!timeLeft) {
         co_return co_await refuse(refusal_reason::bad_request, run_state::not_run, now);
@@ -162,6 +165,9 @@
     if (const absl::Status found = findRoute(protocol::pathOf(path), method.empty() ? "POST" : method); !found.ok()) {
         co_return co_await refuse(refusal_reason::no_route, run_state::not_run, now);
     }
+    if (const refusal_reason reason = identifyOrganisation(); reason != refusal_reason::none) {
+        co_return co_await refuse(reason, run_state::not_run, now);
+    }
     m_deadline = m_request.arrivedAt + m_route->timeout;
     const auto view = m_ingress.viewOf(*m_pool);
     while (state::clock::now() < m_deadline) {
--- a/programs/dandelionstall/ingress/request_handler.h
+++ b/programs/dandelionstall/ingress/request_handler.h
@@ -69,13 +69,16 @@
     void logAttemptFailed(const coordination::worker_view &worker, const coordination::failed_attempt &failure) const;
     void logEnded(attempt_end end, const std::string &worker) const;
     void logRefused(const protocol::caller_refusal &refusal) const;
+    void logOrganisationRefused(std::string_view fault) const;
 
     absl::Status findRoute(std::string_view path, std::string_view method); // sets m_route and m_pool
+    coordination::refusal_reason identifyOrganisation();                    // request_organisation.cpp; needs m_route
     coordination::refusal_reason readTicket();
     double acceptedRisk() const;                                       // risk of a worker that the next attempt accepts
     std::size_t chooseLeastRisky(const coordination::pool_view &view); // among workers whose guard refused the request; sets m_overridesGuard
     std::size_t chooseWorker(const coordination::pool_view &view, const std::string &preferred);
     protocol::http_headers forwardedHeaders() const;
+    std::string organisationName() const;
     protocol::attempt_head makeAttemptHead(const coordination::worker_view &worker, const peer_link &link);
 
     boost::asio::awaitable<attempt_outcome> sendAttempt(const coordination::worker_view &worker);
@@ -101,6 +104,7 @@
     caller_request &m_request;
     const state::route *m_route = nullptr;
     const state::pool *m_pool = nullptr;
+    const state::organisation *m_organisation = nullptr;                   // whose key the request has, or whose run makes the call; null when there is none
     coordination::fleet_snapshot_ptr m_snapshot;                           // snapshot that owns the tables used by this request
     state::time_point m_deadline;                                          // deadline of the request
     std::string m_ticket;                                                  // ticket issued by the fleet and sent by the caller; empty without one
--- a/programs/dandelionstall/ingress/request_log.cpp
+++ b/programs/dandelionstall/ingress/request_log.cpp
@@ -37,6 +37,7 @@
              {{"request", requestId()},
               {"attempt", state::formatAttemptId(id)},
               {"route", m_route->name},
+              {"organisation", m_organisation != nullptr ? m_organisation->name : "none"},
               {"revision", fmt::to_string(m_snapshot->routes->revision)},
               {"worker", worker.id},
               {"node", state::formatNodeAddress(worker.node)},
@@ -91,4 +92,17 @@
               {"waited_ms", fmt::to_string(millisSince(m_request.arrivedAt))}});
 }
 
+// Never contains what the caller sent as a key.
+void request_handler::logOrganisationRefused(std::string_view fault) const
+{
+    if (const std::optional<std::uint64_t> refusals = m_ingress.countRefusedKey()) {
+        logEvent(event::organisation_refused,
+                 {{"request", requestId()},
+                  {"route", m_route->name},
+                  {"revision", fmt::to_string(m_snapshot->routes->revision)},
+                  {"key", std::string(fault)},
+                  {"refusals", fmt::to_string(*refusals)}});
+    }
+}
+
 } // namespace dandelionstall
--- /dev/null
+++ b/programs/dandelionstall/ingress/request_organisation.cpp
@@ -0,0 +1,56 @@
+// The organisation of a request: found by the key that the caller sent, for each request anew, and passed on by its name only.
+#include "request_handler.h"
+
+#include <dandelionstall/protocol/caller_http.h>
+
+#include <vector>
+
+namespace dandelionstall {
+
+using coordination::refusal_reason;
+
+namespace {
+
+constexpr std::string_view MissingKey = "missing";
+constexpr std::string_view RepeatedKey = "repeated";
+constexpr std::string_view UnknownKey = "unknown";
+
+} // namespace
+
+// Removes the key and whatever the caller states as its organisation, also on public routes: each attempt is made from the headers that
+// are left.
+refusal_reason request_handler::identifyOrganisation()
+{
+    const state::header_names &names = m_ingress.settings().headers;
+    if (!m_snapshot->routes->organisationRules.keysRequired || names.apiKey.empty()) {
+        return refusal_reason::none;
+    }
+    std::string_view fault = MissingKey;
+    if (const std::vector<std::string_view> keys = protocol::findHeaders(m_request.headers, names.apiKey); keys.size() > 1) {
+        fault = RepeatedKey;
+    } else if (!keys.empty() && !keys.front().empty()) {
+        fault = UnknownKey;
+        m_organisation = m_snapshot->organisations->find(state::digestOfKey(keys.front()));
+    }
+    protocol::removeHeaders(m_request.headers, names.apiKey);
+    protocol::removeHeaders(m_request.headers, names.organisation);
+    if (m_organisation != nullptr) {
+        m_ingress.metrics().incrementCounter("organisation_requests");
+        if (!names.organisation.empty()) {
+            m_request.headers.push_back({names.organisation, m_organisation->name});
+        }
+        return refusal_reason::none;
+    }
+    if (fault != MissingKey) {
+        m_ingress.metrics().incrementCounter("unknown_keys");
+    }
+    if (!m_route->isPublic) {
+        logOrganisationRefused(fault);
+        return refusal_reason::unknown_key;
+    }
+    const std::string parent = m_ingress.organisationOfParent(protocol::findHeader(m_request.headers, names.requestId));
+    m_organisation = parent.empty() ? nullptr : m_snapshot->organisations->findByName(parent);
+    return refusal_reason::none;
+}
+
+} // namespace dandelionstall
--- a/protocol/include/dandelionstall/protocol/caller_http.h
+++ b/protocol/include/dandelionstall/protocol/caller_http.h
@@ -11,6 +11,7 @@
 #include <dandelionstall/protocol/messages.h>
 
 #include <optional>
+#include <vector>
 
 namespace dandelionstall::protocol {
 
@@ -42,11 +43,13 @@
 bool isFinalStatus(std::uint32_t status);   // status that an answer may have, 200 to 599 (RFC 9110, 15)
 bool isInterimStatus(std::uint32_t status); // status that may precede an answer, 100 to 199; not 101, for which no request asks
 
-bool equalHeaderNames(std::string_view a, std::string_view b);                   // compares header names without regard to case
-std::string_view findHeader(const http_headers &headers, std::string_view name); // value of the first header with this name; empty when absent
-http_headers endToEndHeaders(const http_headers &headers);                       // headers without the hop-by-hop ones
-std::string_view hostWithoutPort(std::string_view host);                         // "Example:80" gives "Example"
-std::string_view authorityOf(std::string_view target);                           // host and port of an absolute request target; empty otherwise
-std::string_view pathOf(std::string_view target);                                // request target without query and authority
+bool equalHeaderNames(std::string_view a, std::string_view b);                                 // compares header names without regard to case
+std::string_view findHeader(const http_headers &headers, std::string_view name);               // value of the first header with this name; empty when absent
+std::vector<std::string_view> findHeaders(const http_headers &headers, std::string_view name); // values of all headers with this name
+void removeHeaders(http_headers &headers, std::string_view name); // all headers with this name, also with '_' for '-': many servers take these for the same
+http_headers endToEndHeaders(const http_headers &headers);        // headers without the hop-by-hop ones
+std::string_view hostWithoutPort(std::string_view host);          // "Example:80" gives "Example"
+std::string_view authorityOf(std::string_view target);            // host and port of an absolute request target; empty otherwise
+std::string_view pathOf(std::string_view target);                 // request target without query and authority
 
 } // namespace dandelionstall::protocol
--- a/protocol/src/caller_http.cpp
+++ b/protocol/src/caller_http.cpp
@@ -55,6 +55,8 @@
         return 404;
     case refusal_reason::bad_request:
         return 400;
+    case refusal_reason::unknown_key:
+        return 401;
     case refusal_reason::body_too_large:
         return 413;
     case refusal_reason::organisation_limit:
@@ -119,6 +121,27 @@
     return found == headers.end() ? std::string_view() : std::string_view(found->value);
 }
 
+std::vector<std::string_view> findHeaders(const http_headers &headers, std::string_view name)
+{
+    std::vector<std::string_view> values;
+    for (const http_header &header : headers) {
+        if (equalHeaderNames(header.name, name)) {
+            values.push_back(header.value);
+        }
+    }
+    return values;
+}
+
+void removeHeaders(http_headers &headers, std::string_view name)
+{
+    const auto foldDash = [](unsigned char c) {
+        return c == '_' ? '-' : std::tolower(c);
+    };
+    std::erase_if(headers, [&](const http_header &header) {
+        return std::ranges::equal(header.name, name, [&](unsigned char x, unsigned char y) { return foldDash(x) == foldDash(y); });
+    });
+}
+
 http_headers endToEndHeaders(const http_headers &headers)
 {
     http_headers forwarded;
--- a/protocol/tests/test_caller_http.cpp
+++ b/protocol/tests/test_caller_http.cpp
@@ -48,3 +48,25 @@
         cr_assert(isInterimStatus(status) == (status >= 100 && status < 200 && status != 101), "%u", status);
     }
 }
+
+// Guards against a key or a name of an organisation that reaches a worker in a header that the worker takes for the removed one.
+Test(caller_http, removes_all_headers_that_can_be_taken_for_a_name)
+{
+    http_headers headers{{"Api-Key", "a"}, {"api_key", "b"}, {"Accept", "*/*"}, {"API-KEY", "c"}, {"X-Api-Key", "d"}, {"Api-Key2", "e"}, {"ApiKey", "f"}};
+    const std::vector<std::string_view> values = findHeaders(headers, "Api-Key");
+    cr_assert(eq(sz, values.size(), 2));
+    cr_assert(values[0] == "a" and values[1] == "c");
+    removeHeaders(headers, "Api-Key");
+    const http_headers expected{{"Accept", "*/*"}, {"X-Api-Key", "d"}, {"Api-Key2", "e"}, {"ApiKey", "f"}};
+    cr_assert(headers == expected);
+    removeHeaders(headers, "");
+    cr_assert(headers == expected);
+}
+
+// Guards against callers that wait and send again, although a later request is refused as well.
+Test(caller_http, a_request_without_a_known_key_is_answered_with_401_and_no_delay)
+{
+    const caller_refusal refusal{coordination::refusal_reason::unknown_key, coordination::run_state::not_run, std::chrono::milliseconds(0)};
+    cr_assert(eq(u32, httpStatusOf(refusal), 401));
+    cr_assert(jsonBodyOf(refusal) == "{\"reason\":\"unknown_key\",\"run\":\"not_run\"}\n");
+}
--- a/tests/integration/support/store_fleet.cpp
+++ b/tests/integration/support/store_fleet.cpp
@@ -65,6 +65,7 @@
     text += fmt::format("[discovered_worker]\npool = orders\naddress = {}:{}\n", at, WorkerPort);
     text += "[headers]\nrequest_id = Attempt-Id\ntime_left = Deadline-Remaining\norigin_pool = Caller-Service\n";
     text += "expected_worker = Expect-Instance\nnot_run = Not-Executed\nseal = Server-Stamp\nrate_limit = Server-Limit\nleaving = Server-Leaving\n";
+    text += "api_key = Api-Key\norganisation = Tenant-Id\n";
     const std::string settings = m_directory.write(fmt::format("node-{}.ini", index), text);
     m_nodes[index] = child_process(programPath("dandelionstall"), {"--config", settings}, nodeLog(index));
 }
@@ -74,28 +75,33 @@
     return getHttp(fmt::format("{}:{}", nodeIp(index), ReadyPort), "/ready").status == 200;
 }
 
+void store_fleet::addWorkerArguments(const std::vector<std::string> &arguments)
+{
+    m_workerArguments.insert(m_workerArguments.end(), arguments.begin(), arguments.end());
+}
+
 void store_fleet::startWorker(std::size_t index, const std::string &id)
 {
     const std::string address = fmt::format("{}:{}", nodeIp(index), WorkerPort);
     m_workers[index].kill(); // an earlier one has the address
-    m_workers[index] = child_process(programPath("standin_worker"),
-                                     {"--listen",
-                                      address,
-                                      "--name",
-                                      id,
-                                      "--echo",
-                                      "Attempt-Id",
-                                      "--seal",
-                                      "Server-Stamp",
-                                      "--identity",
-                                      "Expect-Instance",
-                                      "--not-run",
-                                      "Not-Executed",
-                                      "--rate-limit",
-                                      "Server-Limit",
-                                      "--leaving",
-                                      "Server-Leaving"},
-                                     m_directory.path(fmt::format("worker-{}.log", index)));
+    std::vector<std::string> arguments{"--listen",
+                                       address,
+                                       "--name",
+                                       id,
+                                       "--echo",
+                                       "Attempt-Id",
+                                       "--seal",
+                                       "Server-Stamp",
+                                       "--identity",
+                                       "Expect-Instance",
+                                       "--not-run",
+                                       "Not-Executed",
+                                       "--rate-limit",
+                                       "Server-Limit",
+                                       "--leaving",
+                                       "Server-Leaving"};
+    arguments.insert(arguments.end(), m_workerArguments.begin(), m_workerArguments.end());
+    m_workers[index] = child_process(programPath("standin_worker"), arguments, m_directory.path(fmt::format("worker-{}.log", index)));
     awaitPort(m_workers[index]);
 }
 
@@ -178,21 +184,27 @@
 
 // [SECTION] Requests
 
-std::string store_fleet::request(
-    std::size_t index, const std::string &method, const std::string &path, const std::string &id, const std::string &version, const std::string &body) const
+std::string store_fleet::request(std::size_t index,
+                                 const std::string &method,
+                                 const std::string &path,
+                                 const std::string &id,
+                                 const std::string &version,
+                                 const std::string &body,
+                                 const std::string &headers) const
 {
     boost::asio::io_context io;
     tcp::socket socket(io);
     boost::system::error_code error;
     socket.connect(tcp::endpoint(boost::asio::ip::make_address(nodeIp(index)), CallersPort), error);
     const std::string text = fmt::format("{} {} HTTP/{}\r\nHost: shop.example\r\nAttempt-Id: {}\r\nX-Request-Id: {}\r\nDeadline-Remaining: "
-                                         "1500\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{}",
+                                         "1500\r\nContent-Length: {}\r\nConnection: close\r\n{}\r\n{}",
                                          method,
                                          path,
                                          version,
                                          id,
                                          id,
                                          body.size(),
+                                         headers,
                                          body);
     boost::asio::write(socket, boost::asio::buffer(text), error);
     std::string answer;
@@ -200,9 +212,9 @@
     return answer;
 }
 
-std::string store_fleet::statusOf(std::size_t index, const std::string &path) const
+std::string store_fleet::statusOf(std::size_t index, const std::string &path, const std::string &headers) const
 {
-    return request(index, "GET", path, "probe").substr(0, 12);
+    return request(index, "GET", path, "probe", "1.1", {}, headers).substr(0, 12);
 }
 
 // [SECTION] Evidence
@@ -277,6 +289,11 @@
     return m_directory.path(fmt::format("node-{}.log", index));
 }
 
+std::string store_fleet::admin(std::size_t index) const
+{
+    return fmt::format("{}:{}", nodeIp(index), AdministrationPort);
+}
+
 state::node_address store_fleet::workerAddress(std::size_t index) const
 {
     return {nodeIp(index), WorkerPort};
--- a/tests/integration/support/store_fleet.h
+++ b/tests/integration/support/store_fleet.h
@@ -26,10 +26,11 @@
 
     explicit store_fleet(std::size_t nodes = Nodes, std::size_t dataCentres = DataCentres); // the nodes are dealt to the data centres in turn
 
-    std::size_t size() const;              // number of nodes
-    void start();                          // configuration version 1, a worker "w<index>" for each node, and all nodes
-    void startNode(std::size_t index);     // also restarts one that has ended
-    bool isReady(std::size_t index) const; // the ready address answers 200
+    std::size_t size() const;                                           // number of nodes
+    void addWorkerArguments(const std::vector<std::string> &arguments); // of the stand-in, for workers that are started later
+    void start();                                                       // configuration version 1, a worker "w<index>" for each node, and all nodes
+    void startNode(std::size_t index);                                  // also restarts one that has ended
+    bool isReady(std::size_t index) const;                              // the ready address answers 200
     void startWorker(std::size_t index, const std::string &id);
     void stopWorker(std::size_t index); // its entry stays, and its address is free for another worker
     void announce(std::size_t index,
@@ -56,14 +57,16 @@
                         const std::string &path,
                         const std::string &id,
                         const std::string &version = "1.1",
-                        const std::string &body = {}) const;
-    std::string statusOf(std::size_t index, const std::string &path) const; // of a GET, for example "HTTP/1.1 200"
+                        const std::string &body = {},
+                        const std::string &headers = {}) const;                                              // further header lines, each with its line end
+    std::string statusOf(std::size_t index, const std::string &path, const std::string &headers = {}) const; // of a GET, for example "HTTP/1.1 200"
 
     std::size_t runsAt(std::size_t index) const;          // runs that the worker at this place has started
     std::string workerLog(std::size_t index) const;       // see run_log.h; of all workers that were at this place
     std::string linesWith(const std::string &text) const; // log lines of all nodes that contain it
     std::string nodeIp(std::size_t index) const;
     std::string callers(std::size_t index) const; // ip:port at which callers reach the node
+    std::string admin(std::size_t index) const;   // ip:port of the node's admin API
     state::node_address workerAddress(std::size_t index) const;
     child_process &node(std::size_t index);
     std::vector<std::size_t> endlessBytes() const; // bytes of each endless answer of workers and store whose connection has been closed
@@ -79,6 +82,7 @@
     std::size_t m_dataCentres = DataCentres;
     std::vector<child_process> m_nodes;
     std::vector<child_process> m_workers;
+    std::vector<std::string> m_workerArguments;
 };
 
 } // namespace dandelionstall::testing
--- a/tests/standins/standin_worker_main.cpp
+++ b/tests/standins/standin_worker_main.cpp
@@ -41,6 +41,7 @@
     add("service", options::value(&announced.service), "service in that entry");
     add("zone", options::value(&announced.zone), "zone in that entry");
     add("address", options::value(&announced.address), "address in that entry");
+    add("log-headers", options::bool_switch(&worker.logsHeaders), "logs each header of each request");
     add("seed", options::value(&worker.seed)->default_value(1), "seed of the random draws of faults");
     return standins::runProgram(argc, argv, description, [&](const options::variables_map &) {
         boost::asio::io_context io(1);
--- a/tests/standins/worker_service.cpp
+++ b/tests/standins/worker_service.cpp
@@ -31,6 +31,14 @@
     std::fflush(stdout);
 }
 
+void logHeaders(const std::string &requestId, const http_request &request)
+{
+    for (const auto &field : request) {
+        fmt::print("header {} {} {} {}\n", requestId, std::string(field.name_string()), steadyNow().count(), std::string(field.value()));
+    }
+    std::fflush(stdout);
+}
+
 } // namespace
 
 worker_service::worker_service(asio::io_context &io, const worker_options &options)
@@ -49,6 +57,9 @@
         co_return setFaults(request.body());
     }
     logArrival(requestIdOf(request), std::string_view(request.target()), headerOf(request, m_options.timeLeftHeader));
+    if (m_options.logsHeaders) {
+        logHeaders(requestIdOf(request), request);
+    }
     const std::string intendedWorker = m_options.identityHeader.empty() ? std::string() : headerOf(request, m_options.identityHeader);
     http_reply reply;
     if (!intendedWorker.empty() && intendedWorker != m_options.name) {
--- a/tests/standins/worker_service.h
+++ b/tests/standins/worker_service.h
@@ -11,7 +11,8 @@
 // Each run is logged to standard output as "start <request id> <idempotent> <steady us>" and "end <request id> <outcome>
 // <steady us>"; "draining <name> yes <steady us>" marks the start of draining, and "states <header text> <kind> <steady us>" each
 // change of a stated rate limit or leaving. Each request is logged as "arrival <request id> <path> <steady us> <milliseconds left>" before it
-// waits; without the last field when the request states none. When the caller closes the connection, the run is aborted and its slot released,
+// waits; without the last field when the request states none. With the option for it, each header of a request is logged as
+// "header <request id> <name> <steady us> <value>". When the caller closes the connection, the run is aborted and its slot released,
 // but for the share of the runs that goes on. A worker with a call plan makes its calls at the end of each run, in the slot of the run; a run whose
 // call fails ends with status 500. The body of PUT /_fault sets the faults of worker_faults.h; an empty body clears them.
 #pragma once
@@ -43,6 +44,7 @@
     std::string notRunHeader = "X-Worker-Refused";       // name of the header set on refusals
     std::string rateLimitHeader = "X-Worker-Rate-Limit"; // name of the header that states the rate limit
     std::string leavingHeader = "X-Worker-Leaving";      // name of the header that states the leaving
+    bool logsHeaders = false;                            // logs each header of each request
     worker_call_plan calls;                              // calls of each run
 };
 
--- a/transport/include/dandelionstall/transport/events.h
+++ b/transport/include/dandelionstall/transport/events.h
@@ -40,6 +40,7 @@
     told_limit = 2020,            // info: an answer has told this node of a worker's rate limit, or of another rate
     told_limit_ended = 2021,      // info: this node is no longer bound by the rate limit of a worker
     told_leaving = 2022,          // info: an answer has told this node that a worker is leaving
+    organisation_refused = 2030,  // warn: requests without the key of an organisation were refused
     worker_draining = 3001,       // info: a worker has started or stopped refusing new work
     attempt_refused = 3010,       // warn: the sidecar refused an attempt; the worker did not run it
     attempt_ended = 3011,         // info: a worker has answered an attempt
--- a/transport/src/events.cpp
+++ b/transport/src/events.cpp
@@ -36,6 +36,7 @@
     event_info{event::told_limit, log_level::info, "told_limit", "an answer has told this node of a worker's rate limit, or of another rate"},
     event_info{event::told_limit_ended, log_level::info, "told_limit_ended", "this node is no longer bound by the rate limit of a worker"},
     event_info{event::told_leaving, log_level::info, "told_leaving", "an answer has told this node that a worker is leaving"},
+    event_info{event::organisation_refused, log_level::warn, "organisation_refused", "requests without the key of an organisation were refused"},
     event_info{event::worker_draining, log_level::info, "worker_draining", "a worker has started or stopped refusing new work"},
     event_info{event::attempt_refused, log_level::warn, "attempt_refused", "the sidecar refused an attempt; the worker did not run it"},
     event_info{event::attempt_ended, log_level::info, "attempt_ended", "a worker has answered an attempt"},
