Fix: a removal between a write and a late one was taken for an older one

What callers would see: a worker that was removed comes back at nodes that read the late write first, then hear of the write before the removal, then of the removal.

Cause: an entry that goes before a late write took over its revision, so that the order has no cycles; the removal between the two writes then had a lower revision than the entry.

Why this works: an entry keeps the revision of its own write, so that removals are compared with that write. Entries of two lifetimes and a late write of the earlier one may go round among nodes until the worker's next heartbeat.

--- a/coordination/include/dandelionstall/coordination/configuration/worker_directory.h
+++ b/coordination/include/dandelionstall/coordination/configuration/worker_directory.h
@@ -19,11 +19,11 @@
 // stays so until the new era has stated it twice in the same lifetime, as running workers write their entries again and again. And
 // entries of ready workers that the copy lacks stay pending removals for a short time, in which these workers announce themselves again.
 //
-// During an outage of the platform's service, entries can lapse although their workers are running. A removal of a ready worker that
-// is received after it stays pending. It is applied unless the worker announces itself again within EntryReturnTime after the service
-// has recovered. The removal of a leaving worker is applied at once. A node that has just started does not know of the outage: it
-// adopts the time that its peers state. An outage is a time without any answer that is long enough for an
-// entry to lapse (EntryLapseTime). A call that fails between two answers closer together is none, whatever it failed with.
+// During an outage of the platform's service, entries can lapse although their workers are running. An outage is a time without any
+// answer that is long enough for an entry to lapse (EntryLapseTime); a call that fails between two answers closer together is none,
+// whatever it failed with. After an outage, the removal of a ready worker stays pending, and is applied unless the worker announces
+// itself again within EntryReturnTime. The removal of a leaving worker is applied at once. A node that has just started does not know
+// of the outage: it adopts the time that its peers state.
 //
 // What holds afterwards, for one worker in one era. "Higher" and "lower" are revisions, "late" is a lower sequence in the same lifetime:
 //
@@ -147,7 +147,7 @@
     bool isOutage(state::time_point now) const;
     state::time_point heldUntil() const;
     bool isGoneByList(const discovered_worker &entry) const;
-    bool offerTombstone(discovered_worker tombstone, state::time_point now);
+    bool offerTombstone(const discovered_worker &tombstone, state::time_point now);
     bool offerUnknown(const discovered_worker &entry, state::time_point now);
     bool offerRemoved(const discovered_worker &entry, discovered_worker &known, state::time_point now);
     bool offerKnown(discovered_worker entry, discovered_worker &known, state::time_point now);
--- a/coordination/src/configuration/worker_directory.cpp
+++ b/coordination/src/configuration/worker_directory.cpp
@@ -31,12 +31,6 @@
     return XXH3_64bits(id.data(), id.size()) % DigestBuckets;
 }
 
-// Returns true when a started after b. Of two workers at one address, only the one started last can still be running.
-bool startedLater(const discovered_worker &a, const discovered_worker &b)
-{
-    return std::pair(a.startedAtMs, a.revision) > std::pair(b.startedAtMs, b.revision);
-}
-
 // Returns true when the worker has written the known entry later than this one, in the same lifetime.
 bool isLateWrite(const discovered_worker &entry, const discovered_worker &known)
 {
@@ -52,20 +46,6 @@
     }
 }
 
-state::pool_worker rowOf(const discovered_worker &entry)
-{
-    state::pool_worker row;
-    row.id = entry.id;
-    row.dataCentre = entry.dataCentre;
-    row.node = entry.node;
-    row.slots = entry.slots;
-    row.leaving = entry.phase == worker_phase::leaving;
-    row.address = entry.address;
-    row.coldUntil = entry.coldUntil;
-    row.startedAtMs = entry.startedAtMs;
-    return row;
-}
-
 } // namespace
 
 bool sameContent(const discovered_worker &a, const discovered_worker &b)
@@ -89,22 +69,19 @@
     return known->second.phase == worker_phase::removed ? offerRemoved(entry, known->second, now) : offerKnown(entry, known->second, now);
 }
 
-bool worker_directory::offerTombstone(discovered_worker tombstone, state::time_point now)
+bool worker_directory::offerTombstone(const discovered_worker &tombstone, state::time_point now)
 {
     const auto known = m_entries.find(tombstone.id);
-    if (known == m_entries.end()) {
-        apply(tombstone, now);
-        return true;
+    if (known != m_entries.end() && known->second.phase == worker_phase::removed) {
+        known->second.revision = std::max(known->second.revision, tombstone.revision); // prevents entries of a lower revision from adding the worker again
+        keepHighestSequence(known->second, tombstone);
+        return false;
     }
-    const bool isNewer = known->second.revision < tombstone.revision || isLateWrite(known->second, tombstone);
-    tombstone.revision = std::max(known->second.revision, tombstone.revision);
-    if (known->second.phase != worker_phase::removed && isNewer) {
+    const bool isNews = known == m_entries.end() || known->second.revision < tombstone.revision || isLateWrite(known->second, tombstone);
+    if (isNews) {
         apply(tombstone, now);
-        return true;
     }
-    known->second.revision = tombstone.revision; // prevents entries of a lower revision from adding the worker again
-    keepHighestSequence(known->second, tombstone);
-    return false;
+    return isNews;
 }
 
 bool worker_directory::offerUnknown(const discovered_worker &entry, state::time_point now)
@@ -151,9 +128,7 @@
         known.revision = entry.revision; // the copy holds the worker, as it was before
         return false;
     }
-    if (isLateWrite(known, entry)) {
-        entry.revision = std::max(entry.revision, known.revision); // the store took the known one later
-    } else if (entry.revision <= known.revision) {
+    if (entry.revision <= known.revision && !isLateWrite(known, entry)) {
         return false;
     }
     if (isOfLaterEra && entry.startedAtMs == known.startedAtMs && known.phase == worker_phase::leaving) {
@@ -409,38 +384,4 @@
     return m_entries.empty();
 }
 
-// ---- Merging ----
-
-state::pool_table mergeDiscoveredWorkers(const state::pool_table &table, const worker_directory &directory)
-{
-    std::set<std::string_view> pools;
-    for (const state::pool &pool : table.pools) {
-        if (pool.hasDiscoveredWorkers) {
-            pools.insert(pool.name);
-        }
-    }
-    std::map<state::node_address, const discovered_worker *> latestByAddress; // latest started worker at each address
-    for (const auto &[id, entry] : directory.entries()) {
-        if (entry.phase == worker_phase::removed || !pools.contains(entry.pool)) {
-            continue; // an entry of no pool takes no address from a worker
-        }
-        const discovered_worker *&latest = latestByAddress[entry.address];
-        if (latest == nullptr || startedLater(entry, *latest)) {
-            latest = &entry;
-        }
-    }
-    state::pool_table merged = table;
-    for (state::pool &pool : merged.pools) {
-        if (!pool.hasDiscoveredWorkers) {
-            continue;
-        }
-        for (const auto &[address, entry] : latestByAddress) {
-            if (entry->pool == pool.name) {
-                pool.workers.push_back(rowOf(*entry));
-            }
-        }
-    }
-    return merged;
-}
-
 } // namespace dandelionstall::coordination
--- a/coordination/tests/configuration/test_worker_directory.cpp
+++ b/coordination/tests/configuration/test_worker_directory.cpp
@@ -315,6 +315,17 @@
     cr_assert(directory.offer(makeWritten(8, 16, worker_phase::ready), Start)); // the worker is running
 }
 
+// Guards against a removed worker that comes back at nodes that have read a late write before they hear of the one before its removal.
+Test(worker_directory, a_removal_between_a_write_and_a_late_one_holds)
+{
+    worker_directory directory;
+    directory.replaceAll({{makeWritten(6, 15, worker_phase::ready)}, {}}, {0, 16}, Start);
+    cr_assert(directory.offer(makeWritten(7, 12, worker_phase::leaving), Start));
+    discovered_worker tombstone = makeWritten(7, 14, worker_phase::removed);
+    cr_assert(directory.offer(tombstone, Start));
+    cr_assert(phaseOf(directory, "a") == worker_phase::removed);
+}
+
 Test(worker_directory, a_late_write_ends_no_pending_removal)
 {
     worker_directory directory;
--- a/coordination/tests/configuration/test_worker_ends.cpp
+++ b/coordination/tests/configuration/test_worker_ends.cpp
@@ -12,6 +12,10 @@
 #include <criterion/new/assert.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <array>
+#include <map>
+
 using namespace dandelionstall;
 using namespace dandelionstall::coordination;
 using namespace std::chrono_literals;
@@ -22,13 +26,31 @@
 constexpr std::size_t Nodes = 4; // the others hear from the readers and from each other
 constexpr std::size_t Workers = 3;
 constexpr int Steps = 50;
+constexpr std::chrono::minutes LongestHeld{2}; // less than tombstones are kept
 
 struct worker {
     std::uint64_t born = 1;
-    std::uint64_t sequence = 0;
+    std::uint64_t sequence = 0; // of its latest write
+    std::uint64_t stored = 0;   // highest sequence that the store has taken since all nodes had started
+    std::uint64_t seen = 0;     // of it, what the nodes have seen: 0 when all have started since
     bool isRunning = true;
     bool isLeaving = false;
-    bool isSeenLeaving = false; // by all nodes, in this lifetime
+    bool isSeenLeaving = false; // by a node that has not started since, in this lifetime
+    bool isSeenEnded = false;   // the same
+};
+
+// Draws from the whole range, whatever the size of the test case.
+template<typename value>
+value draw(value min, value max)
+{
+    return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(min, max));
+}
+
+// A write on its way to the store.
+struct held_write {
+    std::size_t worker = 0;
+    discovered_worker entry;
+    state::time_point since;
 };
 
 struct snapshot {
@@ -49,16 +71,16 @@
 
     void step()
     {
-        const auto any = *rc::gen::inRange<std::size_t>(0, Workers);
-        const auto node = *rc::gen::inRange<std::size_t>(0, Nodes);
-        m_now += std::chrono::milliseconds(*rc::gen::inRange(0, 400));
-        switch (*rc::gen::inRange(0, 14)) {
+        const auto any = draw<std::size_t>(0, Workers);
+        const auto node = draw<std::size_t>(0, Nodes);
+        m_now += std::chrono::milliseconds(draw(0, 400));
+        switch (draw(0, 15)) {
         case 0:
         case 1:
             beat(any);
             break;
         case 2:
-            m_held.emplace_back(any, makeEntry(any));
+            m_held.push_back({any, makeEntry(any), m_now});
             break;
         case 3:
             deliverHeld();
@@ -84,7 +106,7 @@
             restartAll();
             break;
         case 10:
-            exchange(node, *rc::gen::inRange<std::size_t>(0, Nodes));
+            exchange(node, draw<std::size_t>(0, Nodes));
             break;
         case 11:
             cutWatch(node % Readers);
@@ -92,8 +114,11 @@
         case 12:
             outage();
             break;
+        case 13:
+            hear();
+            break;
         default:
-            *rc::gen::inRange(0, 4) == 0 ? rewind() : settle();
+            draw(0, 4) == 0 ? rewind() : settle();
             break;
         }
     }
@@ -109,13 +134,25 @@
                 watch(reader);
             }
             exchangeAll();
-            m_now += 3s;
-            for (worker_directory &each : m_nodes) {
-                each.tick(m_now);
-            }
+            passTime();
         }
         exchangeAll();
         check();
+        m_informed.fill(true);
+    }
+
+    // The readers read and all nodes exchange, while no worker writes: what was seen before must not be undone by what the store holds now.
+    void hear()
+    {
+        for (std::size_t reader = 0; reader < Readers; ++reader) {
+            watch(reader);
+        }
+        exchangeAll();
+        for (std::size_t i = 0; i < Workers; ++i) {
+            for (const worker_directory &each : m_nodes) {
+                RC_ASSERT(!(m_workers[i].isSeenLeaving || m_workers[i].isSeenEnded) || !isUsable(each, i));
+            }
+        }
     }
 
 private:
@@ -143,6 +180,13 @@
     {
         entry.revision = {m_era, ++m_store.revision};
         m_store.items[entry.id] = entry;
+        worker &from = m_workers[static_cast<std::size_t>(entry.id.back() - '0')];
+        const bool isKnownToBeLate = entry.startedAtMs == from.born && entry.sequence < from.seen;
+        if (!isKnownToBeLate && entry.phase == worker_phase::ready) { // nothing tells it from a worker that runs
+            from.isSeenLeaving = false;
+            from.isSeenEnded = false;
+        }
+        from.stored = entry.startedAtMs == from.born ? std::max(from.stored, entry.sequence) : from.stored;
         m_events.push_back(entry);
         remember();
     }
@@ -172,7 +216,10 @@
 
     void deliverHeld()
     {
-        for (auto &[index, entry] : std::exchange(m_held, {})) {
+        for (auto &[index, entry, heldSince] : std::exchange(m_held, {})) {
+            if (m_now - heldSince > LongestHeld) {
+                continue; // the connection has been given up
+            }
             write(entry);
             if (!m_workers[index].isRunning || entry.startedAtMs < m_workers[index].born) {
                 m_isStale[index] = true;
@@ -217,6 +264,15 @@
     void restart(std::size_t node, bool withOldList)
     {
         m_nodes[node] = worker_directory();
+        m_informed[node] = false;
+        if (std::ranges::none_of(m_informed, [](bool informed) { return informed; })) {
+            for (worker &each : m_workers) {
+                each.isSeenLeaving = false;
+                each.isSeenEnded = false;
+                each.stored = 0;
+                each.seen = 0;
+            }
+        }
         if (node < Readers) {
             m_positions[node] = {};
         }
@@ -228,8 +284,13 @@
         for (std::size_t node = 0; node < Nodes; ++node) {
             restart(node, *rc::gen::arbitrary<bool>());
         }
-        for (worker &each : m_workers) {
-            each.isSeenLeaving = false;
+    }
+
+    void passTime() // until what is pending is due
+    {
+        m_now += 3s;
+        for (worker_directory &each : m_nodes) {
+            each.tick(m_now);
         }
     }
 
@@ -261,7 +322,6 @@
     void outage()
     {
         settle();
-        const std::vector<worker_directory> before(m_nodes.begin(), m_nodes.end());
         for (std::size_t i = 0; i < Workers; ++i) {
             if (m_workers[i].isRunning && *rc::gen::arbitrary<bool>()) {
                 remove(i);
@@ -272,11 +332,11 @@
             each.recordServiceFailure(m_now - 5s);
             each.recordServiceRecovery(m_now);
         }
-        const auto started = *rc::gen::inRange<std::size_t>(0, Nodes);
+        const auto started = draw<std::size_t>(0, Nodes);
         m_nodes[started] = worker_directory();
         m_nodes[started].adoptRemovalHold(m_now + m_nodes[(started + 1) % Nodes].removalHold(m_now));
         readList(started, m_store);
-        watch(*rc::gen::inRange<std::size_t>(0, Readers));
+        watch(draw<std::size_t>(0, Readers));
         exchangeAll();
         m_now += 1900ms;
         for (std::size_t node = 0; node < Nodes; ++node) {
@@ -297,6 +357,9 @@
         ++m_era;
         m_events.clear();
         m_past.clear();
+        for (worker &each : m_workers) {
+            each.stored = each.seen; // what was written since is lost
+        }
         for (auto &[id, entry] : m_store.items) {
             entry.revision.era = m_era;
         }
@@ -322,6 +385,7 @@
                 for (std::size_t reader = 0; reader < Readers; ++reader) {
                     watch(reader);
                 }
+                passTime(); // after a rewind, the removal may wait for the worker to return
                 exchangeAll();
             }
             m_isStale[i] = false;
@@ -332,6 +396,8 @@
                 RC_ASSERT(!(truth.isLeaving && truth.isSeenLeaving) || !isUsed);
             }
             truth.isSeenLeaving = truth.isLeaving;
+            truth.isSeenEnded = !truth.isRunning;
+            truth.seen = truth.stored;
         }
         for (const worker_directory &each : m_nodes) {
             RC_ASSERT(each.digest() == m_nodes[0].digest());
@@ -341,8 +407,9 @@
     std::array<worker_directory, Nodes> m_nodes;
     std::array<store_revision, Readers> m_positions; // up to which a reader has watched
     std::array<worker, Workers> m_workers;
+    std::array<bool, Nodes> m_informed{};  // the node has not started since the last settling
     std::array<bool, Workers> m_isStale{}; // the store holds an entry of an ended lifetime
-    std::vector<std::pair<std::size_t, discovered_worker>> m_held;
+    std::vector<held_write> m_held;
     std::vector<discovered_worker> m_events; // of this era
     std::vector<snapshot> m_past;
     snapshot m_store;
