--- a/bench/bench_organisations.cpp
+++ b/bench/bench_organisations.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::array<std::size_t, 4> Sizes{85, 1'000, 12'000, 75'000};
 constexpr std::size_t KeysEach = 2;
+constexpr std::size_t LookedUpKeys = 4096;
 
 std::string keyOf(std::size_t organisation, std::size_t key)
 {
@@ -63,7 +64,8 @@
     const state::organisation_index index(std::make_shared<const state::route_table>(*std::move(parsed)));
     const double indexMs = millisSince(indexedFrom);
     std::vector<std::string> keys;
-    for (std::size_t i = 0; i < 4096; ++i) {
+    keys.reserve(LookedUpKeys);
+    for (std::size_t i = 0; i < LookedUpKeys; ++i) {
         keys.push_back(keyOf(i * 7919 % organisations, i % KeysEach));
     }
     std::size_t found = 0;
