Tests: texts that GCC 12 takes for overlapping copies in Release builds

Prepending a character to a moved string gives a false -Wrestrict at -O3, as in other tests before; the checks are the same. The Release build passes.

--- a/coordination/tests/configuration/test_old_lists.cpp
+++ b/coordination/tests/configuration/test_old_lists.cpp
@@ -25,7 +25,7 @@
 {
     discovered_worker entry;
     entry.id = fmt::format("i-{:05}", index);
-    entry.pool = "p";
+    entry.pool = std::string("p");
     entry.dataCentre = dataCentreOf(index);
     entry.node = gossip_simulation::addressOf(index);
     entry.address = {entry.node.ip, 8000};
--- a/coordination/tests/configuration/test_removal_hold.cpp
+++ b/coordination/tests/configuration/test_removal_hold.cpp
@@ -19,9 +19,9 @@
 discovered_worker makeEntry(std::uint64_t revision)
 {
     discovered_worker entry;
-    entry.id = "w";
-    entry.pool = "p";
-    entry.dataCentre = "dc-0";
+    entry.id = std::string("w");
+    entry.pool = std::string("p");
+    entry.dataCentre = std::string("dc-0");
     entry.node = gossip_simulation::addressOf(0);
     entry.address = {entry.node.ip, 8000};
     entry.slots = 4;
--- a/coordination/tests/configuration/test_worker_ends.cpp
+++ b/coordination/tests/configuration/test_worker_ends.cpp
@@ -10,6 +10,7 @@
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <fmt/format.h>
 #include <rapidcheck.h>
 
 #include <algorithm>
@@ -158,7 +159,7 @@
 private:
     static std::string idOf(std::size_t index)
     {
-        return "w" + std::to_string(index);
+        return fmt::format("w{}", index);
     }
 
     discovered_worker makeEntry(std::size_t index)
@@ -166,7 +167,7 @@
         worker &from = m_workers[index];
         discovered_worker entry;
         entry.id = idOf(index);
-        entry.pool = "p";
+        entry.pool = std::string("p");
         entry.node = {"10.0.0.1", 7400};
         entry.address = {"10.0.0.1", static_cast<std::uint16_t>(8000 + index)};
         entry.slots = 3;
--- a/state/tests/test_organisations.cpp
+++ b/state/tests/test_organisations.cpp
@@ -4,6 +4,7 @@
 
 #include <criterion/criterion.h>
 #include <criterion/new/assert.h>
+#include <fmt/format.h>
 #include <rapidcheck.h>
 
 #include <map>
@@ -83,7 +84,7 @@
         auto table = std::make_shared<route_table>();
         for (std::size_t i = 0; i < 12; ++i) {
             organisation row;
-            row.name = "o" + std::to_string(i);
+            row.name = fmt::format("o{}", i);
             for (const auto &[key, owner] : owners) {
                 if (owner == i) {
                     row.keys.push_back({7, std::uint64_t{key} << 3U}); // many digests begin at the same slot
